--- /dev/null
+++ b/src/orioleloom/client/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/src/orioleloom/codec/_http.py
@@ -0,0 +1,58 @@
+import typing
+
+import msgspec
+
+from orioleloom import errors
+from orioleloom import model
+
+
+def encode_json(value: typing.Any) -> bytes:
+    """Encode a value as JSON."""
+    return msgspec.json.encode(value)
+
+
+def decode_json(body: bytes) -> typing.Any:
+    """Decode a JSON body.
+
+    :raises DispatchError: ``bad_request`` when it is not valid JSON
+    """
+    try:
+        return msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise errors.DispatchError(
+            errors.ErrorKind.BAD_REQUEST, f'body is not valid JSON: {exc}'
+        ) from exc
+
+
+class _LineFields(msgspec.Struct, omit_defaults=True):
+    key: str
+    outcome: model.TaskOutcome
+    free_slots: int = 0
+    result: typing.Any = None
+    error: str = ''
+    reason: str = ''
+    run_time_ms: float = 0.0
+    leaving: bool = False
+
+
+_line_decoder = msgspec.json.Decoder(_LineFields)
+
+
+def decode_task_line(line: bytes) -> model.TaskLine:
+    """Decode one NDJSON result line of a worker.
+
+    :raises DispatchError: ``bad_request`` for a malformed line
+    """
+    try:
+        fields = _line_decoder.decode(line)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise errors.DispatchError(
+            errors.ErrorKind.BAD_REQUEST,
+            f'result line of a worker is malformed: {exc}',
+        ) from exc
+    return model.TaskLine(*msgspec.structs.astuple(fields))
+
+
+def encode_task_line(line: model.TaskLine) -> bytes:
+    """Encode one result line, with its newline."""
+    return msgspec.json.encode(_LineFields(*line)) + b'\n'
--- /dev/null
+++ b/src/orioleloom/engine/_events.py
@@ -0,0 +1,197 @@
+import dataclasses
+import typing
+
+from orioleloom import codec
+from orioleloom import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """A caller submits a job.
+
+    :param first_attempt: the caller promises that it sent no other copy
+    :param wait: answer when the job ends; otherwise answer with
+        progress as soon as the job is accepted
+    :param body: the request as received, to forward it
+    """
+
+    request_id: int
+    job_id: model.JobId
+    request: model.JobRequest
+    first_attempt: bool = False
+    wait: bool = True
+    body: bytes = b''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fetch:
+    """A caller asks for the answer of a job."""
+
+    request_id: int
+    job_id: model.JobId
+    wait: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """A caller cancels a job."""
+
+    request_id: int
+    job_id: model.JobId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitExpired:
+    """A waiting request wants progress now; its job goes on."""
+
+    request_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestGone:
+    """The caller of a request disconnected."""
+
+    request_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PutContract:
+    """An operator changes a contract.
+
+    :param contract: its ``version`` is ``expected_version + 1``
+    :param expected_version: version that the change was based on;
+        0 when the customer must not exist yet
+    """
+
+    request_id: int
+    contract: model.Contract
+    expected_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed:
+    """The transaction took effect."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflicted:
+    """Nothing was written; the rows that did not match."""
+
+    conflicts: tuple[model.Row, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteUnknown:
+    """The answer was lost; the transaction may have taken effect."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteRefused:
+    """The platform was away or over its rate; nothing was written."""
+
+
+TableOutcome = Committed | Conflicted | WriteUnknown | WriteRefused
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableDone:
+    """A transaction ended."""
+
+    token: str
+    outcome: TableOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowsRead:
+    """A read ended; ``rows`` is ``None`` when it failed."""
+
+    token: str
+    rows: tuple[model.Row, ...] | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LineReceived:
+    """A worker sent a result line."""
+
+    exchange_id: int
+    line: model.TaskLine
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeEnded:
+    """A POST to a worker ended.
+
+    :param may_have_started: bytes may have reached the worker; when
+        false, none of the tasks without a line started
+    """
+
+    exchange_id: int
+    may_have_started: bool
+    reason: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerReceived:
+    """A message of another entry instance arrived."""
+
+    message_id: int
+    sender: str
+    message: codec.PeerMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """The platform's list was read; ``members`` holds the changes."""
+
+    members: tuple[model.Member, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContractsRead:
+    """Contract rows were read from the table."""
+
+    rows: tuple[model.Row, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformState:
+    """The platform became reachable or unreachable."""
+
+    available: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed; deadlines, retries and expiries are checked."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRequested:
+    """A planned stop began.
+
+    :param timeout_s: bound on the drain, in seconds
+    """
+
+    timeout_s: float = 30.0
+
+
+Event: typing.TypeAlias = (
+    Submit
+    | Fetch
+    | Cancel
+    | WaitExpired
+    | RequestGone
+    | PutContract
+    | TableDone
+    | RowsRead
+    | LineReceived
+    | ExchangeEnded
+    | PeerReceived
+    | MembersChanged
+    | ContractsRead
+    | PlatformState
+    | Tick
+    | StopRequested
+)
--- /dev/null
+++ b/src/orioleloom/model/__init__.py
@@ -0,0 +1,45 @@
+"""Data that the parts of the system exchange."""
+
+from orioleloom.model._answers import Answer
+from orioleloom.model._answers import Progress
+from orioleloom.model._answers import TaskReport
+from orioleloom.model._answers import complete_answer
+from orioleloom.model._answers import failed_answer
+from orioleloom.model._answers import refused_answer
+from orioleloom.model._records import Claim
+from orioleloom.model._records import ClaimState
+from orioleloom.model._records import Contract
+from orioleloom.model._records import JobId
+from orioleloom.model._records import JobRequest
+from orioleloom.model._records import Member
+from orioleloom.model._records import MemberState
+from orioleloom.model._records import Role
+from orioleloom.model._records import Row
+from orioleloom.model._records import TableOp
+from orioleloom.model._records import Task
+from orioleloom.model._records import TaskLine
+from orioleloom.model._records import TaskOutcome
+from orioleloom.model._records import task_key
+
+__all__ = [
+    'Answer',
+    'Claim',
+    'ClaimState',
+    'Contract',
+    'JobId',
+    'JobRequest',
+    'Member',
+    'MemberState',
+    'Progress',
+    'Role',
+    'Row',
+    'TableOp',
+    'Task',
+    'TaskLine',
+    'TaskOutcome',
+    'TaskReport',
+    'complete_answer',
+    'failed_answer',
+    'refused_answer',
+    'task_key',
+]
--- /dev/null
+++ b/src/orioleloom/model/_answers.py
@@ -0,0 +1,77 @@
+import typing
+
+from orioleloom import errors
+
+
+class TaskReport(typing.TypedDict):
+    """What is known of each task of a failed job, by task index."""
+
+    not_run: list[int]
+    unknown: list[int]
+    failed: list[int]
+    done: int
+
+
+class Answer(typing.NamedTuple):
+    """A final answer to a caller.
+
+    :param http_status: status of the HTTP response
+    :param body: JSON object sent to the caller
+    """
+
+    http_status: int
+    body: dict[str, typing.Any]
+
+
+class Progress(typing.TypedDict):
+    """State of a job that has no final answer yet."""
+
+    submission_id: str
+    state: str
+    n_tasks: int
+    n_started: int
+    n_done: int
+
+
+def complete_answer(submission_id: str, results: list[typing.Any]) -> Answer:
+    """Build the answer of a job whose tasks all succeeded."""
+    return Answer(
+        200,
+        {
+            'submission_id': submission_id,
+            'state': 'complete',
+            'results': results,
+        },
+    )
+
+
+def failed_answer(
+    submission_id: str,
+    error: errors.DispatchError,
+    report: TaskReport,
+) -> Answer:
+    """Build the answer of a job that failed after it was accepted."""
+    status, body = errors.to_answer(error, sole_copy=True)
+    return Answer(
+        status,
+        {
+            'submission_id': submission_id,
+            'state': 'failed',
+            'error': body,
+            'tasks': report,
+        },
+    )
+
+
+def refused_answer(
+    submission_id: str,
+    error: errors.DispatchError,
+    *,
+    sole_copy: bool,
+) -> Answer:
+    """Build the answer of a submission that was not accepted."""
+    status, body = errors.to_answer(error, sole_copy=sole_copy)
+    return Answer(
+        status,
+        {'submission_id': submission_id, 'state': 'failed', 'error': body},
+    )
