--- a/src/orioleloom/codec/__init__.py
+++ b/src/orioleloom/codec/__init__.py
@@ -6,6 +6,8 @@
 from orioleloom.codec._http import encode_task_line
 from orioleloom.codec._peer import ContractPull
 from orioleloom.codec._peer import ContractPush
+from orioleloom.codec._peer import decode_peer
+from orioleloom.codec._peer import encode_peer
 from orioleloom.codec._peer import Envelope
 from orioleloom.codec._peer import JobCancel
 from orioleloom.codec._peer import JobForward
@@ -17,8 +19,6 @@
 from orioleloom.codec._peer import ShareGrant
 from orioleloom.codec._peer import ShareRequest
 from orioleloom.codec._peer import WorkerNotice
-from orioleloom.codec._peer import decode_peer
-from orioleloom.codec._peer import encode_peer
 
 __all__ = [
     'ContractPull',
--- a/src/orioleloom/model/__init__.py
+++ b/src/orioleloom/model/__init__.py
@@ -1,11 +1,11 @@
 """Data that the parts of the system exchange."""
 
 from orioleloom.model._answers import Answer
-from orioleloom.model._answers import Progress
-from orioleloom.model._answers import TaskReport
 from orioleloom.model._answers import complete_answer
 from orioleloom.model._answers import failed_answer
+from orioleloom.model._answers import Progress
 from orioleloom.model._answers import refused_answer
+from orioleloom.model._answers import TaskReport
 from orioleloom.model._records import Claim
 from orioleloom.model._records import ClaimState
 from orioleloom.model._records import Contract
@@ -17,9 +17,9 @@
 from orioleloom.model._records import Row
 from orioleloom.model._records import TableOp
 from orioleloom.model._records import Task
+from orioleloom.model._records import task_key
 from orioleloom.model._records import TaskLine
 from orioleloom.model._records import TaskOutcome
-from orioleloom.model._records import task_key
 
 __all__ = [
     'Answer',
