Add claims and the engine

Cause: the parts need a core that decides without input or output. Change: table claims with a start watermark, packing of table writes with read-back of lost answers, tickets, takeover, dispatch, cancel, contracts, lending of shares, deadlines and planned stop.

--- a/src/orioleloom/codec/__init__.py
+++ b/src/orioleloom/codec/__init__.py
@@ -15,6 +15,7 @@
 from orioleloom.codec._peer import JobReply
 from orioleloom.codec._peer import LeavingNotice
 from orioleloom.codec._peer import MAX_PEER_MESSAGE_BYTES
+from orioleloom.codec._peer import MembersPush
 from orioleloom.codec._peer import PeerMessage
 from orioleloom.codec._peer import ShareGrant
 from orioleloom.codec._peer import ShareRequest
@@ -30,6 +31,7 @@
     'JobReply',
     'LeavingNotice',
     'MAX_PEER_MESSAGE_BYTES',
+    'MembersPush',
     'PeerMessage',
     'ShareGrant',
     'ShareRequest',
--- a/src/orioleloom/codec/_peer.py
+++ b/src/orioleloom/codec/_peer.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from orioleloom import errors
+from orioleloom import model
 
 PROTOCOL_VERSION = 1
 
@@ -60,9 +61,23 @@
 
 
 class ContractPull(typing.NamedTuple):
-    """Ask for all contracts newer than the given versions."""
+    """Ask for the contracts newer than the given versions.
+
+    An instance that starts while the platform is away also asks for the
+    member list.
+
+    :param reply_to: peer address of the sender, which may not be listed
+    """
 
     versions: dict[str, int]
+    reply_to: str
+    with_members: bool = False
+
+
+class MembersPush(typing.NamedTuple):
+    """The sender's copy of the platform's list."""
+
+    members: list[model.Member]
 
 
 class ShareRequest(typing.NamedTuple):
@@ -105,6 +120,7 @@
     | JobCancel
     | ContractPush
     | ContractPull
+    | MembersPush
     | ShareRequest
     | ShareGrant
     | WorkerNotice
--- /dev/null
+++ b/src/orioleloom/engine/_claim_flow.py
@@ -0,0 +1,474 @@
+import typing
+
+from orioleloom import claims
+from orioleloom import errors
+from orioleloom import model
+from orioleloom.engine import _tags as tags
+from orioleloom.engine._completion import Completion
+from orioleloom.engine._core import Core
+from orioleloom.engine._core import Waiting
+from orioleloom.engine._dispatch import Dispatcher
+from orioleloom.engine._jobs import Job
+from orioleloom.engine._jobs import JobPhase
+from orioleloom.engine._jobs import RemoteJob
+from orioleloom.engine._remote import RemoteJobs
+
+# Tasks released by one raise. A larger chunk costs fewer writes and
+# leaves more tasks "outcome unknown" when the instance dies.
+RAISE_CHUNK = 64
+
+
+class ClaimFlow:
+    """Insert, raise, close and take over claim rows."""
+
+    def __init__(
+        self,
+        core: Core,
+        dispatcher: Dispatcher,
+        completion: Completion,
+        remote: RemoteJobs,
+    ):
+        self.core = core
+        self.dispatcher = dispatcher
+        self.completion = completion
+        self.remote = remote
+
+    def insert(self, job: Job, if_revision: int = 0) -> None:
+        """Write the claim of a new job.
+
+        :param if_revision: revision of the row that is taken over
+        """
+        core = self.core
+        job.raising_to = self._first_watermark(job)
+        token = core.new_token()
+        claim = model.Claim(
+            core.identity,
+            job.n_tasks,
+            job.raising_to,
+            model.ClaimState.CLAIMED,
+            token,
+            job.request.digest,
+        )
+        self._put(
+            tags.ClaimInsert(job.id),
+            claim,
+            job.id,
+            if_revision,
+            min(job.deadline_at_s, core.now_s + core.settings.claim_timeout_s),
+        )
+
+    def _first_watermark(self, job: Job) -> int:
+        """Release only as many tasks as can start at once.
+
+        What is not released can still run elsewhere, or be reported as
+        not run, when this instance dies.
+        """
+        if self.core.queue.n_tasks(job.id.customer):
+            return 0
+        upstreams = {task.upstream for task in job.request.tasks}
+        n_free = min(self.core.pool.free_slots(name) for name in upstreams)
+        return min(job.n_tasks, n_free)
+
+    def _put(
+        self,
+        tag: typing.Any,
+        claim: model.Claim,
+        job_id: model.JobId,
+        if_revision: int,
+        give_up_at_s: float,
+    ) -> None:
+        op = model.TableOp(
+            'put',
+            job_id.claim_key(),
+            claims.claim_to_value(claim),
+            if_revision,
+        )
+        self.core.writer.add(
+            claims.WriteGroup(tag, claim.token, (op,), give_up_at_s)
+        )
+
+    def insert_done(
+        self, job_id: model.JobId, outcome: claims.GroupOutcome
+    ) -> None:
+        """Take the outcome of the insert of a claim."""
+        job = self.core.jobs.get(job_id)
+        if job is None or job.phase is not JobPhase.CLAIMING:
+            return
+        match outcome:
+            case claims.GroupCommitted(revision):
+                job.revision = revision
+                job.released = job.raising_to
+                job.raising_to = 0
+                job.phase = JobPhase.RUNNING
+                self.dispatcher.enqueue(job)
+                self.completion.check(job)
+            case claims.GroupConflicted(rows):
+                self._lost(job, rows)
+            case claims.GroupGivenUp():
+                self._refuse_unclaimed(job)
+
+    def _refuse_unclaimed(self, job: Job) -> None:
+        # The job was never started and is dropped here, so a late
+        # commit of the row starts nothing.
+        waiting = self._drop(job)
+        error = errors.DispatchError(
+            errors.ErrorKind.PLATFORM_UNAVAILABLE,
+            'the table did not answer, so the submission could not be '
+            'claimed; a ticket needs no table',
+            retry_after_ms=self.core.retry_after_ms(),
+        )
+        for request_id in waiting.ids():
+            self.core.refuse(
+                request_id, job.id, error, sole_copy=job.first_attempt
+            )
+
+    def raise_done(
+        self, tag: tags.ClaimRaise, outcome: claims.GroupOutcome
+    ) -> None:
+        """Take the outcome of a raise of the watermark."""
+        job = self.core.jobs.get(tag.job_id)
+        if job is None or job.phase is not JobPhase.RUNNING:
+            return
+        job.raising_to = 0
+        match outcome:
+            case claims.GroupCommitted(revision):
+                job.revision = revision
+                job.released = max(job.released, tag.released)
+                self.dispatcher.release_held(job)
+                self.completion.check(job)
+            case claims.GroupConflicted(rows):
+                self._superseded(job, rows)
+            case claims.GroupGivenUp():
+                # The deadline of the job ends it.
+                self.dispatcher.release_held(job)
+                self.completion.check(job)
+
+    def _superseded(self, job: Job, rows: tuple[model.Row, ...]) -> None:
+        """Stop a job whose claim another instance changed."""
+        self.core.counters['claims_superseded'] += 1
+        job.superseded = True
+        self.dispatcher.drop_queued(job)
+        self._lost(job, rows)
+
+    def _lost(self, job: Job, rows: tuple[model.Row, ...]) -> None:
+        waiting = self._drop(job)
+        row = rows[0]
+        self.resolve(
+            job.id,
+            row,
+            waiting,
+            request=job.request,
+            body=b'',
+            first_attempt=False,
+        )
+
+    def _drop(self, job: Job) -> Waiting:
+        core = self.core
+        job.phase = JobPhase.ENDED
+        self.forget(job)
+        for peer_id, message_id in job.peer_waiters:
+            core.send_peer(
+                peer_id, self.remote.unknown_reply(job.id), message_id
+            )
+        return Waiting(final=set(job.waiters))
+
+    def record_done(
+        self, job_id: model.JobId, outcome: claims.GroupOutcome
+    ) -> None:
+        """Take the outcome of the record of a final answer."""
+        job = self.core.jobs.get(job_id)
+        if job is None or job.answer is None:
+            return
+        match outcome:
+            case claims.GroupCommitted(revision):
+                self.completion.recorded(job, revision)
+            case claims.GroupConflicted(rows):
+                self._record_conflict(job, rows[0])
+            case claims.GroupGivenUp():
+                self.completion.record_given_up(job)
+
+    def _record_conflict(self, job: Job, row: model.Row) -> None:
+        claim = self._claim_of(row)
+        mine = claim is not None and claim.owner == self.core.identity
+        if mine and claim.state is model.ClaimState.CLAIMED:
+            # A raise whose answer was lost did take effect.
+            job.revision = row.revision
+            job.released = max(job.released, claim.released)
+            self.completion.record(job)
+        elif job.phase is JobPhase.SETTLING:
+            self._superseded(job, (row,))
+
+    def resolve(
+        self,
+        job_id: model.JobId,
+        row: model.Row,
+        waiting: Waiting,
+        *,
+        request: model.JobRequest | None,
+        body: bytes,
+        first_attempt: bool,
+    ) -> None:
+        """Answer a submission from a claim row that exists.
+
+        :param request: content of the copy at hand, ``None`` for a
+            fetch, which cannot run the job
+        """
+        claim = self._claim_of(row)
+        if claim is None:
+            self._refuse_all(
+                waiting,
+                job_id,
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                'the claim row of this submission cannot be read',
+            )
+        elif request and claim.digest and claim.digest != request.digest:
+            self._refuse_all(
+                waiting,
+                job_id,
+                errors.ErrorKind.SUBMISSION_MISMATCH,
+                'the submission id was used for a job with other content',
+            )
+        elif claim.state is model.ClaimState.CLAIMED:
+            self._resolve_claimed(
+                job_id, row, claim, waiting, request, body, first_attempt
+            )
+        else:
+            self._resolve_closed(job_id, claim, waiting)
+
+    def _resolve_closed(
+        self, job_id: model.JobId, claim: model.Claim, waiting: Waiting
+    ) -> None:
+        if claim.answer is not None:
+            answer = model.Answer(
+                claim.answer['http_status'], claim.answer['body']
+            )
+            for request_id in waiting.ids():
+                self.core.respond(request_id, answer)
+        elif claim.state is model.ClaimState.CANCELLED:
+            self._refuse_all(
+                waiting,
+                job_id,
+                errors.ErrorKind.CANCELLED,
+                'the submission was cancelled before it was claimed',
+                run=errors.Run.NOT_RUN,
+            )
+        else:
+            self._refuse_all(
+                waiting,
+                job_id,
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                'the job ended, but its answer was too large to record '
+                'and the instance that held it is gone',
+            )
+
+    def _resolve_claimed(
+        self,
+        job_id: model.JobId,
+        row: model.Row,
+        claim: model.Claim,
+        waiting: Waiting,
+        request: model.JobRequest | None,
+        body: bytes,
+        first_attempt: bool,
+    ) -> None:
+        job = self.core.jobs.get(job_id)
+        if job is not None:
+            job.waiters |= waiting.final
+            for request_id in waiting.quick:
+                self.core.respond(
+                    request_id, model.Answer(202, dict(job.progress()))
+                )
+            return
+        self.remote.watch(
+            job_id, claim.owner, row, waiting, request, body, first_attempt
+        )
+        if claim.owner.partition('/')[0] == self.core.instance_id:
+            # This process, or an earlier one of the same instance, made
+            # the claim and does not hold the job.
+            self.take_over(job_id)
+
+    def take_over(self, job_id: model.JobId) -> None:
+        """Take a claim over from an owner that is gone."""
+        remote = self.core.remote.get(job_id)
+        if remote is None or remote.taking_over or remote.row is None:
+            return
+        claim = self._claim_of(remote.row)
+        remote.taking_over = True
+        self.core.counters['takeovers'] += 1
+        if claim.released == 0 and remote.request and not remote.cancel:
+            self._run_taken_over(remote)
+        else:
+            self._close(remote, claim)
+
+    def _run_taken_over(self, remote: RemoteJob) -> None:
+        core = self.core
+        core.remote.pop(remote.id)
+        job = self.dispatcher.new_job(
+            remote.id, remote.request, remote.body, ticket=False
+        )
+        job.waiters = remote.waiters
+        self.insert(job, if_revision=remote.row.revision)
+
+    def _close(self, remote: RemoteJob, claim: model.Claim) -> None:
+        core = self.core
+        report = claims.takeover_report(claim)
+        run = errors.Run.UNKNOWN if claim.released else errors.Run.NOT_RUN
+        error = errors.DispatchError(
+            errors.ErrorKind.CANCELLED
+            if remote.cancel
+            else errors.ErrorKind.OUTCOME_UNKNOWN,
+            f'the instance {claim.owner} that held the job is gone; it '
+            f'may have started the first {claim.released} of '
+            f'{claim.n_tasks} tasks and none of the others',
+            run=run,
+        )
+        answer = model.failed_answer(remote.id.submission_id, error, report)
+        closed = claim._replace(
+            owner=core.identity,
+            state=model.ClaimState.FAILED,
+            token=core.new_token(),
+            answer={'http_status': answer.http_status, 'body': answer.body},
+        )
+        self._put(
+            tags.ClaimClose(remote.id),
+            closed,
+            remote.id,
+            remote.row.revision,
+            core.now_s + core.settings.claim_timeout_s,
+        )
+        remote.closing_answer = answer
+
+    def close_done(
+        self, job_id: model.JobId, outcome: claims.GroupOutcome
+    ) -> None:
+        """Take the outcome of the close of a claim taken over."""
+        remote = self.core.remote.pop(job_id, None)
+        if remote is None:
+            return
+        match outcome:
+            case claims.GroupCommitted():
+                for request_id in remote.waiters:
+                    self.core.respond(request_id, remote.closing_answer)
+            case claims.GroupConflicted(rows):
+                self.resolve(
+                    job_id,
+                    rows[0],
+                    Waiting(final=remote.waiters),
+                    request=remote.request,
+                    body=remote.body,
+                    first_attempt=False,
+                )
+            case claims.GroupGivenUp():
+                self._refuse_all(
+                    Waiting(final=remote.waiters),
+                    job_id,
+                    errors.ErrorKind.OWNER_UNREACHABLE,
+                    f'the instance {remote.owner} that holds the job does '
+                    'not answer, and the table does not either',
+                    retry=True,
+                )
+
+    def cancel_unclaimed(
+        self, job_id: model.JobId, request_id: int
+    ) -> None:
+        """Make sure that a submission without a claim never runs."""
+        core = self.core
+        claim = model.Claim(
+            core.identity,
+            0,
+            0,
+            model.ClaimState.CANCELLED,
+            core.new_token(),
+        )
+        self._put(
+            tags.CancelInsert(job_id, request_id),
+            claim,
+            job_id,
+            0,
+            core.now_s + core.settings.claim_timeout_s,
+        )
+
+    def cancel_done(
+        self, tag: tags.CancelInsert, outcome: claims.GroupOutcome
+    ) -> None:
+        """Take the outcome of the cancel of an unclaimed submission."""
+        waiting = Waiting(final={tag.request_id})
+        match outcome:
+            case claims.GroupCommitted():
+                self._refuse_all(
+                    waiting,
+                    tag.job_id,
+                    errors.ErrorKind.CANCELLED,
+                    'the submission is cancelled; no copy of it will run',
+                    run=errors.Run.NOT_RUN,
+                )
+            case claims.GroupConflicted(rows):
+                self.remote.cancel_row(tag.job_id, rows[0], tag.request_id)
+            case claims.GroupGivenUp():
+                self._refuse_all(
+                    waiting,
+                    tag.job_id,
+                    errors.ErrorKind.PLATFORM_UNAVAILABLE,
+                    'the table did not answer, so it is not known whether '
+                    'the submission was claimed',
+                    run=errors.Run.UNKNOWN,
+                    retry=True,
+                )
+
+    def _refuse_all(
+        self,
+        waiting: Waiting,
+        job_id: model.JobId,
+        kind: errors.ErrorKind,
+        message: str,
+        *,
+        run: errors.Run | None = None,
+        retry: bool = False,
+    ) -> None:
+        error = errors.DispatchError(
+            kind,
+            message,
+            run=run,
+            retry_after_ms=self.core.retry_after_ms() if retry else None,
+        )
+        for request_id in waiting.ids():
+            self.core.refuse(request_id, job_id, error, sole_copy=False)
+
+    @staticmethod
+    def _claim_of(row: model.Row) -> model.Claim | None:
+        if row.value is None:
+            return None
+        try:
+            return claims.claim_from_value(row.value)
+        except errors.DispatchError:
+            return None
+
+    def request_raise(self, job: Job, index: int) -> None:
+        """Ask for a watermark above a task that is about to start."""
+        if job.raising_to or job.phase is not JobPhase.RUNNING:
+            return
+        chunk = max(RAISE_CHUNK, job.n_tasks // 8)
+        job.raising_to = min(job.n_tasks, max(job.released, index) + chunk)
+        token = self.core.new_token()
+        claim = model.Claim(
+            self.core.identity,
+            job.n_tasks,
+            job.raising_to,
+            model.ClaimState.CLAIMED,
+            token,
+            job.request.digest,
+        )
+        self._put(
+            tags.ClaimRaise(job.id, job.raising_to),
+            claim,
+            job.id,
+            job.revision,
+            job.deadline_at_s,
+        )
+
+    def forget(self, job: Job) -> None:
+        """Forget a job whose answer was kept long enough."""
+        core = self.core
+        core.jobs.pop(job.id, None)
+        core.active.pop(job.id, None)
+        core.held_bytes -= job.size_bytes
--- /dev/null
+++ b/src/orioleloom/engine/_engine.py
@@ -0,0 +1,380 @@
+import random
+import typing
+
+from orioleloom import claims
+from orioleloom import codec
+from orioleloom import contracts
+from orioleloom import errors
+from orioleloom import limits
+from orioleloom import membership
+from orioleloom import model
+from orioleloom import placement
+from orioleloom import queueing
+from orioleloom.engine import _effects as effects
+from orioleloom.engine import _events as events
+from orioleloom.engine import _tags as tags
+from orioleloom.engine._claim_flow import ClaimFlow
+from orioleloom.engine._completion import Completion
+from orioleloom.engine._contract_flow import ContractFlow
+from orioleloom.engine._core import Core
+from orioleloom.engine._dispatch import Dispatcher
+from orioleloom.engine._expiry import Expiry
+from orioleloom.engine._remote import RemoteJobs
+from orioleloom.engine._settings import EngineSettings
+from orioleloom.engine._sharing import Sharing
+from orioleloom.engine._submissions import Submissions
+
+MAX_TICKETS = 1000
+
+
+class Engine:
+    """Decisions of an entry instance, without input or output.
+
+    Events go in with the time; effects come out for the caller to carry
+    out. The same engine runs in the daemon and, with a virtual clock, in
+    tests.
+
+    :param identity: ``<instance>/<incarnation>``; the incarnation is
+        drawn anew when a process starts
+    :param instance_id: id on the platform's list
+    :param data_centre: data centre of this instance
+    :param settings: bounds and times
+    :param policy: placement policy; the product's default when ``None``
+    :param random_state: source of all random numbers
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: str,
+        instance_id: str,
+        data_centre: str,
+        settings: EngineSettings = EngineSettings(),
+        policy: placement.Policy | None = None,
+        random_state: random.Random,
+    ):
+        self.data_centre = data_centre
+        pool_options = {} if policy is None else {'policy': policy}
+        self.core = Core(
+            identity=identity,
+            instance_id=instance_id,
+            incarnation=identity.partition('/')[2],
+            settings=settings,
+            random_state=random_state,
+            book=contracts.ContractBook(),
+            members=membership.MemberView(
+                instance_id=instance_id, join_hold_s=settings.join_hold_s
+            ),
+            pool=placement.WorkerPool(
+                instance_id=instance_id,
+                random_state=random_state,
+                **pool_options,
+            ),
+            limits=limits.LimitShares(random_state=random_state),
+            queue=queueing.FairQueue(),
+            writer=claims.ClaimWriter(
+                identity=identity,
+                budget_per_s=settings.write_budget_per_s,
+                random_state=random_state,
+            ),
+        )
+        core = self.core
+        self._reads: dict[str, tags.ReadTag] = {}
+        self._completion = Completion(core)
+        self.dispatcher = Dispatcher(core, self._completion)
+        self._remote = RemoteJobs(core, self._completion)
+        self._claims = ClaimFlow(
+            core, self.dispatcher, self._completion, self._remote
+        )
+        self._submissions = Submissions(
+            core, self.dispatcher, self._claims, self._remote, self._reads
+        )
+        self._contracts = ContractFlow(core, self._reads)
+        self._sharing = Sharing(core)
+        self._expiry = Expiry(
+            core, self.dispatcher, self._completion, self._claims
+        )
+        self.dispatcher.request_raise = self._claims.request_raise
+        self._remote.take_over = self._claims.take_over
+        self._remote.submit_forwarded = self._submissions.submit_forwarded
+        self._members_known = False
+
+    def handle(
+        self, event: events.Event, now_s: float
+    ) -> list[effects.Effect]:
+        """Take an event.
+
+        :param event: what happened
+        :param now_s: monotonic time, in seconds
+        :returns: what the caller must do now, in order
+        """
+        core = self.core
+        core.now_s = now_s
+        self._route(event)
+        self.dispatcher.run()
+        self._sharing.borrow(self.dispatcher.starved())
+        self._sharing.notices()
+        self._write()
+        done, core.effects = core.effects, []
+        return done
+
+    def _route(self, event: events.Event) -> None:
+        core = self.core
+        match event:
+            case events.LineReceived(exchange_id, line):
+                self.dispatcher.line_received(exchange_id, line)
+            case events.ExchangeEnded(exchange_id, started, reason):
+                self.dispatcher.exchange_ended(exchange_id, started, reason)
+            case events.Submit():
+                self._submissions.submit(event)
+            case events.Fetch():
+                self._submissions.fetch(event)
+            case events.Cancel():
+                self._submissions.cancel(event)
+            case events.WaitExpired(request_id):
+                self._submissions.wait_expired(request_id)
+            case events.RequestGone(request_id):
+                self._submissions.request_gone(request_id)
+            case events.TableDone(token, outcome):
+                self._platform_heard(outcome)
+                self._groups_done(
+                    core.writer.transaction_done(token, outcome, core.now_s)
+                )
+            case events.RowsRead(token, rows):
+                self._rows_read(token, rows)
+            case events.PeerReceived(message_id, sender, message):
+                self._peer_received(message_id, sender, message)
+            case events.PutContract():
+                self._contracts.put(event)
+            case events.ContractsRead(rows):
+                self._contracts.rows_polled(rows)
+            case events.MembersChanged(members):
+                self._members_known = True
+                self._sharing.members_changed(members)
+            case events.PlatformState(available):
+                self._platform_state(available)
+            case events.Tick():
+                self._tick()
+            case events.StopRequested(timeout_s):
+                self._stop(timeout_s)
+
+    def _write(self) -> None:
+        core = self.core
+        batch = core.writer.next_batch(core.now_s)
+        if batch is None:
+            return
+        if batch.ops:
+            core.counters['table_writes'] += 1
+            core.emit(effects.WriteTable(batch.token, batch.ops))
+        else:
+            core.counters['table_reads'] += 1
+            core.emit(effects.ReadTable(batch.token, batch.read_keys))
+
+    def _platform_heard(self, outcome: model.TableOutcome) -> None:
+        match outcome:
+            case model.Committed() | model.Conflicted():
+                self.core.platform_available = True
+            case model.WriteRefused() | model.WriteUnknown():
+                self.core.counters['table_failures'] += 1
+
+    def _groups_done(
+        self,
+        decided: list[tuple[claims.WriteGroup, claims.GroupOutcome]],
+    ) -> None:
+        for group, outcome in decided:
+            match group.tag:
+                case tags.ClaimInsert(job_id):
+                    self._claims.insert_done(job_id, outcome)
+                case tags.ClaimRaise():
+                    self._claims.raise_done(group.tag, outcome)
+                case tags.ClaimRecord(job_id):
+                    self._claims.record_done(job_id, outcome)
+                case tags.ClaimClose(job_id):
+                    self._claims.close_done(job_id, outcome)
+                case tags.CancelInsert():
+                    self._claims.cancel_done(group.tag, outcome)
+                case tags.ContractWrite():
+                    self._contracts.write_done(group.tag, outcome)
+                case tags.ClaimDelete():
+                    self.core.counters['claims_deleted'] += 1
+
+    def _rows_read(
+        self, token: str, rows: tuple[model.Row, ...] | None
+    ) -> None:
+        tag = self._reads.pop(token, None)
+        match tag:
+            case None:
+                core = self.core
+                self._groups_done(
+                    core.writer.rows_read(token, rows, core.now_s)
+                )
+            case tags.ReadForFetch():
+                self._submissions.fetch_read(tag, rows)
+            case tags.ReadForCancel():
+                self._submissions.cancel_read(tag, rows)
+            case tags.ReadForContract(event):
+                self._contracts.row_read(event, rows)
+
+    def _peer_received(
+        self, message_id: int, sender: str, message: codec.PeerMessage
+    ) -> None:
+        core = self.core
+        core.members.peer_answered(sender.partition('/')[0], core.now_s)
+        match message:
+            case codec.JobQuery():
+                self._remote.query_received(message_id, sender, message)
+            case codec.JobForward():
+                self._remote.forward_received(message_id, sender, message)
+            case codec.JobReply():
+                self._remote.reply_received(sender, message)
+            case codec.JobCancel(customer, submission_id):
+                self._submissions.cancel_received(
+                    model.JobId(customer, submission_id)
+                )
+            case codec.ContractPush():
+                self._contracts.push_received(sender, message)
+            case codec.ContractPull():
+                self._contracts.pull_received(sender, message)
+            case codec.MembersPush(members):
+                self._members_pushed(members)
+            case codec.ShareRequest():
+                self._sharing.request_received(message_id, sender, message)
+            case codec.ShareGrant():
+                core.limits.receive(sender, message, core.now_s)
+            case codec.WorkerNotice():
+                self._sharing.notice_received(message)
+            case codec.LeavingNotice(instance_id):
+                core.members.peer_leaving(instance_id)
+
+    def _members_pushed(self, members: list[model.Member]) -> None:
+        # A copy from a peer serves only an instance that has no list.
+        if not self._members_known:
+            self._members_known = True
+            self._sharing.members_changed(tuple(members))
+
+    def _platform_state(self, available: bool) -> None:
+        core = self.core
+        core.platform_available = available
+        core.members.set_frozen(not available)
+        if not available:
+            self._contracts.ask_peers()
+
+    def _tick(self) -> None:
+        core = self.core
+        self._groups_done(core.writer.drop_expired(core.now_s))
+        self._sharing.update_rank()
+        core.limits.expire(core.now_s)
+        self._remote.tick()
+        self._expiry.tick()
+
+    def _stop(self, timeout_s: float) -> None:
+        core = self.core
+        if core.stop_at_s is None:
+            core.stop_at_s = core.now_s + timeout_s
+            core.broadcast(codec.LeavingNotice(core.instance_id))
+
+    def mint_tickets(
+        self, customer: str, count: int, now_s: float
+    ) -> list[str]:
+        """Mint submission ids that only this process may start.
+
+        :param customer: customer that will use them
+        :param count: how many, 1 to 1,000
+        :param now_s: monotonic time, in seconds
+        :raises DispatchError: ``unknown_customer``, ``bad_field`` or
+            ``stopping``
+        """
+        core = self.core
+        if not 1 <= count <= MAX_TICKETS:
+            raise errors.DispatchError(
+                errors.ErrorKind.BAD_FIELD,
+                f'count is {count}, 1 to {MAX_TICKETS} are accepted',
+            )
+        if core.stopping:
+            raise errors.DispatchError(
+                errors.ErrorKind.STOPPING, 'this instance is stopping'
+            )
+        self.contract(customer)
+        return [
+            claims.mint_ticket(
+                core.instance_id,
+                core.incarnation,
+                now_s,
+                core.random_state,
+            )
+            for _ in range(count)
+        ]
+
+    def contracts(self) -> list[model.Contract]:
+        """Return the contracts in force here."""
+        return self.core.book.all()
+
+    def contract(self, customer: str) -> model.Contract:
+        """Return the contract of a customer.
+
+        :raises DispatchError: ``unknown_customer``
+        """
+        contract = self.core.book.get(customer)
+        if contract is None:
+            raise errors.DispatchError(
+                errors.ErrorKind.UNKNOWN_CUSTOMER,
+                f'customer {customer!r} has no contract',
+            )
+        return contract
+
+    def is_ready(self) -> bool:
+        """Whether the balancer may send submissions here."""
+        return (
+            self._contracts.loaded
+            and self._members_known
+            and not self.core.stopping
+        )
+
+    def is_drained(self) -> bool:
+        """Whether a planned stop may end the process."""
+        core = self.core
+        return not (
+            core.active or core.requests or len(core.writer)
+        )
+
+    def needs_tick(self) -> bool:
+        """Whether time alone can change something soon."""
+        core = self.core
+        return bool(
+            core.active
+            or core.remote
+            or len(core.writer)
+            or core.stopping
+        )
+
+    def counters(self) -> dict[str, int]:
+        """Return counts since the start, for metrics."""
+        core = self.core
+        return {**core.counters, 'table_rows': core.writer.n_rows_written}
+
+    def state(self, now_s: float) -> dict[str, typing.Any]:
+        """Return a dump of the state for operators."""
+        core = self.core
+        rank, n_entries = core.members.rank_and_count(now_s)
+        return {
+            'identity': core.identity,
+            'data_centre': self.data_centre,
+            'ready': self.is_ready(),
+            'stopping': core.stopping,
+            'platform_available': core.platform_available,
+            'rank': rank,
+            'n_entries': n_entries,
+            'jobs': {
+                'active': len(core.active),
+                'held': len(core.jobs),
+                'held_bytes': core.held_bytes,
+                'remote': len(core.remote),
+            },
+            'queued_tasks': core.queue.n_tasks(),
+            'exchanges': len(self.dispatcher.exchanges),
+            'writes_waiting': len(core.writer),
+            'contracts': core.book.versions(),
+            'limits': core.limits.usage(),
+            'workers': core.pool.state(),
+            'counters': self.counters(),
+        }
--- a/src/orioleloom/engine/_events.py
+++ b/src/orioleloom/engine/_events.py
@@ -3,6 +3,19 @@
 
 from orioleloom import codec
 from orioleloom import model
+from orioleloom.model import Committed
+from orioleloom.model import Conflicted
+from orioleloom.model import TableOutcome
+from orioleloom.model import WriteRefused
+from orioleloom.model import WriteUnknown
+
+__all__ = [
+    'Committed',
+    'Conflicted',
+    'TableOutcome',
+    'WriteRefused',
+    'WriteUnknown',
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,33 +81,6 @@
     expected_version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Committed:
-    """The transaction took effect."""
-
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Conflicted:
-    """Nothing was written; the rows that did not match."""
-
-    conflicts: tuple[model.Row, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteUnknown:
-    """The answer was lost; the transaction may have taken effect."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteRefused:
-    """The platform was away or over its rate; nothing was written."""
-
-
-TableOutcome = Committed | Conflicted | WriteUnknown | WriteRefused
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableDone:
     """A transaction ended."""
--- /dev/null
+++ b/src/orioleloom/engine/_remote.py
@@ -0,0 +1,300 @@
+import typing
+
+from orioleloom import claims
+from orioleloom import codec
+from orioleloom import errors
+from orioleloom import model
+from orioleloom import validation
+from orioleloom.engine._completion import Completion
+from orioleloom.engine._core import Core
+from orioleloom.engine._core import Waiting
+from orioleloom.engine._jobs import RemoteJob
+
+# An owner that does not answer this many requests over at least
+# DEAD_AFTER_S is taken for gone. Safety does not depend on it, since a
+# takeover is a compare-and-set; a wrong guess costs a failed job.
+MAX_UNANSWERED = 3
+DEAD_AFTER_S = 2.0
+
+_RETRY_S = 0.7
+_REFRESH_S = 5.0
+
+
+class RemoteJobs:
+    """Ask other instances for the jobs that they hold.
+
+    ``take_over`` is set by the engine: it takes over the claim of an
+    owner that is gone. ``submit_forwarded`` runs a forwarded job.
+    """
+
+    def __init__(self, core: Core, completion: Completion):
+        self.core = core
+        self.completion = completion
+        self.take_over: typing.Callable[[model.JobId], None]
+        self.submit_forwarded: typing.Callable[..., None]
+
+    def watch(
+        self,
+        job_id: model.JobId,
+        owner: str,
+        row: model.Row | None,
+        waiting: Waiting,
+        request: model.JobRequest | None,
+        body: bytes,
+        first_attempt: bool,
+    ) -> None:
+        """Wait for the answer of a job that another instance holds."""
+        core = self.core
+        remote = core.remote.get(job_id)
+        if remote is None:
+            remote = RemoteJob(
+                job_id, owner, row, request, body, first_attempt
+            )
+            core.remote[job_id] = remote
+            self._ask(remote)
+        remote.row = row or remote.row
+        remote.request = remote.request or request
+        remote.body = remote.body or body
+        remote.waiters |= waiting.final
+        for request_id in waiting.quick:
+            core.respond(
+                request_id, model.Answer(202, self._progress(remote))
+            )
+
+    def cancel_row(
+        self, job_id: model.JobId, row: model.Row, request_id: int
+    ) -> None:
+        """Cancel a submission whose claim row is held elsewhere."""
+        claim = claims.claim_from_value(row.value)
+        if claim.state is not model.ClaimState.CLAIMED:
+            self._already_closed(job_id, claim, request_id)
+            return
+        self.watch(
+            job_id,
+            claim.owner,
+            row,
+            Waiting(final={request_id}),
+            None,
+            b'',
+            False,
+        )
+        remote = self.core.remote[job_id]
+        remote.cancel = True
+        self._ask(remote)
+
+    def cancel_ticket(
+        self, job_id: model.JobId, owner: str, request_id: int
+    ) -> None:
+        """Cancel a submission under a ticket minted elsewhere."""
+        self.watch(
+            job_id,
+            owner,
+            None,
+            Waiting(final={request_id}),
+            None,
+            b'',
+            False,
+        )
+        remote = self.core.remote[job_id]
+        remote.cancel = True
+        self._ask(remote)
+
+    def _already_closed(
+        self, job_id: model.JobId, claim: model.Claim, request_id: int
+    ) -> None:
+        if claim.answer is not None:
+            answer = model.Answer(
+                claim.answer['http_status'], claim.answer['body']
+            )
+            self.core.respond(request_id, answer)
+            return
+        not_run = claim.state is model.ClaimState.CANCELLED
+        error = errors.DispatchError(
+            errors.ErrorKind.CANCELLED,
+            'the submission had ended before the cancel arrived',
+            run=errors.Run.NOT_RUN if not_run else errors.Run.RAN,
+        )
+        self.core.refuse(request_id, job_id, error, sole_copy=False)
+
+    def _progress(self, remote: RemoteJob) -> dict[str, typing.Any]:
+        n_tasks = len(remote.request.tasks) if remote.request else 0
+        return remote.progress or dict(
+            model.Progress(
+                submission_id=remote.id.submission_id,
+                state='queued',
+                n_tasks=n_tasks,
+                n_started=0,
+                n_done=0,
+            )
+        )
+
+    def progress(self, remote: RemoteJob) -> model.Answer:
+        """Return the progress of a job held elsewhere, as last heard."""
+        return model.Answer(202, self._progress(remote))
+
+    def _ask(self, remote: RemoteJob) -> None:
+        core = self.core
+        remote.next_try_at_s = core.now_s + _RETRY_S
+        remote.message_id = core.new_message_id()
+        if remote.cancel:
+            core.send_peer(
+                remote.owner,
+                codec.JobCancel(remote.id.customer, remote.id.submission_id),
+            )
+        if remote.row is None and remote.body:
+            message = codec.JobForward(
+                remote.id.customer,
+                remote.id.submission_id,
+                remote.body,
+                subscribe=True,
+            )
+        else:
+            message = codec.JobQuery(
+                remote.id.customer, remote.id.submission_id, subscribe=True
+            )
+        listed = core.send_peer(remote.owner, message, remote.message_id)
+        if remote.n_unanswered == 0:
+            remote.first_unanswered_at_s = core.now_s
+        remote.n_unanswered += 1
+        if not listed and remote.row is None:
+            self._fail(
+                remote,
+                errors.ErrorKind.TICKET_OWNER_GONE,
+                'the instance that minted the ticket is not listed',
+            )
+
+    def tick(self) -> None:
+        """Repeat requests that were not answered, or give them up."""
+        now_s = self.core.now_s
+        for remote in list(self.core.remote.values()):
+            if remote.taking_over or now_s < remote.next_try_at_s:
+                continue
+            silent_s = now_s - remote.first_unanswered_at_s
+            gone = (
+                remote.n_unanswered >= MAX_UNANSWERED
+                and silent_s >= DEAD_AFTER_S
+            )
+            if not gone:
+                self._ask(remote)
+            elif remote.row is not None:
+                self.take_over(remote.id)
+            else:
+                self._fail(
+                    remote,
+                    errors.ErrorKind.OWNER_UNREACHABLE,
+                    'the instance that minted the ticket does not answer',
+                )
+            if not remote.waiters and remote.id in self.core.remote:
+                if not remote.taking_over:
+                    del self.core.remote[remote.id]
+
+    def _fail(
+        self, remote: RemoteJob, kind: errors.ErrorKind, message: str
+    ) -> None:
+        self.core.remote.pop(remote.id, None)
+        error = errors.DispatchError(
+            kind,
+            f'{message}: {remote.owner}',
+            retry_after_ms=self.core.retry_after_ms(),
+        )
+        for request_id in remote.waiters:
+            self.core.refuse(request_id, remote.id, error, sole_copy=False)
+
+    def reply_received(self, sender: str, reply: codec.JobReply) -> None:
+        """Take the reply of the instance that holds a job."""
+        core = self.core
+        job_id = model.JobId(reply.customer, reply.submission_id)
+        remote = core.remote.get(job_id)
+        if remote is None or remote.taking_over:
+            return
+        if not reply.known or sender != remote.owner:
+            self._not_held(remote, sender)
+        elif reply.final:
+            del core.remote[job_id]
+            answer = model.Answer(reply.http_status, reply.body)
+            for request_id in remote.waiters:
+                core.respond(request_id, answer)
+        else:
+            remote.progress = reply.body
+            remote.n_unanswered = 0
+            remote.next_try_at_s = core.now_s + _REFRESH_S
+
+    def _not_held(self, remote: RemoteJob, sender: str) -> None:
+        if sender.partition('/')[0] != remote.owner.partition('/')[0]:
+            return
+        if remote.row is not None:
+            self.take_over(remote.id)
+        else:
+            self._fail(
+                remote,
+                errors.ErrorKind.TICKET_OWNER_GONE,
+                'the instance was restarted or no longer knows the job',
+            )
+
+    def query_received(
+        self, message_id: int, sender: str, query: codec.JobQuery
+    ) -> None:
+        """Answer a peer that asks for a job."""
+        job_id = model.JobId(query.customer, query.submission_id)
+        job = self.core.jobs.get(job_id)
+        if job is None:
+            reply = self.unknown_reply(job_id)
+        else:
+            reply = self.completion.reply(job)
+            if query.subscribe and not reply.final:
+                job.peer_waiters.add((sender, message_id))
+        self.core.send_peer(sender, reply, message_id)
+
+    def forward_received(
+        self, message_id: int, sender: str, forward: codec.JobForward
+    ) -> None:
+        """Run a job under a ticket that this instance minted."""
+        core = self.core
+        job_id = model.JobId(forward.customer, forward.submission_id)
+        ticket = claims.parse_ticket(forward.submission_id)
+        if ticket is None or ticket.owner() != core.identity:
+            core.send_peer(sender, self.unknown_reply(job_id), message_id)
+            return
+        if job_id not in core.jobs:
+            try:
+                request = validation.check_job(forward.body)
+                self.submit_forwarded(job_id, request, forward.body)
+            except errors.DispatchError as error:
+                self._refuse_peer(job_id, sender, message_id, error)
+                return
+        self.query_received(
+            message_id,
+            sender,
+            codec.JobQuery(
+                forward.customer, forward.submission_id, subscribe=True
+            ),
+        )
+
+    def _refuse_peer(
+        self,
+        job_id: model.JobId,
+        sender: str,
+        message_id: int,
+        error: errors.DispatchError,
+    ) -> None:
+        # The minter is the only one that may start a ticket, but it did
+        # not keep this refusal, so a later copy may still be accepted.
+        answer = model.refused_answer(
+            job_id.submission_id, error, sole_copy=False
+        )
+        reply = codec.JobReply(
+            job_id.customer,
+            job_id.submission_id,
+            True,
+            True,
+            answer.http_status,
+            answer.body,
+        )
+        self.core.send_peer(sender, reply, message_id)
+
+    @staticmethod
+    def unknown_reply(job_id: model.JobId) -> codec.JobReply:
+        """Build the reply for a job that this instance does not hold."""
+        return codec.JobReply(
+            job_id.customer, job_id.submission_id, False, False, 404, {}
+        )
--- /dev/null
+++ b/src/orioleloom/engine/_sharing.py
@@ -0,0 +1,82 @@
+from orioleloom import codec
+from orioleloom import model
+from orioleloom.engine._core import Core
+from orioleloom.engine._core import PEER_FAN_OUT
+
+
+class Sharing:
+    """Lend and borrow limit shares; pass on notices about workers."""
+
+    def __init__(self, core: Core):
+        self.core = core
+
+    def borrow(self, starved: dict[str, int]) -> None:
+        """Ask peers for share of customers whose limits hold tasks back."""
+        core = self.core
+        for customer, n_waiting in starved.items():
+            request = core.limits.shortage(customer, n_waiting, core.now_s)
+            if request is None:
+                continue
+            peers = [
+                member
+                for member in core.members.peers()
+                if not core.members.peer_suspect(member.id, core.now_s)
+            ]
+            if len(peers) > PEER_FAN_OUT:
+                peers = core.random_state.sample(peers, PEER_FAN_OUT)
+            for member in peers:
+                core.counters['share_requests'] += 1
+                core.send_peer(member.id, request)
+
+    def request_received(
+        self, message_id: int, sender: str, request: codec.ShareRequest
+    ) -> None:
+        """Lend a peer what this instance does not need."""
+        core = self.core
+        grant = core.limits.lend(
+            sender,
+            request,
+            core.queue.n_tasks(request.customer),
+            core.now_s,
+        )
+        if grant.in_flight or grant.starts_per_s:
+            core.counters['share_grants'] += 1
+            core.send_peer(sender, grant, message_id)
+
+    def notices(self) -> None:
+        """Tell peers about workers that were just quarantined."""
+        for notice in self.core.pool.take_notices():
+            self.core.counters['quarantines'] += 1
+            self.core.broadcast(
+                codec.WorkerNotice(notice.worker_id, True, False)
+            )
+
+    def notice_received(self, notice: codec.WorkerNotice) -> None:
+        """Take a peer's notice about a worker."""
+        if notice.leaving:
+            self.core.pool.set_leaving(notice.worker_id)
+        if notice.quarantined:
+            self.core.pool.quarantine(notice.worker_id, self.core.now_s)
+
+    def members_changed(self, members: tuple[model.Member, ...]) -> None:
+        """Take changes of the platform's list."""
+        core = self.core
+        changed = core.members.apply(members, core.now_s)
+        workers = [m for m in changed if m.role is model.Role.WORKER]
+        if workers:
+            core.pool.set_workers(workers, core.now_s)
+        for member in changed:
+            gone = member.state is model.MemberState.GONE
+            if gone and member.role is model.Role.ENTRY:
+                core.limits.forget_peer(member.id)
+        self.update_rank()
+
+    def update_rank(self) -> None:
+        """Derive shares from the rank of this instance on the list."""
+        core = self.core
+        rank, n_entries = core.members.rank_and_count(core.now_s)
+        core.pool.set_rank(rank, n_entries)
+        core.limits.set_rank(rank, n_entries, core.now_s)
+        core.writer.set_budget(
+            core.settings.write_budget_per_s / max(1, n_entries)
+        )
--- /dev/null
+++ b/src/orioleloom/engine/_tags.py
@@ -0,0 +1,83 @@
+import dataclasses
+
+from orioleloom import model
+from orioleloom.engine import _events as events
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimInsert:
+    """Write of a new claim row, or of one taken over to run the job."""
+
+    job_id: model.JobId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRaise:
+    """Raise of the start watermark."""
+
+    job_id: model.JobId
+    released: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRecord:
+    """Write of the final answer."""
+
+    job_id: model.JobId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimClose:
+    """Takeover of a claim whose job cannot run any more."""
+
+    job_id: model.JobId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimDelete:
+    """Deletion of an old claim row."""
+
+    job_id: model.JobId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelInsert:
+    """Cancel of a submission that has no claim yet."""
+
+    job_id: model.JobId
+    request_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContractWrite:
+    """Change of a contract."""
+
+    request_id: int
+    contract: model.Contract
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadForFetch:
+    """Read of a claim row for a caller that asks for an answer."""
+
+    request_id: int
+    job_id: model.JobId
+    wait: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadForCancel:
+    """Read of a claim row for a caller that cancels."""
+
+    request_id: int
+    job_id: model.JobId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadForContract:
+    """Read of a contract row before it is changed."""
+
+    event: events.PutContract
+
+
+ReadTag = ReadForFetch | ReadForCancel | ReadForContract
--- a/src/orioleloom/model/__init__.py
+++ b/src/orioleloom/model/__init__.py
@@ -6,6 +6,11 @@
 from orioleloom.model._answers import Progress
 from orioleloom.model._answers import refused_answer
 from orioleloom.model._answers import TaskReport
+from orioleloom.model._outcomes import Committed
+from orioleloom.model._outcomes import Conflicted
+from orioleloom.model._outcomes import TableOutcome
+from orioleloom.model._outcomes import WriteRefused
+from orioleloom.model._outcomes import WriteUnknown
 from orioleloom.model._records import Claim
 from orioleloom.model._records import ClaimState
 from orioleloom.model._records import Contract
@@ -25,6 +30,8 @@
     'Answer',
     'Claim',
     'ClaimState',
+    'Committed',
+    'Conflicted',
     'Contract',
     'JobId',
     'JobRequest',
@@ -34,10 +41,13 @@
     'Role',
     'Row',
     'TableOp',
+    'TableOutcome',
     'Task',
     'TaskLine',
     'TaskOutcome',
     'TaskReport',
+    'WriteRefused',
+    'WriteUnknown',
     'complete_answer',
     'failed_answer',
     'refused_answer',
