--- /dev/null
+++ b/src/orioleloom/contracts/_book.py
@@ -0,0 +1,58 @@
+import collections.abc
+
+from orioleloom import model
+
+
+class ContractBook:
+    """The newest known contract of each customer.
+
+    A contract may arrive from the table, from a peer's push and from a
+    peer's answer, in any order and more than once. A version that is
+    not greater than the known one is ignored, so a contract in force
+    never reverts.
+
+    >>> book = ContractBook()
+    >>> first = model.Contract('acme', 1, 8, 10.0, 8, ('gpu',))
+    >>> [contract.version for contract in book.apply([first, first])]
+    [1]
+    """
+
+    def __init__(self):
+        self._contracts: dict[str, model.Contract] = {}
+
+    def apply(
+        self, contracts: collections.abc.Iterable[model.Contract]
+    ) -> list[model.Contract]:
+        """Take contracts in and return those now in force for the first
+        time, at most one for each customer.
+        """
+        changed: dict[str, model.Contract] = {}
+        for contract in contracts:
+            known = self._contracts.get(contract.customer)
+            if known is None or contract.version > known.version:
+                self._contracts[contract.customer] = contract
+                changed[contract.customer] = contract
+        return list(changed.values())
+
+    def get(self, customer: str) -> model.Contract | None:
+        """Return the contract in force, or ``None`` when unknown."""
+        return self._contracts.get(customer)
+
+    def all(self) -> list[model.Contract]:
+        """Return the contracts in force, sorted by customer."""
+        return [self._contracts[name] for name in sorted(self._contracts)]
+
+    def versions(self) -> dict[str, int]:
+        """Return the version in force of each customer."""
+        return {
+            name: contract.version
+            for name, contract in self._contracts.items()
+        }
+
+    def newer_than(self, versions: dict[str, int]) -> list[model.Contract]:
+        """Return the contracts that a holder of ``versions`` lacks."""
+        return [
+            contract
+            for contract in self.all()
+            if contract.version > versions.get(contract.customer, 0)
+        ]
