Add a first working placement pool and its policies

The engine needs the interface of worker choice to be built on. The pool keeps outstanding tasks, home shares, decayed reports, speed, quarantine, avoidance and racks; the policies are interchangeable.

--- /dev/null
+++ b/src/orioleloom/placement/_group.py
@@ -0,0 +1,92 @@
+"""Workers of one upstream, indexed by speed class."""
+
+import bisect
+import math
+
+from orioleloom.placement import _worker
+
+
+class Group:
+    """Workers of an upstream and those among them that may start a task.
+
+    Open workers are kept in one list per speed class, so a choice looks
+    at a few classes and not at every worker.
+    """
+
+    def __init__(self) -> None:
+        self.workers: dict[str, _worker.Worker] = {}
+        self._open: dict[int, list[_worker.Worker]] = {}
+        self._classes: list[int] = []
+        # Own tasks in progress per speed class, for finishing rates.
+        self._running: dict[int, int] = {}
+        self.n_open = 0
+
+    def open_classes(self) -> list[int]:
+        """Return speed classes in use, fastest first; some may be empty."""
+        return self._classes
+
+    def open_in(self, speed_class: int) -> list[_worker.Worker]:
+        """Return the open workers of a class."""
+        return self._open[speed_class]
+
+    def running(self) -> dict[int, int]:
+        """Return own tasks in progress by speed class."""
+        return self._running
+
+    def open_workers(self) -> list[_worker.Worker]:
+        """Return every open worker."""
+        return [w for c in self._classes for w in self._open[c]]
+
+    def place(self, worker: _worker.Worker, is_open: bool) -> None:
+        """Enter a worker at its present class, or take it out."""
+        speed_class = worker.speed_class()
+        if worker.position >= 0 and (
+            not is_open or worker.indexed_class != speed_class
+        ):
+            self._take_out(worker)
+        if is_open and worker.position < 0:
+            self._enter(worker, speed_class)
+        self._count_running(worker, speed_class)
+
+    def _enter(self, worker: _worker.Worker, speed_class: int) -> None:
+        if speed_class not in self._open:
+            self._open[speed_class] = []
+            bisect.insort(self._classes, speed_class)
+        members = self._open[speed_class]
+        worker.position = len(members)
+        worker.indexed_class = speed_class
+        members.append(worker)
+        self.n_open += 1
+
+    def _take_out(self, worker: _worker.Worker) -> None:
+        members = self._open[worker.indexed_class]
+        last = members.pop()
+        if last is not worker:
+            members[worker.position] = last
+            last.position = worker.position
+        worker.position = -1
+        self.n_open -= 1
+
+    def _count_running(self, worker: _worker.Worker, speed_class: int) -> None:
+        running = self._running
+        if worker.counted_class != speed_class:
+            if worker.counted_outstanding:
+                running[worker.counted_class] -= worker.counted_outstanding
+                worker.counted_outstanding = 0
+            worker.counted_class = speed_class
+        change = worker.outstanding - worker.counted_outstanding
+        if change:
+            running[speed_class] = running.get(speed_class, 0) + change
+            worker.counted_outstanding = worker.outstanding
+
+    def fastest_log_factor(self) -> float:
+        """Return the smallest factor of a live worker."""
+        return min(
+            (w.log_factor for w in self.workers.values() if w.live),
+            default=math.inf,
+        )
+
+    def typical_log_factor(self) -> float:
+        """Return the mean factor of the workers with results."""
+        factors = [w.log_factor for w in self.workers.values() if w.n_results]
+        return sum(factors) / len(factors) if factors else 0.0
--- /dev/null
+++ b/src/orioleloom/placement/_pool.py
@@ -0,0 +1,410 @@
+"""Placement of tasks on workers by one instance."""
+
+import heapq
+import math
+import random
+import typing
+import zlib
+
+from orioleloom import model
+from orioleloom.placement import _group
+from orioleloom.placement import _health
+from orioleloom.placement import _policies
+from orioleloom.placement import _racks
+from orioleloom.placement import _speed
+from orioleloom.placement import _worker
+
+_BASELINE_RETRY_S = 0.01
+
+
+class QuarantineNotice(typing.NamedTuple):
+    """A worker that this instance put in quarantine."""
+
+    worker_id: str
+    upstream: str
+    n_failures_in_row: int
+
+
+class _Entry(typing.NamedTuple):
+    worker: _worker.Worker
+    health: _health.Health
+    group: _group.Group
+
+
+def home_slots(
+    worker_id: str, slots: int, rank: int | None, n_entries: int
+) -> int:
+    """Return how many slots of a worker belong to the instance of a rank."""
+    if rank is None or n_entries <= 0:
+        return 0
+    first = zlib.crc32(worker_id.encode())
+    return sum((first + j) % n_entries == rank for j in range(slots))
+
+
+class WorkerPool:
+    """Workers as one instance knows them, and the choice among them.
+
+    Each started task ends with exactly one call of ``finished``,
+    ``failed``, ``rejected``, ``unknown`` or ``unreachable``.
+
+    :param instance_id: id of this instance
+    :param policy: rule that chooses among workers
+    :param random_state: source of every random choice
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        policy: _policies.Policy,
+        random_state: random.Random,
+    ) -> None:
+        self.instance_id = instance_id
+        self.policy = policy
+        self.random_state = random_state
+        self._entries: dict[str, _Entry] = {}
+        self._groups: dict[str, _group.Group] = {}
+        self._racks = _racks.Racks()
+        self._run_times = _speed.RunTimeModel()
+        self._rank: int | None = None
+        self._n_entries = 0
+        self._wakeups: list[tuple[float, str]] = []
+        self._notices: list[QuarantineNotice] = []
+
+    def set_workers(
+        self, members: typing.Iterable[model.Member], now_s: float
+    ) -> None:
+        """Apply the whole list of workers; an absent one is gone.
+
+        What was learnt of a worker that stays is kept.
+        """
+        listed = set()
+        for member in members:
+            if member.role is model.Role.WORKER:
+                listed.add(member.id)
+                self._set_worker(member, now_s)
+        for worker_id in self._entries.keys() - listed:
+            self._remove(worker_id, now_s)
+
+    def set_rank(self, rank: int | None, n_entries: int) -> None:
+        """Set the rank that determines the home share."""
+        self._rank = rank
+        self._n_entries = n_entries
+        for entry in self._entries.values():
+            self._set_home(entry.worker)
+            entry.worker.wake_at_s = -math.inf
+            heapq.heappush(self._wakeups, (-math.inf, entry.worker.id))
+
+    def set_leaving(self, worker_id: str) -> None:
+        """Start nothing more on a worker."""
+        entry = self._entries.get(worker_id)
+        if entry:
+            entry.worker.live = False
+            entry.group.place(entry.worker, False)
+
+    def choose(
+        self,
+        upstream: str,
+        kind: str,
+        declared_run_time_ms: float | None,
+        n_waiting: int,
+        now_s: float,
+    ) -> str | None:
+        """Choose the worker to start one task on now.
+
+        :param n_waiting: tasks waiting for the upstream, this one included
+        :returns: a worker id, or ``None`` to keep the task queued
+        """
+        self._wake(now_s)
+        group = self._groups.get(upstream)
+        if group is None:
+            return None
+        log_ms = self._run_times.log_ms(kind, declared_run_time_ms)
+        while True:
+            worker = self.policy.pick(
+                group, log_ms, n_waiting, self.random_state
+            )
+            if worker is None:
+                return None
+            entry = self._entries[worker.id]
+            if self._is_open(entry, now_s):
+                return worker.id
+            self._refresh(entry, now_s)
+
+    def started(self, worker_id: str, kind: str, now_s: float) -> None:
+        """Record that a task is sent to a worker."""
+        entry = self._entries.get(worker_id)
+        if entry:
+            entry.worker.outstanding += 1
+            entry.health.on_started()
+            self._refresh(entry, now_s)
+
+    def finished(
+        self,
+        worker_id: str,
+        kind: str,
+        run_time_ms: float,
+        elapsed_ms: float,
+        free_slots: int,
+        now_s: float,
+        declared_run_time_ms: float | None = None,
+    ) -> None:
+        """Record a success."""
+        entry = self._end(worker_id)
+        if not entry:
+            return
+        worker = entry.worker
+        self._run_times.observe(
+            worker, kind, declared_run_time_ms, run_time_ms
+        )
+        worker.n_rejected_in_row = 0
+        worker.report(free_slots, now_s)
+        entry.health.on_success()
+        self._reachable(entry, now_s)
+        self._refresh(entry, now_s)
+
+    def failed(
+        self,
+        worker_id: str,
+        kind: str,
+        elapsed_ms: float,
+        free_slots: int,
+        now_s: float,
+    ) -> None:
+        """Record a failed task; its run time is not learnt."""
+        entry = self._end(worker_id)
+        if not entry:
+            return
+        entry.worker.report(free_slots, now_s)
+        if entry.health.on_failure(now_s):
+            self._quarantine(entry, now_s, told=False)
+        self._reachable(entry, now_s)
+        self._refresh(entry, now_s)
+
+    def rejected(self, worker_id: str, free_slots: int, now_s: float) -> None:
+        """Record that a task did not start for lack of a slot."""
+        entry = self._end(worker_id)
+        if not entry:
+            return
+        worker = entry.worker
+        worker.report(free_slots, now_s)
+        worker.n_rejected_in_row += 1
+        worker.probe_at_s = now_s + _BASELINE_RETRY_S
+        entry.health.on_answer()
+        self._reachable(entry, now_s)
+        self._refresh(entry, now_s)
+
+    def unknown(self, worker_id: str, now_s: float) -> None:
+        """Record a broken exchange after the task was sent."""
+        self._no_answer(worker_id, now_s)
+
+    def unreachable(self, worker_id: str, now_s: float) -> None:
+        """Record a refused connection."""
+        self._no_answer(worker_id, now_s)
+
+    def quarantine(self, worker_id: str, now_s: float) -> None:
+        """Take over a quarantine that a peer reports."""
+        entry = self._entries.get(worker_id)
+        if entry:
+            self._quarantine(entry, now_s, told=True)
+            self._refresh(entry, now_s)
+
+    def take_notices(self) -> list[QuarantineNotice]:
+        """Return quarantines begun here since the last call."""
+        notices, self._notices = self._notices, []
+        return notices
+
+    def expected_run_time_ms(
+        self, upstream: str, kind: str, declared_run_time_ms: float | None
+    ) -> float:
+        """Return the expected run time on a typical worker."""
+        group = self._groups.get(upstream)
+        log_ms = self._run_times.log_ms(kind, declared_run_time_ms)
+        return math.exp(log_ms + (group.typical_log_factor() if group else 0))
+
+    def fastest_run_time_ms(
+        self, upstream: str, kind: str, declared_run_time_ms: float | None
+    ) -> float:
+        """Return the expected run time on the fastest live worker."""
+        group = self._groups.get(upstream)
+        if group is None:
+            return math.inf
+        log_ms = self._run_times.log_ms(kind, declared_run_time_ms)
+        return math.exp(log_ms + group.fastest_log_factor())
+
+    def has_upstream(self, upstream: str) -> bool:
+        """Tell whether a live worker of the upstream is listed."""
+        group = self._groups.get(upstream)
+        return group is not None and any(
+            w.live for w in group.workers.values()
+        )
+
+    def free_slots(self, upstream: str) -> int:
+        """Return the number of workers believed to have a free slot."""
+        group = self._groups.get(upstream)
+        return group.n_open if group else 0
+
+    def next_change_at_s(self) -> float:
+        """Return when a closed worker may open without an event."""
+        while self._wakeups:
+            at_s, worker_id = self._wakeups[0]
+            entry = self._entries.get(worker_id)
+            if entry and entry.worker.wake_at_s == at_s:
+                return at_s
+            heapq.heappop(self._wakeups)
+        return math.inf
+
+    def state(self) -> dict[str, typing.Any]:
+        """Return what is known of each worker, for the state dump."""
+        return {
+            'rank': self._rank,
+            'n_entries': self._n_entries,
+            'workers': {
+                entry.worker.id: {
+                    'upstream': entry.worker.upstream,
+                    'live': entry.worker.live,
+                    'slots': entry.worker.slots,
+                    'home': entry.worker.home,
+                    'outstanding': entry.worker.outstanding,
+                    'relative_run_time': math.exp(entry.worker.log_factor),
+                    'condition': str(entry.health.condition),
+                }
+                for entry in self._entries.values()
+            },
+        }
+
+    def _set_worker(self, member: model.Member, now_s: float) -> None:
+        entry = self._entries.get(member.id)
+        if entry is None:
+            entry = self._add(member)
+        worker = entry.worker
+        worker.slots = member.slots
+        worker.live = member.state is model.MemberState.LIVE
+        if worker.rack != member.rack:
+            self._racks.move(worker, member.rack)
+        self._set_home(worker)
+        self._refresh(entry, now_s)
+
+    def _add(self, member: model.Member) -> _Entry:
+        group = self._groups.setdefault(member.upstream, _group.Group())
+        worker = _worker.Worker(member.id, member.upstream)
+        worker.log_factor = group.typical_log_factor()
+        group.workers[member.id] = worker
+        health = _health.Health(self.random_state)
+        entry = self._entries[member.id] = _Entry(worker, health, group)
+        return entry
+
+    def _set_home(self, worker: _worker.Worker) -> None:
+        worker.home = home_slots(
+            worker.id, worker.slots, self._rank, self._n_entries
+        )
+
+    def _remove(self, worker_id: str, now_s: float) -> None:
+        entry = self._entries[worker_id]
+        entry.worker.live = False
+        entry.group.place(entry.worker, False)
+        if entry.worker.outstanding == 0:
+            self._racks.move(entry.worker, '')
+            del entry.group.workers[worker_id]
+            del self._entries[worker_id]
+
+    def _end(self, worker_id: str) -> _Entry | None:
+        """Give back the slot of a task; ignore an unexpected end."""
+        entry = self._entries.get(worker_id)
+        if entry is None or entry.worker.outstanding == 0:
+            return None
+        entry.worker.outstanding -= 1
+        return entry
+
+    def _no_answer(self, worker_id: str, now_s: float) -> None:
+        entry = self._end(worker_id)
+        if not entry:
+            return
+        health = entry.health
+        # All tasks of one exchange end together; only the first of them
+        # extends the backoff.
+        usable = health.condition is _health.Condition.USABLE
+        if usable or health.trial_running:
+            condition = health.condition
+            if usable:
+                condition = _health.Condition.AVOIDED
+            health.block(condition, now_s)
+        self._racks.set_reachable(entry.worker, False)
+        self._refresh_rack(entry.worker.rack, now_s)
+        self._refresh(entry, now_s)
+
+    def _reachable(self, entry: _Entry, now_s: float) -> None:
+        if self._racks.set_reachable(entry.worker, True):
+            self._refresh_rack(entry.worker.rack, now_s)
+
+    def _refresh_rack(self, rack: str, now_s: float) -> None:
+        for worker in self._racks.members(rack):
+            self._refresh(self._entries[worker.id], now_s)
+
+    def _quarantine(self, entry: _Entry, now_s: float, told: bool) -> None:
+        health = entry.health
+        if health.condition is _health.Condition.QUARANTINED:
+            return
+        if not self._may_quarantine(entry):
+            return
+        health.block(
+            _health.Condition.QUARANTINED, now_s, n_backoffs=2 if told else 1
+        )
+        if not told:
+            self._notices.append(
+                QuarantineNotice(
+                    entry.worker.id,
+                    entry.worker.upstream,
+                    health.n_failures_in_row,
+                )
+            )
+
+    def _may_quarantine(self, entry: _Entry) -> bool:
+        workers = [w for w in entry.group.workers.values() if w.live]
+        n_quarantined = sum(
+            self._entries[w.id].health.condition
+            is _health.Condition.QUARANTINED
+            for w in workers
+        )
+        return n_quarantined + 1 <= max(1, len(workers) // 3)
+
+    def _is_open(self, entry: _Entry, now_s: float) -> bool:
+        worker = entry.worker
+        if not worker.live or worker.outstanding >= worker.slots:
+            return False
+        if not entry.health.may_start(now_s):
+            return False
+        if worker.outstanding and (
+            entry.health.n_failures_in_row or self._racks.is_doubtful(worker)
+        ):
+            return False
+        return self.policy.believes_free(worker, now_s)
+
+    def _refresh(self, entry: _Entry, now_s: float) -> None:
+        """Bring the index up to date with what is known of a worker."""
+        is_open = self._is_open(entry, now_s)
+        entry.group.place(entry.worker, is_open)
+        if not is_open and entry.worker.live:
+            self._set_wakeup(entry, now_s)
+
+    def _set_wakeup(self, entry: _Entry, now_s: float) -> None:
+        health = entry.health
+        if health.condition is _health.Condition.USABLE:
+            at_s = self.policy.free_again_at_s(entry.worker, now_s)
+        elif health.trial_running:
+            return
+        else:
+            at_s = health.trial_at_s
+        at_s = max(at_s, now_s + 0.0005)
+        wake_at_s = entry.worker.wake_at_s
+        if at_s < math.inf and not now_s < wake_at_s <= at_s:
+            entry.worker.wake_at_s = at_s
+            heapq.heappush(self._wakeups, (at_s, entry.worker.id))
+
+    def _wake(self, now_s: float) -> None:
+        while self._wakeups and self._wakeups[0][0] <= now_s:
+            at_s, worker_id = heapq.heappop(self._wakeups)
+            entry = self._entries.get(worker_id)
+            if entry and entry.worker.wake_at_s == at_s:
+                entry.worker.wake_at_s = math.inf
+                self._refresh(entry, now_s)
