Add platform and worker stand-ins, their clients and the audit checker

Cause: tests, demo and load need an outside platform and workers whose faults can be commanded, and the product needs adapters to them. Change: in-process classes with time passed in and HTTP shells on h11 and trio; httpx clients for the platform and the workers; an audit checker over ledgers, callers' answers, table history and contract observations.

--- /dev/null
+++ b/src/orioleloom/worker_api/_httpx.py
@@ -0,0 +1,73 @@
+import collections.abc
+import contextlib
+import ssl
+
+import httpx
+
+from orioleloom.worker_api import _transport
+
+
+class HttpxTransport:
+    """Transport over httpx, with one connection pool a worker.
+
+    A pool's cost a request grows with its connections, so a pool
+    shared by all workers would grow with the fleet.
+
+    :param connect_timeout_s: time allowed to connect, in seconds
+    """
+
+    def __init__(self, *, connect_timeout_s: float = 1.0):
+        self.connect_timeout_s = connect_timeout_s
+        # One context for all pools: building httpx's default one takes
+        # several milliseconds. Workers are reached over plain HTTP.
+        self._context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        self._clients: dict[str, httpx.AsyncClient] = {}
+
+    def _client(self, base_url: str) -> httpx.AsyncClient:
+        client = self._clients.get(base_url)
+        if client is None:
+            client = httpx.AsyncClient(
+                verify=self._context,
+                trust_env=False,
+                timeout=httpx.Timeout(None, connect=self.connect_timeout_s),
+                limits=httpx.Limits(
+                    max_connections=None,
+                    max_keepalive_connections=None,
+                    keepalive_expiry=60.0,
+                ),
+            )
+            self._clients[base_url] = client
+        return client
+
+    @contextlib.asynccontextmanager
+    async def post(
+        self, base_url: str, path: str, body: bytes
+    ) -> collections.abc.AsyncIterator[_transport.Response]:
+        """POST a JSON body; see :class:`_transport.Transport`."""
+        try:
+            async with self._client(base_url).stream(
+                'POST',
+                base_url + path,
+                content=body,
+                headers={'content-type': 'application/json'},
+            ) as response:
+                yield _transport.Response(
+                    response.status_code, response.aiter_raw()
+                )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+            raise _transport.NotSentError(f'cannot connect: {exc}') from exc
+        except (httpx.HTTPError, httpx.InvalidURL) as exc:
+            raise _transport.BrokenError(
+                f'{type(exc).__name__}: {exc}'
+            ) from exc
+
+    async def forget(self, base_url: str) -> None:
+        """Close the connections to a worker that left the list."""
+        client = self._clients.pop(base_url, None)
+        if client is not None:
+            await client.aclose()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for base_url in list(self._clients):
+            await self.forget(base_url)
--- /dev/null
+++ b/src/orioleloom_standins/__init__.py
@@ -0,0 +1,43 @@
+"""Stand-ins for the platform and the workers, and the audit checker.
+
+They serve tests, the demo and the load runs; no part of the running
+system imports them.
+"""
+
+from orioleloom_standins._platform import MemberList
+from orioleloom_standins._platform import Platform
+from orioleloom_standins._platform_http import PlatformServer
+from orioleloom_standins._platform_http import serve_platform
+from orioleloom_standins._table import BadOps
+from orioleloom_standins._table import Commit
+from orioleloom_standins._table import Conflict
+from orioleloom_standins._table import Table
+from orioleloom_standins._worker import expected_result
+from orioleloom_standins._worker import Ledger
+from orioleloom_standins._worker import LedgerEntry
+from orioleloom_standins._worker import payload_id
+from orioleloom_standins._worker import read_ledger
+from orioleloom_standins._worker import Run
+from orioleloom_standins._worker import Worker
+from orioleloom_standins._worker_http import WorkerHost
+from orioleloom_standins._worker_http import WorkerServer
+
+__all__ = [
+    'BadOps',
+    'Commit',
+    'Conflict',
+    'Ledger',
+    'LedgerEntry',
+    'MemberList',
+    'Platform',
+    'PlatformServer',
+    'Run',
+    'Table',
+    'Worker',
+    'WorkerHost',
+    'WorkerServer',
+    'expected_result',
+    'payload_id',
+    'read_ledger',
+    'serve_platform',
+]
--- /dev/null
+++ b/src/orioleloom_standins/_platform_http.py
@@ -0,0 +1,243 @@
+import time
+import typing
+
+import msgspec
+import trio
+
+from orioleloom_standins import _http
+from orioleloom_standins import _platform
+from orioleloom_standins import _table
+
+
+class _Op(msgspec.Struct):
+    op: str
+    key: str
+    value: typing.Any = None
+    if_revision: int | None = None
+
+
+class _Transaction(msgspec.Struct):
+    token: str
+    ops: list[_Op]
+
+
+class _Read(msgspec.Struct):
+    keys: list[str]
+
+
+class _Member(msgspec.Struct):
+    role: typing.Literal['entry', 'worker']
+    data_centre: str
+    http: str
+    id: str = ''
+    state: typing.Literal['live', 'leaving', 'gone'] = 'live'
+    peer: str = ''
+    upstream: str = ''
+    slots: int = 0
+    connections: int = 0
+    rack: str = ''
+
+
+class _FaultBody(msgspec.Struct):
+    kind: str
+    duration_s: float
+    delay_ms: float = 1000.0
+    share: float = 1.0
+    after_effect: bool = False
+
+
+class PlatformServer:
+    """HTTP shell of the platform stand-in."""
+
+    def __init__(self, platform: _platform.Platform):
+        self.platform = platform
+
+    async def handle(
+        self, request: _http.Request, exchange: _http.Exchange
+    ) -> None:
+        """Answer one request."""
+        method, path = request.method, request.path
+        if path.startswith('/v1/standin/'):
+            await self._handle_standin(request, exchange)
+        elif (method, path) == ('POST', '/v1/table/transaction'):
+            body = msgspec.json.decode(request.body, type=_Transaction)
+            ops = [msgspec.structs.asdict(op) for op in body.ops]
+            await self._serve(
+                'transaction',
+                exchange,
+                lambda: self._transact(body.token, ops),
+            )
+        elif (method, path) == ('POST', '/v1/table/read'):
+            keys = msgspec.json.decode(request.body, type=_Read).keys
+            await self._serve('read', exchange, lambda: self._read(keys))
+        elif (method, path) == ('GET', '/v1/table/scan'):
+            query = request.query
+            prefix = query.get('prefix', '')
+            after = int(query.get('after_revision', 0))
+            limit = int(query.get('limit', 1000))
+            await self._serve(
+                'scan', exchange, lambda: self._scan(prefix, after, limit)
+            )
+        elif (method, path) == ('GET', '/v1/members'):
+            await self._serve(
+                'members', exchange, lambda: self._members(request.query)
+            )
+        elif path.startswith('/v1/objects/') and method in ('GET', 'PUT'):
+            await self._handle_object(request, exchange)
+        else:
+            await exchange.send_json(404, {'error': f'no {method} {path}'})
+
+    async def _serve(
+        self,
+        kind: str,
+        exchange: _http.Exchange,
+        apply: typing.Callable[[], tuple[int, bytes]],
+    ) -> None:
+        admission = self.platform.admit(kind, time.monotonic())
+        if admission.status != 200:
+            text = {429: 'over the rate', 503: 'unavailable'}
+            await exchange.send_json(
+                admission.status, {'error': text[admission.status]}
+            )
+            return
+        if admission.delay_s > 0:
+            await trio.sleep(admission.delay_s)
+        status, body = apply()
+        if admission.late_s > 0:
+            await trio.sleep(admission.late_s)
+        if admission.lose_answer:
+            raise _http.CloseConnection
+        await exchange.send_body(status, body)
+
+    def _transact(
+        self, token: str, ops: list[dict[str, typing.Any]]
+    ) -> tuple[int, bytes]:
+        now_s = time.monotonic()
+        try:
+            revision = self.platform.table.transact(token, ops, now_s)
+        except _table.Conflict as conflict:
+            rows = _row_objects(conflict.rows)
+            return 409, msgspec.json.encode({'conflicts': rows})
+        except _table.BadOps as exc:
+            return 400, msgspec.json.encode({'error': str(exc)})
+        return 200, msgspec.json.encode({'revision': revision})
+
+    def _read(self, keys: list[str]) -> tuple[int, bytes]:
+        table = self.platform.table
+        rows = {
+            key: {'value': value, 'revision': revision}
+            for key, value, revision in table.read(keys)
+        }
+        body = {'rows': rows, 'revision': table.revision}
+        return 200, msgspec.json.encode(body)
+
+    def _scan(
+        self, prefix: str, after_revision: int, limit: int
+    ) -> tuple[int, bytes]:
+        rows, revision = self.platform.table.scan(
+            prefix, after_revision, limit
+        )
+        body = {'rows': _row_objects(rows), 'revision': revision}
+        return 200, msgspec.json.encode(body)
+
+    def _members(self, query: dict[str, str]) -> tuple[int, bytes]:
+        members, revision = self.platform.members.view(
+            int(query.get('after_revision', 0)),
+            query.get('data_centre') or None,
+            time.monotonic(),
+        )
+        body = {'members': members, 'revision': revision}
+        return 200, msgspec.json.encode(body)
+
+    async def _handle_object(
+        self, request: _http.Request, exchange: _http.Exchange
+    ) -> None:
+        key = request.path.removeprefix('/v1/objects/')
+        objects = self.platform.objects
+
+        def put() -> tuple[int, bytes]:
+            objects[key] = request.body
+            return 200, b'{}'
+
+        def get() -> tuple[int, bytes]:
+            body = objects.get(key)
+            if body is None:
+                return 404, b'{"error":"object does not exist"}'
+            return 200, body
+
+        if request.method == 'PUT':
+            await self._serve('object_put', exchange, put)
+        else:
+            await self._serve('object_get', exchange, get)
+
+    async def _handle_standin(
+        self, request: _http.Request, exchange: _http.Exchange
+    ) -> None:
+        platform = self.platform
+        now_s = time.monotonic()
+        action = request.path.removeprefix('/v1/standin/')
+        match request.method, action:
+            case 'PUT', _ if action.startswith('members/'):
+                member = msgspec.json.decode(request.body, type=_Member)
+                member.id = action.removeprefix('members/')
+                revision = platform.members.put(
+                    msgspec.structs.asdict(member), now_s
+                )
+                await exchange.send_json(200, {'revision': revision})
+            case 'POST', 'faults':
+                fault = msgspec.json.decode(request.body, type=_FaultBody)
+                platform.set_fault(
+                    fault.kind,
+                    now_s,
+                    duration_s=fault.duration_s,
+                    delay_ms=fault.delay_ms,
+                    share=fault.share,
+                    after_effect=fault.after_effect,
+                )
+                await exchange.send_json(200, {})
+            case 'GET', 'counters':
+                await exchange.send_json(200, platform.counters)
+            case 'GET', 'history':
+                after = int(request.query.get('after', 0))
+                limit = int(request.query.get('limit', 10_000))
+                commits = platform.table.commits(after, limit)
+                body = {
+                    'commits': [commit._asdict() for commit in commits],
+                    'revision': platform.table.revision,
+                }
+                await exchange.send_json(200, body)
+            case _:
+                await exchange.send_json(
+                    404, {'error': f'no {request.method} {request.path}'}
+                )
+
+
+def _row_objects(
+    rows: list[tuple[str, typing.Any, int]],
+) -> list[dict[str, typing.Any]]:
+    return [
+        {'key': key, 'value': value, 'revision': revision}
+        for key, value, revision in rows
+    ]
+
+
+async def serve_platform(
+    platform: _platform.Platform,
+    *,
+    host: str = '127.0.0.1',
+    port: int = 0,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve a platform stand-in until cancelled.
+
+    :param task_status: is told the port
+    """
+    server = PlatformServer(platform)
+    listeners = await _http.listen(host, port)
+    async with trio.open_nursery() as nursery:
+        task_status.started(_http.bound_port(listeners))
+        await trio.serve_listeners(
+            lambda stream: _http.serve_connection(stream, server.handle),
+            listeners,
+            handler_nursery=nursery,
+        )
--- /dev/null
+++ b/src/orioleloom_standins/_worker.py
@@ -0,0 +1,350 @@
+import os
+import random
+import typing
+import zlib
+
+import msgspec
+
+from orioleloom import model
+
+FAULT_KINDS = (
+    'die',
+    'stall',
+    'leave',
+    'fail_all',
+    'slow_factor',
+    'garbage',
+    'cut',
+)
+
+# Time that a worker under `fail_all` takes to fail a task.
+_FAIL_ALL_S = 0.001
+
+
+class LedgerEntry(typing.NamedTuple):
+    """One event of a task on a worker.
+
+    :param event: ``start``, or the outcome ``ok``, ``failed`` or
+        ``stopped``
+    :param time_s: monotonic time, comparable between processes of one
+        machine
+    :param instance: entry instance that sent the task
+    """
+
+    event: str
+    key: str
+    time_s: float
+    worker: str
+    instance: str
+    payload_id: typing.Any
+
+
+class Run(typing.NamedTuple):
+    """A task that was started.
+
+    :param run_id: differs for each start, also of the same key
+    """
+
+    run_id: int
+    key: str
+    kind: str
+    payload: typing.Any
+    instance: str
+    started_s: float
+    ends_s: float
+    fails: bool
+
+
+class Ledger:
+    """Append-only record of starts and ends.
+
+    :param path: file to append to as JSON lines; each entry reaches
+        the operating system before the task starts, so it survives the
+        end of the process
+    """
+
+    def __init__(self, *, path: str | None = None):
+        self.path = path
+        self.entries: list[LedgerEntry] = []
+        self._fd = None
+        if path is not None:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self._fd = os.open(path, flags, 0o644)
+
+    def append(self, entries: list[LedgerEntry]) -> None:
+        """Record entries with one write."""
+        self.entries += entries
+        if self._fd is not None and entries:
+            os.write(self._fd, msgspec.json.Encoder().encode_lines(entries))
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._fd is not None:
+            os.close(self._fd)
+            self._fd = None
+
+
+def read_ledger(path: str) -> list[LedgerEntry]:
+    """Read a ledger file; a truncated last line is left out."""
+    with open(path, 'rb') as file:
+        lines = file.read().split(b'\n')[:-1]
+    return [msgspec.json.decode(line, type=LedgerEntry) for line in lines]
+
+
+def payload_id(payload: typing.Any) -> typing.Any:
+    """Return the payload's ``id``, or a checksum when it has none."""
+    if isinstance(payload, dict) and 'id' in payload:
+        return payload['id']
+    return zlib.crc32(msgspec.json.encode(payload, order='sorted'))
+
+
+def expected_result(kind: str, payload: typing.Any) -> typing.Any:
+    """Return the result that a stand-in worker gives for a task.
+
+    ``payload["result_bytes"]`` asks for padding of that length.
+    """
+    result = {
+        'kind': kind,
+        'id': payload_id(payload),
+        'check': zlib.crc32(msgspec.json.encode(payload, order='sorted')),
+    }
+    if isinstance(payload, dict) and 'result_bytes' in payload:
+        result['padding'] = 'x' * int(payload['result_bytes'])
+    return result
+
+
+def _number(payload: typing.Any, name: str) -> float:
+    value = payload.get(name, 0) if isinstance(payload, dict) else 0
+    return float(value) if isinstance(value, int | float) else 0.0
+
+
+class Worker:
+    """State of the worker stand-in.
+
+    It has no I/O: :meth:`offer` starts or rejects a task, the caller
+    calls :meth:`finish` at the run's ``ends_s``. A key that arrives
+    twice is started twice, so that the audit sees it.
+
+    :param worker_id: id in the platform's list
+    :param slots: tasks that run at once
+    :param speed: divides ``payload["work_ms"]``
+    :param ledger: record of starts; may be shared by several workers
+    :param random_state: seed of the draws of faults with a share
+
+    >>> worker = Worker(worker_id='w1')
+    >>> run = worker.offer('e1', 'c/s/0', 'k', {'work_ms': 20}, 5.0)
+    >>> run.ends_s
+    5.02
+    >>> worker.finish(run, 5.02).outcome.value
+    'ok'
+    """
+
+    def __init__(
+        self,
+        *,
+        worker_id: str,
+        slots: int = 8,
+        connections: int = 64,
+        speed: float = 1.0,
+        ledger: Ledger | None = None,
+        random_state: int = 0,
+    ):
+        self.worker_id = worker_id
+        self.slots = slots
+        self.connections = connections
+        self.speed = speed
+        self.ledger = Ledger() if ledger is None else ledger
+        self.running: dict[int, Run] = {}
+        self.counters: dict[str, int] = {}
+        self._next_run_id = 1
+        self._faults: dict[str, tuple[float, float, float]] = {}
+        self._random = random.Random(random_state)
+
+    def set_fault(
+        self,
+        kind: str,
+        now_s: float,
+        *,
+        duration_s: float,
+        factor: float = 1.0,
+        share: float = 1.0,
+    ) -> None:
+        """Start a fault; ``duration_s`` of 0 ends it.
+
+        :param kind: one of :data:`FAULT_KINDS`
+        :param factor: divides the speed under ``slow_factor``
+        :param share: share of tasks or lines that it meets
+        :raises ValueError: a parameter is not accepted
+        """
+        if kind not in FAULT_KINDS:
+            raise ValueError(f'fault {kind!r} is not one of {FAULT_KINDS}')
+        if not 0 <= share <= 1:
+            raise ValueError(f'share {share!r} is not between 0 and 1')
+        if factor <= 0:
+            raise ValueError(f'factor {factor!r} is not above 0')
+        self._faults[kind] = (now_s + duration_s, factor, share)
+        if kind == 'die' and duration_s > 0:
+            # The tasks end with the machine; no outcome is recorded.
+            self.running.clear()
+
+    def fault_until(self, kind: str, now_s: float) -> float | None:
+        """Return when an active fault ends, else ``None``."""
+        fault = self._faults.get(kind)
+        return fault[0] if fault is not None and now_s < fault[0] else None
+
+    def struck_by(self, kind: str, now_s: float) -> bool:
+        """Return whether an active fault meets this task or line."""
+        if self.fault_until(kind, now_s) is None:
+            return False
+        share = self._faults[kind][2]
+        return share >= 1 or self._random.random() < share
+
+    def _count(self, name: str) -> None:
+        self.counters[name] = self.counters.get(name, 0) + 1
+
+    def free_slots(self) -> int:
+        """Return the slots free now."""
+        return self.slots - len(self.running)
+
+    def reject(
+        self, key: str, now_s: float, *, full: bool = False
+    ) -> model.TaskLine | None:
+        """Return the line that rejects a task, or ``None`` to run it.
+
+        :param full: the worker accepts no more connections
+        """
+        leaving = self.fault_until('leave', now_s) is not None
+        if not leaving and not full and self.free_slots() > 0:
+            return None
+        self._count('rejected')
+        return model.TaskLine(
+            key,
+            model.TaskOutcome.REJECTED,
+            max(0, self.free_slots()),
+            reason='leaving' if leaving else 'busy',
+            leaving=leaving,
+        )
+
+    def offer(
+        self,
+        instance: str,
+        key: str,
+        kind: str,
+        payload: typing.Any,
+        now_s: float,
+    ) -> Run | model.TaskLine:
+        """Start a task and record it, or reject it.
+
+        :returns: the run, or the line that rejects the task
+        """
+        outcome, entry = self._offer(instance, key, kind, payload, now_s)
+        if entry is not None:
+            self.ledger.append([entry])
+        return outcome
+
+    def offer_all(
+        self,
+        instance: str,
+        tasks: typing.Iterable[tuple[str, str, typing.Any]],
+        now_s: float,
+    ) -> list[Run | model.TaskLine]:
+        """Offer several ``(key, kind, payload)`` with one ledger write."""
+        outcomes = []
+        entries = []
+        for key, kind, payload in tasks:
+            outcome, entry = self._offer(instance, key, kind, payload, now_s)
+            outcomes.append(outcome)
+            if entry is not None:
+                entries.append(entry)
+        self.ledger.append(entries)
+        return outcomes
+
+    def _offer(
+        self,
+        instance: str,
+        key: str,
+        kind: str,
+        payload: typing.Any,
+        now_s: float,
+    ) -> tuple[Run | model.TaskLine, LedgerEntry | None]:
+        rejection = self.reject(key, now_s)
+        if rejection is not None:
+            return rejection, None
+        fails = bool(_number(payload, 'fail'))
+        duration_s = max(0.0, _number(payload, 'work_ms')) / 1000 / self.speed
+        if self.fault_until('slow_factor', now_s) is not None:
+            duration_s *= self._faults['slow_factor'][1]
+        if self.struck_by('fail_all', now_s):
+            fails = True
+            duration_s = _FAIL_ALL_S
+        run = Run(
+            self._next_run_id,
+            key,
+            kind,
+            payload,
+            instance,
+            now_s,
+            now_s + duration_s,
+            fails,
+        )
+        self._next_run_id += 1
+        self.running[run.run_id] = run
+        self._count('started')
+        return run, self._entry('start', run, now_s)
+
+    def _entry(self, event: str, run: Run, now_s: float) -> LedgerEntry:
+        return LedgerEntry(
+            event,
+            run.key,
+            now_s,
+            self.worker_id,
+            run.instance,
+            payload_id(run.payload),
+        )
+
+    def _end(
+        self, run: Run, outcome: model.TaskOutcome, now_s: float
+    ) -> model.TaskLine | None:
+        if self.running.pop(run.run_id, None) is None:
+            return None
+        self._count(outcome.value)
+        self.ledger.append([self._entry(outcome.value, run, now_s)])
+        result = None
+        error = ''
+        if outcome is model.TaskOutcome.OK:
+            result = expected_result(run.kind, run.payload)
+        elif outcome is model.TaskOutcome.FAILED:
+            error = 'task failed on request'
+        return model.TaskLine(
+            run.key,
+            outcome,
+            self.free_slots(),
+            result,
+            error,
+            run_time_ms=(now_s - run.started_s) * 1000,
+            leaving=self.fault_until('leave', now_s) is not None,
+        )
+
+    def finish(self, run: Run, now_s: float) -> model.TaskLine | None:
+        """End a run.
+
+        :returns: its line, or ``None`` when it was stopped meanwhile
+        """
+        outcome = model.TaskOutcome.OK
+        if run.fails:
+            outcome = model.TaskOutcome.FAILED
+        return self._end(run, outcome, now_s)
+
+    def stop(self, run: Run, now_s: float) -> model.TaskLine | None:
+        """End a run on behalf of a cancel."""
+        return self._end(run, model.TaskOutcome.STOPPED, now_s)
+
+    def status(self, now_s: float) -> dict[str, typing.Any]:
+        """Return the body of ``GET /v1/status``."""
+        return {
+            'id': self.worker_id,
+            'slots': self.slots,
+            'free_slots': max(0, self.free_slots()),
+            'connections': self.connections,
+            'leaving': self.fault_until('leave', now_s) is not None,
+        }
--- /dev/null
+++ b/src/orioleloom_standins/_worker_http.py
@@ -0,0 +1,388 @@
+import socket
+import time
+import typing
+
+import msgspec
+import trio
+
+from orioleloom import codec
+from orioleloom import model
+from orioleloom_standins import _http
+from orioleloom_standins import _worker
+
+
+class _SentTask(msgspec.Struct):
+    key: str
+    kind: str
+    payload: typing.Any = None
+    lease_ms: float = 0.0
+
+
+class _Tasks(msgspec.Struct):
+    instance: str
+    tasks: list[_SentTask]
+
+
+class _Keys(msgspec.Struct):
+    keys: list[str]
+
+
+class _FaultBody(msgspec.Struct):
+    kind: str
+    duration_s: float = 3600.0
+    factor: float = 1.0
+    share: float = 1.0
+    worker: str = ''
+
+
+_tasks_decoder = msgspec.json.Decoder(_Tasks)
+
+
+class _Batch:
+    """Runs of one POST that have not ended."""
+
+    def __init__(self, runs: list[_worker.Run]):
+        # Sorted by end, latest first, so that the next one is popped.
+        self.runs = sorted(runs, key=lambda run: -run.ends_s)
+        self.stopped: list[model.TaskLine] = []
+        self.wake = trio.Event()
+
+
+class WorkerServer:
+    """HTTP shell of one worker stand-in."""
+
+    def __init__(self, worker: _worker.Worker):
+        self.worker = worker
+        self.port = 0
+        self._batches: set[_Batch] = set()
+        self._n_connections = 0
+        self._died = trio.Event()
+        # Set and replaced at each change of a fault.
+        self._changed = trio.Event()
+
+    async def serve(
+        self,
+        *,
+        host: str = '127.0.0.1',
+        port: int = 0,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled; under ``die`` connects are refused."""
+        sock = _bind(host, port)
+        self.port = sock.getsockname()[1]
+        started = False
+        while True:
+            sock.listen(512)
+            listener = trio.SocketListener(
+                trio.socket.from_stdlib_socket(sock)
+            )
+            self._died = trio.Event()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    trio.serve_listeners, self._serve_stream, [listener]
+                )
+                if not started:
+                    task_status.started(self.port)
+                    started = True
+                await self._died.wait()
+                nursery.cancel_scope.cancel()
+            # A bound socket that does not listen refuses connections
+            # and keeps the port from other processes.
+            listener.socket.close()
+            sock = _bind(host, self.port)
+            self._batches.clear()
+            while True:
+                now_s = time.monotonic()
+                until_s = self.worker.fault_until('die', now_s)
+                if until_s is None:
+                    break
+                await self._wait_for_change(until_s - now_s)
+
+    def set_fault(self, fault: _FaultBody) -> None:
+        """Start or end a fault."""
+        self.worker.set_fault(
+            fault.kind,
+            time.monotonic(),
+            duration_s=fault.duration_s,
+            factor=fault.factor,
+            share=fault.share,
+        )
+        if fault.kind == 'die' and fault.duration_s > 0:
+            self._died.set()
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _wait_for_change(self, timeout_s: float) -> None:
+        changed = self._changed
+        with trio.move_on_after(timeout_s):
+            await changed.wait()
+
+    async def _serve_stream(self, stream: trio.SocketStream) -> None:
+        self._n_connections += 1
+        full = self._n_connections > self.worker.connections
+
+        async def handle(
+            request: _http.Request, exchange: _http.Exchange
+        ) -> None:
+            await self._handle(request, exchange, full)
+
+        try:
+            await _http.serve_connection(stream, handle)
+        finally:
+            self._n_connections -= 1
+
+    async def _stall(self) -> None:
+        # Like a paused process: requests are handled after the pause.
+        while True:
+            now_s = time.monotonic()
+            until_s = self.worker.fault_until('stall', now_s)
+            if until_s is None:
+                return
+            await self._wait_for_change(until_s - now_s)
+
+    async def _handle(
+        self, request: _http.Request, exchange: _http.Exchange, full: bool
+    ) -> None:
+        worker = self.worker
+        match request.method, request.path:
+            case 'POST', '/v1/tasks':
+                await self._stall()
+                await self._run(request, exchange, full)
+            case 'POST', '/v1/cancel':
+                await self._stall()
+                body = msgspec.json.decode(request.body, type=_Keys)
+                stopped = self._cancel(set(body.keys))
+                await exchange.send_json(200, {'stopped': stopped})
+            case 'GET', '/v1/status':
+                await self._stall()
+                await exchange.send_json(200, worker.status(time.monotonic()))
+            case 'GET', '/v1/standin/ledger':
+                after = int(request.query.get('after', 0))
+                await exchange.send_json(
+                    200,
+                    [
+                        entry._asdict()
+                        for entry in worker.ledger.entries[after:]
+                        if entry.worker == worker.worker_id
+                    ],
+                )
+            case 'GET', '/v1/standin/counters':
+                await exchange.send_json(200, worker.counters)
+            case 'POST', '/v1/standin/faults':
+                fault = msgspec.json.decode(request.body, type=_FaultBody)
+                if fault.kind != 'die':
+                    self.set_fault(fault)
+                    await exchange.send_json(200, {})
+                    return
+                await exchange.send_json(200, {})
+                self.set_fault(fault)
+            case method, path:
+                await exchange.send_json(404, {'error': f'no {method} {path}'})
+
+    def _cancel(self, keys: set[str]) -> list[str]:
+        now_s = time.monotonic()
+        stopped = []
+        for batch in self._batches:
+            lines = [
+                self.worker.stop(run, now_s)
+                for run in batch.runs
+                if run.key in keys
+            ]
+            batch.runs = [run for run in batch.runs if run.key not in keys]
+            found = [line for line in lines if line is not None]
+            if found:
+                batch.stopped += found
+                stopped += [line.key for line in found]
+                batch.wake.set()
+        return stopped
+
+    async def _run(
+        self, request: _http.Request, exchange: _http.Exchange, full: bool
+    ) -> None:
+        worker = self.worker
+        body = _tasks_decoder.decode(request.body)
+        now_s = time.monotonic()
+        outcomes: list[typing.Any]
+        if full:
+            outcomes = [
+                worker.reject(task.key, now_s, full=True)
+                for task in body.tasks
+            ]
+        else:
+            outcomes = worker.offer_all(
+                body.instance,
+                ((task.key, task.kind, task.payload) for task in body.tasks),
+                now_s,
+            )
+        runs = [item for item in outcomes if isinstance(item, _worker.Run)]
+        lines = [
+            item for item in outcomes if not isinstance(item, _worker.Run)
+        ]
+        batch = _Batch(runs)
+        self._batches.add(batch)
+        answer: _Answer | None = _Answer(worker, exchange, full)
+        try:
+            while True:
+                if answer is not None and (lines or not batch.runs):
+                    try:
+                        await answer.send(lines, last=not batch.runs)
+                    except (trio.BrokenResourceError, _http.CloseConnection):
+                        # The tasks go on without their caller.
+                        answer = None
+                if not batch.runs and not batch.stopped:
+                    break
+                lines = await self._next_lines(batch)
+        finally:
+            self._batches.discard(batch)
+        if answer is None:
+            raise _http.CloseConnection
+
+    async def _next_lines(self, batch: _Batch) -> list[model.TaskLine]:
+        now_s = time.monotonic()
+        if not batch.stopped and batch.runs[-1].ends_s > now_s:
+            batch.wake = trio.Event()
+            with trio.move_on_after(batch.runs[-1].ends_s - now_s):
+                await batch.wake.wait()
+        await self._stall()
+        now_s = time.monotonic()
+        lines, batch.stopped = batch.stopped, []
+        while batch.runs and batch.runs[-1].ends_s <= now_s:
+            line = self.worker.finish(batch.runs.pop(), now_s)
+            if line is not None:
+                lines.append(line)
+        return lines
+
+
+class _Answer:
+    """Streamed answer of one POST, with the faults that change it."""
+
+    def __init__(
+        self, worker: _worker.Worker, exchange: _http.Exchange, close: bool
+    ):
+        self._worker = worker
+        self._exchange = exchange
+        self._close = close
+        self._head_sent = False
+
+    async def send(self, lines: list[model.TaskLine], *, last: bool) -> None:
+        exchange = self._exchange
+        now_s = time.monotonic()
+        data = b''
+        if not self._head_sent:
+            data = exchange.start_lines(close=self._close)
+            self._head_sent = True
+        encoded = []
+        cut = False
+        for line in lines:
+            text = codec.encode_task_line(line)
+            if self._worker.struck_by('garbage', now_s):
+                text = b'{"key": 7, "outcome\x00\n'
+            if self._worker.struck_by('cut', now_s):
+                encoded.append(text[: len(text) // 2])
+                cut = True
+                break
+            encoded.append(text)
+        if encoded:
+            data += exchange.chunk(b''.join(encoded))
+        if last and not cut:
+            data += exchange.end_lines()
+        await exchange.send_raw(data)
+        if cut:
+            await exchange.close()
+            raise _http.CloseConnection
+
+
+def _bind(host: str, port: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind((host, port))
+    return sock
+
+
+class WorkerHost:
+    """Several worker stand-ins of one process and their control port."""
+
+    def __init__(self, workers: typing.Iterable[_worker.Worker]):
+        self.servers = {
+            worker.worker_id: WorkerServer(worker) for worker in workers
+        }
+
+    async def serve(
+        self,
+        *,
+        host: str = '127.0.0.1',
+        ports: typing.Sequence[int] = (),
+        control_port: int = 0,
+        task_status: trio.TaskStatus[
+            dict[str, typing.Any]
+        ] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled.
+
+        :param ports: ports of the workers in order; missing ones are
+            chosen by the system
+        :param task_status: is told ``{"control": port, "workers": {id:
+            port}}``
+        """
+        listeners = await _http.listen(host, control_port)
+        chosen = {}
+        async with trio.open_nursery() as nursery:
+            for index, (worker_id, server) in enumerate(self.servers.items()):
+                port = ports[index] if index < len(ports) else 0
+
+                async def start(
+                    *,
+                    task_status: trio.TaskStatus[int],
+                    server: WorkerServer = server,
+                    port: int = port,
+                ) -> None:
+                    await server.serve(
+                        host=host, port=port, task_status=task_status
+                    )
+
+                chosen[worker_id] = await nursery.start(start)
+            task_status.started(
+                {
+                    'control': _http.bound_port(listeners),
+                    'workers': chosen,
+                }
+            )
+            await trio.serve_listeners(
+                lambda stream: _http.serve_connection(stream, self._control),
+                listeners,
+            )
+
+    async def _control(
+        self, request: _http.Request, exchange: _http.Exchange
+    ) -> None:
+        match request.method, request.path:
+            case 'POST', '/v1/standin/faults':
+                fault = msgspec.json.decode(request.body, type=_FaultBody)
+                if fault.worker not in self.servers:
+                    raise ValueError(f'worker {fault.worker!r} is not here')
+                self.servers[fault.worker].set_fault(fault)
+                await exchange.send_json(200, {})
+            case 'GET', '/v1/standin/ledger':
+                ledgers = {
+                    id(server.worker.ledger): server.worker.ledger
+                    for server in self.servers.values()
+                }
+                await exchange.send_json(
+                    200,
+                    [
+                        entry._asdict()
+                        for ledger in ledgers.values()
+                        for entry in ledger.entries
+                    ],
+                )
+            case 'GET', '/v1/standin/counters':
+                await exchange.send_json(
+                    200,
+                    {
+                        worker_id: server.worker.counters
+                        for worker_id, server in self.servers.items()
+                    },
+                )
+            case method, path:
+                await exchange.send_json(404, {'error': f'no {method} {path}'})
