--- /dev/null
+++ b/src/orioleloom/cli/_processes.py
@@ -0,0 +1,371 @@
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import typing
+
+import httpx
+import msgspec
+import trio
+
+LOOPBACK = '127.0.0.1'
+
+# Starting Python and importing the server takes about 1 s on an idle
+# machine; a busy one needs several times that.
+START_TIMEOUT_S = 30.0
+
+STOP_TIMEOUT_S = 5.0
+
+
+class WorkerSpec(typing.NamedTuple):
+    """A stand-in worker to start.
+
+    :param speed: divides the work time of its tasks
+    """
+
+    id: str
+    upstream: str
+    speed: float
+    data_centre: str
+    slots: int = 8
+    connections: int = 64
+    rack: str = ''
+
+
+class EntrySpec(typing.NamedTuple):
+    """An entry instance to start."""
+
+    id: str
+    data_centre: str
+
+
+class ClusterSpec(typing.NamedTuple):
+    """Processes to start on loopback."""
+
+    workers: tuple[WorkerSpec, ...]
+    entries: tuple[EntrySpec, ...]
+
+
+class ClusterError(Exception):
+    """A process did not start or ended too early."""
+
+
+class _Process:
+    """A child process with its output in files.
+
+    :param name: name in messages and of the output files
+    """
+
+    def __init__(self, name: str, argv: list[str], directory: pathlib.Path):
+        self.name = name
+        self._out_path = directory / f'{name}.out'
+        self._log_path = directory / f'{name}.log'
+        # Files rather than pipes: a full pipe would block the child.
+        with (
+            open(self._out_path, 'wb') as out,
+            open(self._log_path, 'wb') as log,
+        ):
+            self._popen = subprocess.Popen(
+                argv, stdin=subprocess.DEVNULL, stdout=out, stderr=log
+            )
+
+    def check(self) -> None:
+        """Raise :class:`ClusterError` when the process has ended."""
+        code = self._popen.poll()
+        if code is not None:
+            tail = self._log_path.read_text(errors='replace')[-2000:]
+            raise ClusterError(f'{self.name} ended with code {code}:\n{tail}')
+
+    async def ready_line(self) -> dict[str, typing.Any]:
+        """Wait for the JSON line that a stand-in prints when ready."""
+        with trio.move_on_after(START_TIMEOUT_S):
+            while True:
+                line, newline, _ = self._out_path.read_bytes().partition(b'\n')
+                if newline:
+                    return msgspec.json.decode(line)
+                self.check()
+                await trio.sleep(0.02)
+        raise ClusterError(f'{self.name} was not ready in {START_TIMEOUT_S} s')
+
+    def kill(self) -> None:
+        """End the process with SIGKILL."""
+        if self._popen.poll() is None:
+            self._popen.send_signal(signal.SIGKILL)
+            self._popen.wait()
+
+    def terminate(self) -> None:
+        if self._popen.poll() is None:
+            self._popen.terminate()
+
+    async def wait(self) -> None:
+        while self._popen.poll() is None:
+            await trio.sleep(0.02)
+
+
+class Cluster:
+    """Stand-ins and entry instances as child processes on loopback.
+
+    An async context manager that ends its processes, and only these.
+
+    :param spec: what to start
+    """
+
+    def __init__(self, spec: ClusterSpec):
+        self.spec = spec
+        self.platform_url = ''
+        self.worker_urls: dict[str, str] = {}
+        self.entry_urls: dict[str, str] = {}
+        self._members: dict[str, dict[str, typing.Any]] = {}
+        self._processes: dict[str, _Process] = {}
+
+    async def __aenter__(self) -> 'Cluster':
+        self._directory = tempfile.TemporaryDirectory(prefix='orioleloom-')
+        self._http = httpx.AsyncClient(
+            trust_env=False, verify=False, timeout=5.0
+        )
+        try:
+            await self._start_platform()
+            await self._start_workers()
+            await self._start_entries()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        with trio.CancelScope(shield=True):
+            for process in self._processes.values():
+                process.terminate()
+            with trio.move_on_after(STOP_TIMEOUT_S):
+                for process in self._processes.values():
+                    await process.wait()
+            for process in self._processes.values():
+                process.kill()
+            await self._http.aclose()
+            self._directory.cleanup()
+
+    def _run(self, name: str, argv: list[str]) -> _Process:
+        process = _Process(
+            name,
+            [sys.executable, '-m', *argv],
+            pathlib.Path(self._directory.name),
+        )
+        self._processes[name] = process
+        return process
+
+    async def _start_platform(self) -> None:
+        process = self._run('platform', platform_arguments())
+        self.platform_url = read_urls(await process.ready_line())[0]
+
+    async def _start_workers(self) -> None:
+        """Start one process per upstream and register its workers."""
+        upstreams = sorted({w.upstream for w in self.spec.workers})
+        for upstream in upstreams:
+            specs = [w for w in self.spec.workers if w.upstream == upstream]
+            process = self._run(f'workers-{upstream}', worker_arguments(specs))
+            urls = read_urls(await process.ready_line())
+            for spec, url in zip(specs, urls, strict=True):
+                self.worker_urls[spec.id] = url
+                await self._register(
+                    {
+                        'id': spec.id,
+                        'role': 'worker',
+                        'state': 'live',
+                        'data_centre': spec.data_centre,
+                        'http': url,
+                        'upstream': spec.upstream,
+                        'slots': spec.slots,
+                        'connections': spec.connections,
+                        'rack': spec.rack,
+                    }
+                )
+
+    async def _start_entries(self) -> None:
+        ports = free_ports(2 * len(self.spec.entries))
+        for index, spec in enumerate(self.spec.entries):
+            http_port, peer_port = ports[2 * index : 2 * index + 2]
+            self.entry_urls[spec.id] = f'http://{LOOPBACK}:{http_port}'
+            self._run(
+                spec.id,
+                entry_arguments(spec, http_port, peer_port, self.platform_url),
+            )
+            await self._register(
+                {
+                    'id': spec.id,
+                    'role': 'entry',
+                    'state': 'live',
+                    'data_centre': spec.data_centre,
+                    'http': self.entry_urls[spec.id],
+                    'peer': f'tcp://{LOOPBACK}:{peer_port}',
+                }
+            )
+        for spec in self.spec.entries:
+            await self._wait_until_serving(spec.id, '/healthz')
+
+    async def _wait_until_serving(self, entry_id: str, path: str) -> None:
+        with trio.move_on_after(START_TIMEOUT_S):
+            while True:
+                self._processes[entry_id].check()
+                try:
+                    url = self.entry_urls[entry_id] + path
+                    if (await self._http.get(url)).is_success:
+                        return
+                except httpx.TransportError:
+                    # Refused until the instance has bound its port.
+                    pass
+                await trio.sleep(0.05)
+        raise ClusterError(
+            f'{entry_id} did not answer {path} in {START_TIMEOUT_S} s'
+        )
+
+    async def wait_ready(self) -> None:
+        """Wait until each instance reports ready."""
+        for entry_id in self.entry_urls:
+            await self._wait_until_serving(entry_id, '/readyz')
+
+    async def _register(self, member: dict[str, typing.Any]) -> None:
+        self._members[member['id']] = member
+        response = await self._http.put(
+            f'{self.platform_url}/v1/standin/members/{member["id"]}',
+            json=member,
+        )
+        response.raise_for_status()
+
+    async def kill_entry(self, entry_id: str) -> None:
+        """End an entry instance with SIGKILL; the list still has it."""
+        await trio.to_thread.run_sync(self._processes[entry_id].kill)
+
+    async def drop_entry(self, entry_id: str) -> None:
+        """List an entry instance as gone."""
+        member = self._members[entry_id]
+        await self._register({**member, 'state': 'gone'})
+
+    async def put_contract(
+        self, customer: str, contract: dict[str, typing.Any]
+    ) -> None:
+        """Put a new contract through the first entry instance.
+
+        :raises ClusterError: it was not accepted
+        """
+        url = next(iter(self.entry_urls.values()))
+        response = await self._http.put(
+            f'{url}/v1/contracts/{customer}',
+            json={**contract, 'expected_version': 0},
+        )
+        if not response.is_success:
+            raise ClusterError(
+                f'contract of {customer} was not accepted: '
+                f'{response.status_code} {response.text[:500]}'
+            )
+
+    async def wait_for_contracts(self, customers: typing.Iterable[str]):
+        """Wait until each instance has the contracts in force."""
+        with trio.move_on_after(12.0):
+            for url in self.entry_urls.values():
+                for customer in customers:
+                    while True:
+                        response = await self._http.get(
+                            f'{url}/v1/contracts/{customer}'
+                        )
+                        if response.is_success:
+                            break
+                        await trio.sleep(0.1)
+            return
+        raise ClusterError('contracts were not in force within 12 s')
+
+    async def count_starts(self) -> dict[str, int]:
+        """Return the starts of each task from the workers' ledgers."""
+        starts: dict[str, int] = {}
+        # Workers of one process may share a ledger, which then counts
+        # each start once per worker asked; entries carry the worker.
+        for worker_id, url in self.worker_urls.items():
+            response = await self._http.get(f'{url}/v1/standin/ledger')
+            response.raise_for_status()
+            for key, n_starts in read_ledger(response.json(), worker_id):
+                starts[key] = starts.get(key, 0) + n_starts
+        return starts
+
+
+def platform_arguments() -> list[str]:
+    """Return the arguments that start the stand-in platform."""
+    return ['orioleloom_standins.cli', 'platform', '--port', '0']
+
+
+def worker_arguments(specs: typing.Sequence[WorkerSpec]) -> list[str]:
+    """Return the arguments that start workers of one upstream."""
+    return [
+        'orioleloom_standins.cli',
+        'workers',
+        '--ids',
+        ','.join(spec.id for spec in specs),
+        '--speeds',
+        ','.join(f'{spec.speed:g}' for spec in specs),
+        '--slots',
+        str(specs[0].slots),
+    ]
+
+
+def entry_arguments(
+    spec: EntrySpec, http_port: int, peer_port: int, platform_url: str
+) -> list[str]:
+    """Return the arguments that start an entry instance."""
+    return [
+        'orioleloom.cli',
+        'entry',
+        '--instance-id',
+        spec.id,
+        '--data-centre',
+        spec.data_centre,
+        '--http-port',
+        str(http_port),
+        '--peer-port',
+        str(peer_port),
+        '--platform-url',
+        platform_url,
+    ]
+
+
+def read_urls(line: dict[str, typing.Any]) -> list[str]:
+    """Return the base URLs in a stand-in's ready line."""
+    ports = line.get('ports', line.get('port'))
+    if isinstance(ports, dict):
+        ports = list(ports.values())
+    if isinstance(ports, int):
+        ports = [ports]
+    if not ports:
+        raise ClusterError(f'ready line {line!r} names no ports')
+    return [f'http://{LOOPBACK}:{port}' for port in ports]
+
+
+def read_ledger(
+    body: dict[str, typing.Any], worker_id: str
+) -> typing.Iterator[tuple[str, int]]:
+    """Yield the key and the count of starts of each task."""
+    for start in body['starts']:
+        if start.get('worker', worker_id) == worker_id:
+            yield start['key'], 1
+
+
+def free_ports(count: int) -> list[int]:
+    """Return free loopback ports.
+
+    They are free when chosen; a child that finds one taken ends, which
+    :meth:`Cluster.__aenter__` reports.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((LOOPBACK, 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def check_environment() -> None:
+    """Raise :class:`ClusterError` where child processes cannot work."""
+    if os.name != 'posix':
+        raise ClusterError('stand-ins need a POSIX system')
--- /dev/null
+++ b/src/orioleloom/cli/_stop.py
@@ -0,0 +1,45 @@
+import argparse
+import sys
+
+from orioleloom.cli import _exit
+from orioleloom.cli import _requests
+from orioleloom.cli import _settings
+
+HELP = 'stop instances gracefully'
+DESCRIPTION = (
+    'Asks each given instance to stop. It stops reporting ready, finishes '
+    'the work that it has accepted and then ends.'
+)
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the flags of ``stop``."""
+    _settings.add_list(
+        parser,
+        '--urls',
+        # A default or a load balancer could stop the wrong instance.
+        help_text='base URLs of the instances to stop',
+        required=True,
+    )
+    _settings.add_request_timeout(parser)
+
+
+def run(arguments: argparse.Namespace) -> _exit.ExitCode:
+    """Ask each instance to stop."""
+    code = _exit.ExitCode.OK
+    for url in arguments.urls:
+        try:
+            status, body = _requests.request(
+                'POST', url, '/v1/stop', timeout_s=arguments.request_timeout_s
+            )
+        except _exit.CommandError as exc:
+            print(exc.message, file=sys.stderr)
+            code = exc.code
+            continue
+        if 200 <= status < 300:
+            print(f'{url}: stopping')
+        else:
+            text = _requests.error_text(status, body)
+            print(f'{url}: {text}', file=sys.stderr)
+            code = _exit.ExitCode.REFUSED
+    return code
