Fit the engine to the core packages it calls

Change: message ids for share requests, the whole worker list to the pool, stopped tasks in the pool.

--- a/src/orioleloom/engine/_dispatch.py
+++ b/src/orioleloom/engine/_dispatch.py
@@ -210,12 +210,16 @@
             effects.SendTasks(
                 self._n_exchanges,
                 worker_id,
-                core.pool.http_of(worker_id),
+                self._http_of(worker_id),
                 tuple(sent),
                 longest_s,
             )
         )
 
+    def _http_of(self, worker_id: str) -> str:
+        member = self.core.members.find(worker_id)
+        return member.http if member else ''
+
     def _lease_s(self, job: Job, task: queueing.QueuedTask) -> float:
         remaining_s = max(0.001, job.deadline_at_s - self.core.now_s)
         expected_s = _LEASE_FACTOR * task.cost_ms / 1000
@@ -378,8 +382,11 @@
                 by_worker.setdefault(exchange.worker_id, []).extend(keys)
         for worker_id, keys in by_worker.items():
             core.counters['worker_cancels'] += 1
-            http = core.pool.http_of(worker_id)
-            core.emit(effects.CancelTasks(worker_id, http, tuple(keys)))
+            http = self._http_of(worker_id)
+            if http:
+                core.emit(
+                    effects.CancelTasks(worker_id, http, tuple(keys))
+                )
 
 
 def _size_bytes(result: typing.Any) -> int:
--- a/src/orioleloom/engine/_engine.py
+++ b/src/orioleloom/engine/_engine.py
@@ -26,6 +26,10 @@
 
 MAX_TICKETS = 1000
 
+# Message ids start at a random number, so that a restarted instance
+# does not take a reply to its former life for one of its own.
+MESSAGE_ID_BITS = 48
+
 
 class Engine:
     """Decisions of an entry instance, without input or output.
@@ -54,7 +58,6 @@
         random_state: random.Random,
     ):
         self.data_centre = data_centre
-        pool_options = {} if policy is None else {'policy': policy}
         self.core = Core(
             identity=identity,
             instance_id=instance_id,
@@ -67,8 +70,8 @@
             ),
             pool=placement.WorkerPool(
                 instance_id=instance_id,
+                policy=policy or placement.ExpectedCompletion(),
                 random_state=random_state,
-                **pool_options,
             ),
             limits=limits.LimitShares(random_state=random_state),
             queue=queueing.FairQueue(),
@@ -77,6 +80,7 @@
                 budget_per_s=settings.write_budget_per_s,
                 random_state=random_state,
             ),
+            n_messages=random_state.getrandbits(MESSAGE_ID_BITS),
         )
         core = self.core
         self._reads: dict[str, tags.ReadTag] = {}
@@ -240,7 +244,7 @@
             case codec.ShareRequest():
                 self._sharing.request_received(message_id, sender, message)
             case codec.ShareGrant():
-                core.limits.receive(sender, message, core.now_s)
+                self._sharing.grant_received(message_id, sender, message)
             case codec.WorkerNotice():
                 self._sharing.notice_received(message)
             case codec.LeavingNotice(instance_id):
--- a/src/orioleloom/engine/_sharing.py
+++ b/src/orioleloom/engine/_sharing.py
@@ -1,7 +1,6 @@
 from orioleloom import codec
 from orioleloom import model
 from orioleloom.engine._core import Core
-from orioleloom.engine._core import PEER_FAN_OUT
 
 
 class Sharing:
@@ -14,19 +13,18 @@
         """Ask peers for share of customers whose limits hold tasks back."""
         core = self.core
         for customer, n_waiting in starved.items():
-            request = core.limits.shortage(customer, n_waiting, core.now_s)
+            message_id = core.new_message_id()
+            request = core.limits.shortage(
+                customer, n_waiting, core.now_s, message_id=message_id
+            )
             if request is None:
                 continue
-            peers = [
-                member
-                for member in core.members.peers()
-                if not core.members.peer_suspect(member.id, core.now_s)
-            ]
-            if len(peers) > PEER_FAN_OUT:
-                peers = core.random_state.sample(peers, PEER_FAN_OUT)
-            for member in peers:
+            peer_ids = [member.id for member in core.members.peers()]
+            for peer_id in core.limits.peers_to_ask(
+                customer, peer_ids, core.now_s
+            ):
                 core.counters['share_requests'] += 1
-                core.send_peer(member.id, request)
+                core.send_peer(peer_id, request, message_id)
 
     def request_received(
         self, message_id: int, sender: str, request: codec.ShareRequest
@@ -34,15 +32,28 @@
         """Lend a peer what this instance does not need."""
         core = self.core
         grant = core.limits.lend(
-            sender,
+            sender.partition('/')[0],
             request,
             core.queue.n_tasks(request.customer),
             core.now_s,
+            message_id=message_id,
         )
         if grant.in_flight or grant.starts_per_s:
             core.counters['share_grants'] += 1
             core.send_peer(sender, grant, message_id)
 
+    def grant_received(
+        self, message_id: int, sender: str, grant: codec.ShareGrant
+    ) -> None:
+        """Take share that a peer lends."""
+        core = self.core
+        core.limits.receive(
+            sender.partition('/')[0],
+            grant,
+            core.now_s,
+            message_id=message_id,
+        )
+
     def notices(self) -> None:
         """Tell peers about workers that were just quarantined."""
         for notice in self.core.pool.take_notices():
@@ -62,13 +73,12 @@
         """Take changes of the platform's list."""
         core = self.core
         changed = core.members.apply(members, core.now_s)
-        workers = [m for m in changed if m.role is model.Role.WORKER]
-        if workers:
-            core.pool.set_workers(workers, core.now_s)
+        if any(m.role is model.Role.WORKER for m in changed):
+            core.pool.set_workers(core.members.workers(), core.now_s)
         for member in changed:
             gone = member.state is model.MemberState.GONE
             if gone and member.role is model.Role.ENTRY:
-                core.limits.forget_peer(member.id)
+                core.limits.forget_peer(member.id, core.now_s)
         self.update_rank()
 
     def update_rank(self) -> None:
--- a/src/orioleloom/placement/_pool.py
+++ b/src/orioleloom/placement/_pool.py
@@ -194,6 +194,16 @@
         self._reachable(entry, now_s)
         self._refresh(entry, now_s)
 
+    def stopped(self, worker_id: str, free_slots: int, now_s: float) -> None:
+        """Record a task that was stopped by a cancel."""
+        entry = self._end(worker_id)
+        if not entry:
+            return
+        entry.worker.report(free_slots, now_s)
+        entry.health.on_answer()
+        self._reachable(entry, now_s)
+        self._refresh(entry, now_s)
+
     def unknown(self, worker_id: str, now_s: float) -> None:
         """Record a broken exchange after the task was sent."""
         self._no_answer(worker_id, now_s)
