--- a/src/orioleloom/claims/_writer.py
+++ b/src/orioleloom/claims/_writer.py
@@ -160,9 +160,7 @@
                 return [(group, GroupCommitted(revision)) for group in groups]
             case model.Conflicted(conflicts):
                 self._backoff_s = _MIN_BACKOFF_S
-                return self._split(
-                    {row.key: row for row in conflicts}, now_s
-                )
+                return self._split({row.key: row for row in conflicts}, now_s)
             case model.WriteUnknown():
                 for group in self._in_progress:
                     group.may_be_written = True
@@ -294,9 +292,7 @@
         ops = tuple(op for group in groups for op in group.ops)
         return Batch(self._new_token(), ops)
 
-    def _requeue(
-        self, now_s: float
-    ) -> list[tuple[WriteGroup, GroupOutcome]]:
+    def _requeue(self, now_s: float) -> list[tuple[WriteGroup, GroupOutcome]]:
         self._waiting.extendleft(reversed(self._in_progress))
         self._in_progress = []
         return self.drop_expired(now_s)
--- a/src/orioleloom/engine/_claim_flow.py
+++ b/src/orioleloom/engine/_claim_flow.py
@@ -1,9 +1,6 @@
 import typing
 
 from orioleloom import claims
-from orioleloom import errors
-from orioleloom import model
-from orioleloom.engine import _tags as tags
 from orioleloom.engine._completion import Completion
 from orioleloom.engine._core import Core
 from orioleloom.engine._core import Waiting
@@ -12,6 +9,9 @@
 from orioleloom.engine._jobs import JobPhase
 from orioleloom.engine._jobs import RemoteJob
 from orioleloom.engine._remote import RemoteJobs
+from orioleloom.engine import _tags as tags
+from orioleloom import errors
+from orioleloom import model
 
 # Tasks released by one raise. A larger chunk costs fewer writes and
 # leaves more tasks "outcome unknown" when the instance dies.
@@ -368,9 +368,7 @@
                     retry=True,
                 )
 
-    def cancel_unclaimed(
-        self, job_id: model.JobId, request_id: int
-    ) -> None:
+    def cancel_unclaimed(self, job_id: model.JobId, request_id: int) -> None:
         """Make sure that a submission without a claim never runs."""
         core = self.core
         claim = model.Claim(
--- a/src/orioleloom/engine/_completion.py
+++ b/src/orioleloom/engine/_completion.py
@@ -1,12 +1,12 @@
 from orioleloom import claims
 from orioleloom import codec
-from orioleloom import errors
-from orioleloom import model
-from orioleloom.engine import _tags as tags
 from orioleloom.engine._core import Core
 from orioleloom.engine._jobs import Job
 from orioleloom.engine._jobs import JobPhase
 from orioleloom.engine._jobs import TaskState
+from orioleloom.engine import _tags as tags
+from orioleloom import errors
+from orioleloom import model
 
 # A larger answer is not recorded; it stays in memory for retention_s.
 MAX_RECORDED_ANSWER_BYTES = 32 * 1024
--- a/src/orioleloom/engine/_contract_flow.py
+++ b/src/orioleloom/engine/_contract_flow.py
@@ -1,13 +1,13 @@
 from orioleloom import claims
 from orioleloom import codec
 from orioleloom import contracts
-from orioleloom import errors
-from orioleloom import model
+from orioleloom.engine._core import Core
+from orioleloom.engine._core import PEER_FAN_OUT
 from orioleloom.engine import _effects as effects
 from orioleloom.engine import _events as events
 from orioleloom.engine import _tags as tags
-from orioleloom.engine._core import Core
-from orioleloom.engine._core import PEER_FAN_OUT
+from orioleloom import errors
+from orioleloom import model
 
 
 class ContractFlow:
@@ -129,9 +129,7 @@
     ) -> None:
         error = errors.DispatchError(kind, message, run=run)
         status, body = errors.to_answer(error)
-        self.core.respond(
-            request_id, model.Answer(status, {'error': body})
-        )
+        self.core.respond(request_id, model.Answer(status, {'error': body}))
 
     def rows_polled(self, rows: tuple[model.Row, ...]) -> None:
         """Take contract rows read from the table."""
@@ -156,9 +154,7 @@
         # A peer that received them from the origin need not hear again
         # unless the fleet is larger than one fan-out.
         if newer and (not sender or n_peers > PEER_FAN_OUT):
-            self.core.broadcast(
-                _push(newer), exclude=sender.partition('/')[0]
-            )
+            self.core.broadcast(_push(newer), exclude=sender.partition('/')[0])
 
     def _put_in_force(self, newer: list[model.Contract]) -> None:
         for contract in newer:
@@ -186,9 +182,7 @@
             core.send_address(sender, pull.reply_to, _push(newer))
         if pull.with_members:
             listed = [*core.members.entries(), *core.members.workers()]
-            core.send_address(
-                sender, pull.reply_to, codec.MembersPush(listed)
-            )
+            core.send_address(sender, pull.reply_to, codec.MembersPush(listed))
 
     def ask_peers(self) -> None:
         """Ask peers for contracts, since the platform is away."""
--- a/src/orioleloom/engine/_core.py
+++ b/src/orioleloom/engine/_core.py
@@ -58,10 +58,8 @@
     deadlines: list[tuple[float, model.JobId]] = dataclasses.field(
         default_factory=list
     )
-    requests: dict[int, model.JobId] = dataclasses.field(
-        default_factory=dict
-    )
-    effects: list[effects.Effect] = dataclasses.field(default_factory=list)
+    requests: dict[int, model.JobId] = dataclasses.field(default_factory=dict)
+    pending: list[effects.Effect] = dataclasses.field(default_factory=list)
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -78,7 +76,7 @@
 
     def emit(self, effect: effects.Effect) -> None:
         """Add an effect for the caller of the engine to carry out."""
-        self.effects.append(effect)
+        self.pending.append(effect)
 
     def respond(self, request_id: int, answer: model.Answer) -> None:
         """Answer a request that is still open, once."""
--- a/src/orioleloom/engine/_dispatch.py
+++ b/src/orioleloom/engine/_dispatch.py
@@ -3,15 +3,15 @@
 import typing
 
 from orioleloom import codec
-from orioleloom import errors
-from orioleloom import model
-from orioleloom import queueing
-from orioleloom.engine import _effects as effects
 from orioleloom.engine._completion import Completion
 from orioleloom.engine._core import Core
+from orioleloom.engine import _effects as effects
 from orioleloom.engine._jobs import Job
 from orioleloom.engine._jobs import JobPhase
 from orioleloom.engine._jobs import TaskState
+from orioleloom import errors
+from orioleloom import model
+from orioleloom import queueing
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -98,9 +98,7 @@
                 )
             )
         for upstream, queued in by_upstream.items():
-            self.core.queue.push(
-                job.id.customer, (job.id, upstream), queued
-            )
+            self.core.queue.push(job.id.customer, (job.id, upstream), queued)
 
     def drop_queued(self, job: Job) -> None:
         """Remove the tasks of a job from the queue."""
@@ -130,10 +128,11 @@
         sends: dict[str, list[tuple[Job, queueing.QueuedTask]]] = {}
         blocked: set[str] = set()
         self._starved = {}
-        while len(core.queue):
+        while core.queue.n_tasks():
             popped = core.queue.pop(
-                lambda customer, upstream: upstream not in blocked
-                and self._within_limits(customer)
+                lambda customer, upstream: (
+                    upstream not in blocked and self._within_limits(customer)
+                )
             )
             if popped is None:
                 break
@@ -164,9 +163,7 @@
         self._starved[customer] = self.core.queue.n_tasks(customer)
         return False
 
-    def _may_start(
-        self, job: Job | None, task: queueing.QueuedTask
-    ) -> bool:
+    def _may_start(self, job: Job | None, task: queueing.QueuedTask) -> bool:
         if job is None or job.ending is not None:
             return False
         if job.deadline_at_s <= self.core.now_s:
@@ -292,12 +289,12 @@
             else:
                 core.pool.unreachable(worker_id, core.now_s)
                 self._not_started(job, task)
-        for job in {id(s.job): s.job for s in exchange.tasks.values()}.values():
+        for job in {
+            id(s.job): s.job for s in exchange.tasks.values()
+        }.values():
             self.completion.check(job)
 
-    def _task_ok(
-        self, job: Job, index: int, line: model.TaskLine
-    ) -> None:
+    def _task_ok(self, job: Job, index: int, line: model.TaskLine) -> None:
         job.results[index] = line.result
         job.result_bytes += _size_bytes(line.result)
         if job.result_bytes > MAX_ANSWER_BYTES:
@@ -317,9 +314,7 @@
         )
         self._task_ended(job, index, TaskState.FAILED)
 
-    def _task_ended(
-        self, job: Job, index: int, state: TaskState
-    ) -> None:
+    def _task_ended(self, job: Job, index: int, state: TaskState) -> None:
         self.core.limits.finish(job.id.customer, self.core.now_s)
         if job.phase is JobPhase.RUNNING:
             job.states[index] = state
@@ -384,9 +379,7 @@
             core.counters['worker_cancels'] += 1
             http = self._http_of(worker_id)
             if http:
-                core.emit(
-                    effects.CancelTasks(worker_id, http, tuple(keys))
-                )
+                core.emit(effects.CancelTasks(worker_id, http, tuple(keys)))
 
 
 def _size_bytes(result: typing.Any) -> int:
--- a/src/orioleloom/engine/_engine.py
+++ b/src/orioleloom/engine/_engine.py
@@ -4,25 +4,25 @@
 from orioleloom import claims
 from orioleloom import codec
 from orioleloom import contracts
-from orioleloom import errors
-from orioleloom import limits
-from orioleloom import membership
-from orioleloom import model
-from orioleloom import placement
-from orioleloom import queueing
-from orioleloom.engine import _effects as effects
-from orioleloom.engine import _events as events
-from orioleloom.engine import _tags as tags
 from orioleloom.engine._claim_flow import ClaimFlow
 from orioleloom.engine._completion import Completion
 from orioleloom.engine._contract_flow import ContractFlow
 from orioleloom.engine._core import Core
 from orioleloom.engine._dispatch import Dispatcher
+from orioleloom.engine import _effects as effects
+from orioleloom.engine import _events as events
 from orioleloom.engine._expiry import Expiry
 from orioleloom.engine._remote import RemoteJobs
 from orioleloom.engine._settings import EngineSettings
 from orioleloom.engine._sharing import Sharing
 from orioleloom.engine._submissions import Submissions
+from orioleloom.engine import _tags as tags
+from orioleloom import errors
+from orioleloom import limits
+from orioleloom import membership
+from orioleloom import model
+from orioleloom import placement
+from orioleloom import queueing
 
 MAX_TICKETS = 1000
 
@@ -119,7 +119,7 @@
         self._sharing.borrow(self.dispatcher.starved())
         self._sharing.notices()
         self._write()
-        done, core.effects = core.effects, []
+        done, core.pending = core.pending, []
         return done
 
     def _route(self, event: events.Event) -> None:
@@ -337,18 +337,13 @@
     def is_drained(self) -> bool:
         """Whether a planned stop may end the process."""
         core = self.core
-        return not (
-            core.active or core.requests or len(core.writer)
-        )
+        return not (core.active or core.requests or len(core.writer))
 
     def needs_tick(self) -> bool:
         """Whether time alone can change something soon."""
         core = self.core
         return bool(
-            core.active
-            or core.remote
-            or len(core.writer)
-            or core.stopping
+            core.active or core.remote or len(core.writer) or core.stopping
         )
 
     def counters(self) -> dict[str, int]:
--- a/src/orioleloom/engine/_expiry.py
+++ b/src/orioleloom/engine/_expiry.py
@@ -2,15 +2,15 @@
 import heapq
 
 from orioleloom import claims
-from orioleloom import errors
-from orioleloom import model
-from orioleloom.engine import _tags as tags
 from orioleloom.engine._claim_flow import ClaimFlow
 from orioleloom.engine._completion import Completion
 from orioleloom.engine._core import Core
 from orioleloom.engine._dispatch import Dispatcher
 from orioleloom.engine._jobs import Job
 from orioleloom.engine._jobs import JobPhase
+from orioleloom.engine import _tags as tags
+from orioleloom import errors
+from orioleloom import model
 
 
 class Expiry:
--- a/src/orioleloom/engine/_jobs.py
+++ b/src/orioleloom/engine/_jobs.py
@@ -67,9 +67,7 @@
     superseded: bool = False
     exchange_ids: set[int] = dataclasses.field(default_factory=set)
     waiters: set[int] = dataclasses.field(default_factory=set)
-    peer_waiters: set[tuple[str, int]] = dataclasses.field(
-        default_factory=set
-    )
+    peer_waiters: set[tuple[str, int]] = dataclasses.field(default_factory=set)
 
     def __post_init__(self):
         self.states = bytearray(len(self.request.tasks))
@@ -112,9 +110,7 @@
     def final_answer(self) -> model.Answer:
         """Build the answer from the state of the tasks."""
         if self.states.count(TaskState.OK) == self.n_tasks:
-            return model.complete_answer(
-                self.id.submission_id, self.results
-            )
+            return model.complete_answer(self.id.submission_id, self.results)
         report = self.report()
         error = errors.DispatchError(
             self._error_kind(report),
--- a/src/orioleloom/engine/_remote.py
+++ b/src/orioleloom/engine/_remote.py
@@ -2,13 +2,13 @@
 
 from orioleloom import claims
 from orioleloom import codec
-from orioleloom import errors
-from orioleloom import model
-from orioleloom import validation
 from orioleloom.engine._completion import Completion
 from orioleloom.engine._core import Core
 from orioleloom.engine._core import Waiting
 from orioleloom.engine._jobs import RemoteJob
+from orioleloom import errors
+from orioleloom import model
+from orioleloom import validation
 
 # An owner that does not answer this many requests over at least
 # DEAD_AFTER_S is taken for gone. Safety does not depend on it, since a
@@ -57,9 +57,7 @@
         remote.body = remote.body or body
         remote.waiters |= waiting.final
         for request_id in waiting.quick:
-            core.respond(
-                request_id, model.Answer(202, self._progress(remote))
-            )
+            core.respond(request_id, model.Answer(202, self._progress(remote)))
 
     def cancel_row(
         self, job_id: model.JobId, row: model.Row, request_id: int
--- a/src/orioleloom/engine/_sharing.py
+++ b/src/orioleloom/engine/_sharing.py
@@ -1,6 +1,6 @@
 from orioleloom import codec
-from orioleloom import model
 from orioleloom.engine._core import Core
+from orioleloom import model
 
 
 class Sharing:
--- a/src/orioleloom/engine/_submissions.py
+++ b/src/orioleloom/engine/_submissions.py
@@ -1,18 +1,18 @@
 import math
 
 from orioleloom import claims
-from orioleloom import errors
-from orioleloom import model
-from orioleloom.engine import _effects as effects
-from orioleloom.engine import _events as events
-from orioleloom.engine import _tags as tags
 from orioleloom.engine._claim_flow import ClaimFlow
 from orioleloom.engine._core import Core
 from orioleloom.engine._core import Waiting
 from orioleloom.engine._dispatch import Dispatcher
+from orioleloom.engine import _effects as effects
+from orioleloom.engine import _events as events
 from orioleloom.engine._jobs import Job
 from orioleloom.engine._jobs import JobPhase
 from orioleloom.engine._remote import RemoteJobs
+from orioleloom.engine import _tags as tags
+from orioleloom import errors
+from orioleloom import model
 
 # The largest job; the queue of a customer always holds one.
 MAX_TASKS = 1300
@@ -109,9 +109,7 @@
         job.first_attempt = False
         self._attach(event, job)
 
-    def _attach(
-        self, event: events.Submit | events.Fetch, job: Job
-    ) -> None:
+    def _attach(self, event: events.Submit | events.Fetch, job: Job) -> None:
         if job.phase is JobPhase.ENDED:
             self.core.respond(event.request_id, job.answer)
         elif event.wait:
@@ -179,9 +177,7 @@
                     f'than the deadline of {deadline_ms:.0f} ms',
                 )
 
-    def _check_upstream(
-        self, contract: model.Contract, upstream: str
-    ) -> None:
+    def _check_upstream(self, contract: model.Contract, upstream: str) -> None:
         if upstream not in contract.upstreams:
             allowed = ', '.join(contract.upstreams)
             raise errors.DispatchError(
@@ -244,9 +240,7 @@
         if event.wait or remote.progress is None:
             remote.waiters.add(event.request_id)
         else:
-            self.core.respond(
-                event.request_id, self.remote.progress(remote)
-            )
+            self.core.respond(event.request_id, self.remote.progress(remote))
 
     def _fetch_ticket(
         self, event: events.Fetch, ticket: claims.Ticket
--- a/src/orioleloom/engine/_tags.py
+++ b/src/orioleloom/engine/_tags.py
@@ -1,7 +1,7 @@
 import dataclasses
 
-from orioleloom import model
 from orioleloom.engine import _events as events
+from orioleloom import model
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -7,9 +7,9 @@
 import pytest
 import trio
 
-from orioleloom import entry
 from orioleloom.engine import _effects as effects
 from orioleloom.engine import _events as events
+from orioleloom import entry
 from orioleloom import model
 from orioleloom import validation
 from tests.entry import fakes
