--- a/src/orioleloom/engine/_remote.py
+++ b/src/orioleloom/engine/_remote.py
@@ -46,16 +46,19 @@
         """Wait for the answer of a job that another instance holds."""
         core = self.core
         remote = core.remote.get(job_id)
+        is_new = remote is None
         if remote is None:
             remote = RemoteJob(
                 job_id, owner, row, request, body, first_attempt
             )
             core.remote[job_id] = remote
-            self._ask(remote)
         remote.row = row or remote.row
         remote.request = remote.request or request
         remote.body = remote.body or body
         remote.waiters |= waiting.final
+        if is_new:
+            # Asking may fail at once, so the waiters are known by now.
+            self._ask(remote)
         for request_id in waiting.quick:
             core.respond(request_id, model.Answer(202, self._progress(remote)))
 
@@ -76,9 +79,7 @@
             b'',
             False,
         )
-        remote = self.core.remote[job_id]
-        remote.cancel = True
-        self._ask(remote)
+        self._cancel(job_id)
 
     def cancel_ticket(
         self, job_id: model.JobId, owner: str, request_id: int
@@ -93,9 +94,13 @@
             b'',
             False,
         )
-        remote = self.core.remote[job_id]
-        remote.cancel = True
-        self._ask(remote)
+        self._cancel(job_id)
+
+    def _cancel(self, job_id: model.JobId) -> None:
+        remote = self.core.remote.get(job_id)
+        if remote is not None:
+            remote.cancel = True
+            self._ask(remote)
 
     def _already_closed(
         self, job_id: model.JobId, claim: model.Claim, request_id: int
