Raise the watermark only when a slot is free; test the checks themselves

Cause: the engine popped whole jobs from the queue to wait for a raise, so that the queue looked empty, the first watermark of the next job was too high, and a holder's death left more tasks 'outcome unknown' than had to be.

--- a/src/orioleloom/engine/_claim_flow.py
+++ b/src/orioleloom/engine/_claim_flow.py
@@ -66,7 +66,10 @@
         if self.core.queue.n_tasks(job.id.customer):
             return 0
         upstreams = {task.upstream for task in job.request.tasks}
-        n_free = min(self.core.pool.free_slots(name) for name in upstreams)
+        core = self.core
+        n_free = min(
+            core.pool.free_slots(name, core.now_s) for name in upstreams
+        )
         return min(job.n_tasks, n_free)
 
     def _put(
--- a/src/orioleloom/engine/_dispatch.py
+++ b/src/orioleloom/engine/_dispatch.py
@@ -19,6 +19,9 @@
 # straggler whose worker may have died.
 _LEASE_FACTOR = 4.0
 
+# Tasks left below the watermark when the next raise is asked for.
+RAISE_AHEAD = 16
+
 
 @dataclasses.dataclass(slots=True)
 class InFlightTask:
@@ -127,18 +130,21 @@
         core = self.core
         sends: dict[str, list[tuple[Job, queueing.QueuedTask]]] = {}
         blocked: set[str] = set()
+        raising: set[str] = set()
         self._starved = {}
         while core.queue.n_tasks():
             popped = core.queue.pop(
                 lambda customer, upstream: (
-                    upstream not in blocked and self._within_limits(customer)
+                    upstream not in blocked
+                    and customer not in raising
+                    and self._within_limits(customer)
                 )
             )
             if popped is None:
                 break
-            _, task = popped
+            customer, task = popped
             job = core.jobs.get(task.job_key)
-            if not self._may_start(job, task):
+            if job is None or not self._is_startable(job):
                 continue
             worker_id = core.pool.choose(
                 task.upstream,
@@ -151,6 +157,11 @@
                 self._push_front(task)
                 blocked.add(task.upstream)
                 continue
+            if not (job.ticket or self._is_released(job, task)):
+                if not self._hold(job, task):
+                    self._push_front(task)
+                    raising.add(customer)
+                continue
             core.pool.started(worker_id, task.kind, core.now_s)
             core.limits.start(job.id.customer, core.now_s)
             sends.setdefault(worker_id, []).append((job, task))
@@ -163,18 +174,36 @@
         self._starved[customer] = self.core.queue.n_tasks(customer)
         return False
 
-    def _may_start(self, job: Job | None, task: queueing.QueuedTask) -> bool:
-        if job is None or job.ending is not None:
+    def _is_startable(self, job: Job) -> bool:
+        if job.ending is not None:
             return False
         if job.deadline_at_s <= self.core.now_s:
             self.expire(job)
             return False
-        if job.ticket or task.index < job.released:
-            return True
-        # The start must wait for a committed watermark above the task.
+        return True
+
+    def _is_released(self, job: Job, task: queueing.QueuedTask) -> bool:
+        """Whether the task lies below the committed watermark.
+
+        A raise is asked for once a slot is free for the task, and a
+        little early for a job that runs steadily, so that it does not
+        wait for the table.
+        """
+        if task.index + RAISE_AHEAD >= job.released < job.n_tasks:
+            self.request_raise(job, task.index)
+        return task.index < job.released
+
+    @staticmethod
+    def _hold(job: Job, task: queueing.QueuedTask) -> bool:
+        """Set a task aside until the raise in progress is committed.
+
+        :returns: whether that raise will cover the task; if not, the
+            task stays in the queue, so that it counts as waiting
+        """
+        if task.index >= job.raising_to:
+            return False
         job.held.append(task)
-        self.request_raise(job, task.index)
-        return False
+        return True
 
     def _send(
         self,
--- a/src/orioleloom/placement/_pool.py
+++ b/src/orioleloom/placement/_pool.py
@@ -249,8 +249,9 @@
             w.live for w in group.workers.values()
         )
 
-    def free_slots(self, upstream: str) -> int:
+    def free_slots(self, upstream: str, now_s: float) -> int:
         """Return the number of workers believed to have a free slot."""
+        self._wake(now_s)
         group = self._groups.get(upstream)
         return group.n_open if group else 0
 
--- a/tests/faults/test_matrix.py
+++ b/tests/faults/test_matrix.py
@@ -54,7 +54,9 @@
         worlds.CUSTOMER, 1, world.now_s + ticket_entry.clock_offset_s
     )[0]
     world.submit(ticket, WORK_MS)
-    world.run_for(4.0)
+    for index in range(4):
+        world.run_for(1.0)
+        _change_contract(world, index)
     # Callers without an answer send a copy through the balancer.
     world.resubmit_all(exclude='e0')
     world.run_for(16.0)
@@ -63,6 +65,14 @@
     return world, n_injected
 
 
+def _change_contract(world: worlds.World, index: int) -> None:
+    """Change the contract at an instance that runs."""
+    entry = world.entries[f'e{index % len(world.entries)}']
+    if entry.alive and not entry.paused:
+        version = entry.core.contract(worlds.CUSTOMER).version
+        world.put_contract(entry.id, version, in_flight=40 + index)
+
+
 def assert_sound(world: worlds.World) -> None:
     assert world.violations() == []
     last = {}
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -25,6 +25,7 @@
 POLL_S = 2.0
 TICK_S = 0.05
 LIST_LAG_S = 1.0
+LATE_S = 3.0
 CALLER_TIMEOUT_S = 8.0
 UPSTREAM = 'crews'
 CUSTOMER = 'harrowgate'
@@ -502,7 +503,7 @@
         n_copies = 1 + (self.random.random() < self.peer_duplicates)
         for index in range(n_copies):
             self.at(
-                LINK_S * (1 + 20 * index),
+                LINK_S + LATE_S * index,
                 lambda: self.post(target, arrives, event),
             )
 
