Add validation, timers, the peer socket and the entry shell

Cause: the engine needs its I/O side: checked input, timers, messages between instances, HTTP and the wiring of the process. Change: validation decodes and checks bodies, ids and parameters; timers run from one trio task; PeerSocket sends over one DEALER per peer and receives on a ROUTER; entry turns HTTP requests into engine events and executes effects, polls the platform, stops in order and serves metrics and a state dump. The job routes are plain ASGI in front of quart. quart cancels the task that closes a connection when a response ends, so its sends are shielded; before, a half-sent PUT left the connection open.

--- a/src/orioleloom/entry/__init__.py
+++ b/src/orioleloom/entry/__init__.py
@@ -1,1 +1,19 @@
-"""Placeholder."""
+"""Entry instance: HTTP service, wiring and settings."""
+
+from orioleloom.entry._daemon import Parts
+from orioleloom.entry._daemon import serve
+from orioleloom.entry._runner import EngineRunner
+from orioleloom.entry._settings import add_arguments
+from orioleloom.entry._settings import check_settings
+from orioleloom.entry._settings import from_arguments
+from orioleloom.entry._settings import Settings
+
+__all__ = [
+    'EngineRunner',
+    'Parts',
+    'Settings',
+    'add_arguments',
+    'check_settings',
+    'from_arguments',
+    'serve',
+]
--- /dev/null
+++ b/src/orioleloom/entry/_daemon.py
@@ -0,0 +1,170 @@
+import logging
+import random
+import secrets
+import signal
+import typing
+
+import eliot
+import hypercorn.config
+import hypercorn.trio
+import trio
+
+from orioleloom.entry import _app
+from orioleloom.entry import _jobs
+from orioleloom.entry import _log
+from orioleloom.entry import _runner
+from orioleloom.entry import _settings
+from orioleloom import peer_api
+from orioleloom import timers
+
+# Time for answers already handed to hypercorn to leave.
+_FLUSH_TIMEOUT_S = 3.0
+
+
+class Parts(typing.NamedTuple):
+    """Replaceable parts of an entry instance."""
+
+    engine: typing.Any
+    platform: typing.Any
+    workers: typing.Any
+
+
+def build_parts(settings: _settings.Settings, identity: str) -> Parts:
+    """Build the engine and the clients of an instance."""
+    from orioleloom import engine
+    from orioleloom import platform_api
+    from orioleloom import worker_api
+
+    engine_settings = engine.EngineSettings(
+        **{
+            name: getattr(settings, name)
+            for name in engine.EngineSettings._fields
+            if name in settings._fields
+        }
+    )
+    return Parts(
+        engine.Engine(
+            identity=identity,
+            instance_id=settings.instance_id,
+            data_centre=settings.data_centre,
+            settings=engine_settings,
+            random_state=random.Random(),
+        ),
+        platform_api.PlatformClient(settings.platform_url),
+        worker_api.WorkerClient(),
+    )
+
+
+def http_config(settings: _settings.Settings) -> hypercorn.config.Config:
+    """Build the configuration of the HTTP server."""
+    host = settings.http_bind_host
+    if ':' in host:
+        host = f'[{host}]'
+    config = hypercorn.config.Config()
+    config.bind = [f'{host}:{settings.http_bind_port}']
+    config.keep_alive_timeout = settings.keep_alive_timeout_s
+    config.graceful_timeout = _FLUSH_TIMEOUT_S
+    config.accesslog = None
+    config.errorlog = logging.getLogger('orioleloom.http')
+    config.include_server_header = False
+    return config
+
+
+async def serve(
+    settings: _settings.Settings,
+    *,
+    build: typing.Callable[[_settings.Settings, str], Parts] = build_parts,
+    task_status: trio.TaskStatus[
+        tuple[str, _runner.EngineRunner]
+    ] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an entry instance until a planned stop has ended.
+
+    SIGTERM, SIGINT and ``POST /v1/stop`` begin the stop.
+
+    :param settings: checked settings
+    :param build: builds the engine and the clients from the settings
+        and the identity of the process
+    :param task_status: started with the base URL and the runner
+    """
+    # Never used twice, so that a restarted instance is another owner.
+    identity = f'{settings.instance_id}/{secrets.token_hex(8)}'
+    _log.start_logging()
+    parts = build(settings, identity)
+    peer_socket = peer_api.PeerSocket(settings.peer_bind, identity)
+    runner = _runner.EngineRunner(
+        engine=parts.engine,
+        identity=identity,
+        settings=settings,
+        platform=parts.platform,
+        workers=parts.workers,
+        peer_socket=peer_socket,
+        timer_service=timers.TimerService(random_state=random.Random()),
+    )
+    app = _jobs.JobRoutes(runner=runner, application=_app.build_app(runner))
+    close_http = trio.Event()
+    http_closed = trio.Event()
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_watch_signals, runner)
+            await nursery.start(runner.run)
+            urls = await nursery.start(
+                _serve_http,
+                app,
+                http_config(settings),
+                close_http,
+                http_closed,
+            )
+            eliot.log_message(
+                message_type='serving',
+                identity=identity,
+                http=urls[0],
+                peer=peer_socket.address,
+            )
+            task_status.started((urls[0], runner))
+            await runner.stop_requested.wait()
+            drained = await _drain(runner, settings)
+            eliot.log_message(message_type='stopped', drained=drained)
+            close_http.set()
+            await http_closed.wait()
+            nursery.cancel_scope.cancel()
+    finally:
+        peer_socket.close()
+        _log.stop_logging()
+
+
+async def _serve_http(
+    app: typing.Any,
+    config: hypercorn.config.Config,
+    close_http: trio.Event,
+    http_closed: trio.Event,
+    *,
+    task_status: trio.TaskStatus[list[str]],
+) -> None:
+    await hypercorn.trio.serve(
+        app,
+        config,
+        shutdown_trigger=close_http.wait,
+        task_status=task_status,
+        mode='asgi',
+    )
+    http_closed.set()
+
+
+async def _drain(
+    runner: _runner.EngineRunner, settings: _settings.Settings
+) -> bool:
+    async with trio.open_nursery() as nursery:
+        # Callers that have not yet seen the readiness change are still
+        # answered, with the error kind 'stopping'.
+        nursery.start_soon(trio.sleep, settings.readiness_grace_s)
+        return await runner.drain()
+
+
+async def _watch_signals(runner: _runner.EngineRunner) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for number in received:
+            eliot.log_message(
+                message_type='signal', name=signal.Signals(number).name
+            )
+            runner.begin_stop()
--- /dev/null
+++ b/src/orioleloom/entry/_jobs.py
@@ -0,0 +1,323 @@
+import collections.abc
+import functools
+import re
+import typing
+import urllib.parse
+
+import eliot
+import msgspec
+import trio
+
+from orioleloom.engine import _events as events
+from orioleloom.entry import _log
+from orioleloom.entry import _runner
+from orioleloom import errors
+from orioleloom import model
+from orioleloom import validation
+
+Scope: typing.TypeAlias = dict[str, typing.Any]
+Receive: typing.TypeAlias = collections.abc.Callable[
+    [], collections.abc.Awaitable[dict[str, typing.Any]]
+]
+Send: typing.TypeAlias = collections.abc.Callable[
+    [dict[str, typing.Any]], collections.abc.Awaitable[None]
+]
+
+_PREFIX = '/v1/customers/'
+_WAIT = re.compile(r'wait=(\d{1,9}(?:\.\d{1,6})?)')
+_MAX_TICKETS = 10_000
+
+_encoder = msgspec.json.Encoder()
+
+
+class _Disconnected(Exception):
+    """The caller went away before its request was complete."""
+
+
+class JobRoutes:
+    """ASGI callable with the routes below ``/v1/customers/``.
+
+    These carry nearly all requests, so they are served without quart;
+    every other path goes to the wrapped application.
+
+    :param runner: runner of the engine
+    :param application: ASGI application of the other routes
+    """
+
+    def __init__(
+        self,
+        *,
+        runner: _runner.EngineRunner,
+        application: typing.Any,
+    ):
+        self.runner = runner
+        self.application = application
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        if scope['type'] != 'http' or not scope['path'].startswith(_PREFIX):
+            await self.application(scope, receive, _shielded(send))
+            return
+        self.runner.counters['http_requests'] += 1
+        try:
+            answer = await self._dispatch(scope, receive)
+        except _Disconnected:
+            return
+        except errors.DispatchError as exc:
+            answer = _error_answer(exc)
+        except Exception:
+            reference = _log.log_internal_error('http')
+            answer = _error_answer(
+                errors.DispatchError(
+                    errors.ErrorKind.INTERNAL,
+                    f'internal error; log reference {reference}',
+                )
+            )
+        if answer is not None:
+            await self._answer(send, answer)
+
+    async def _answer(self, send: Send, answer: model.Answer) -> None:
+        body = _encoder.encode(answer.body)
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'content-length', b'%d' % len(body)),
+        ]
+        error = answer.body.get('error')
+        if error is not None and 'retry_after_ms' in error:
+            seconds = -(-error['retry_after_ms'] // 1_000)
+            headers.append((b'retry-after', b'%d' % seconds))
+        if self.runner.stopping:
+            headers.append((b'connection', b'close'))
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': answer.http_status,
+                'headers': headers,
+            }
+        )
+        await send({'type': 'http.response.body', 'body': body})
+
+    async def _dispatch(
+        self, scope: Scope, receive: Receive
+    ) -> model.Answer | None:
+        method = scope['method']
+        segments = scope['path'][len(_PREFIX) :].split('/')
+        match method, segments:
+            case 'POST', [customer, 'jobs']:
+                return await self._submit(scope, receive, customer)
+            case 'GET', [customer, 'jobs', submission_id]:
+                return await self._fetch(
+                    scope, receive, customer, submission_id
+                )
+            case 'DELETE', [customer, 'jobs', submission_id]:
+                job_id = _job_id(customer, submission_id)
+                return await self.runner.ask(
+                    lambda request_id: events.Cancel(request_id, job_id),
+                    wait_gone=functools.partial(_wait_gone, receive),
+                )
+            case 'POST', [customer, 'tickets']:
+                return self._mint(scope, customer)
+        raise errors.DispatchError(
+            errors.ErrorKind.BAD_REQUEST,
+            f'no route for {method} {scope["path"][:200]}',
+        )
+
+    async def _submit(
+        self, scope: Scope, receive: Receive, customer: str
+    ) -> model.Answer | None:
+        key = attempt = prefer = length = None
+        for name, value in scope['headers']:
+            match name:
+                case b'idempotency-key':
+                    key = value.decode('latin-1')
+                case b'orioleloom-attempt':
+                    attempt = value
+                case b'prefer':
+                    prefer = value.decode('latin-1')
+                case b'content-length':
+                    length = value
+        sole_copy = attempt == b'first'
+        try:
+            if key is None:
+                raise errors.DispatchError(
+                    errors.ErrorKind.BAD_FIELD,
+                    'header Idempotency-Key is missing; it names the '
+                    'submission',
+                )
+            job_id = _job_id(customer, key)
+            if attempt is not None and not sole_copy:
+                raise errors.DispatchError(
+                    errors.ErrorKind.BAD_FIELD,
+                    f'header Orioleloom-Attempt is {attempt[:80]!r}; '
+                    "accepted is 'first'",
+                )
+            wait, wait_s = self._preference(prefer)
+            body = await self._read_body(receive, length)
+            request = validation.check_job(body)
+        except errors.DispatchError as exc:
+            return model.refused_answer(key or '', exc, sole_copy=sole_copy)
+        action = eliot.start_action(
+            action_type='job',
+            submission_id=job_id.submission_id,
+            customer=customer,
+            n_tasks=len(request.tasks),
+        )
+        answer = None
+        try:
+            answer = await self.runner.ask(
+                lambda request_id: events.Submit(
+                    request_id, job_id, request, sole_copy, wait, body
+                ),
+                wait_s=wait_s,
+                wait_gone=functools.partial(_wait_gone, receive),
+            )
+        except errors.DispatchError as exc:
+            answer = model.refused_answer(key, exc, sole_copy=sole_copy)
+        finally:
+            action.add_success_fields(
+                http_status=0 if answer is None else answer.http_status
+            )
+            action.finish()
+        return answer
+
+    def _preference(self, prefer: str | None) -> tuple[bool, float | None]:
+        """Return whether to wait, and how long at most."""
+        if prefer is None:
+            return True, self.runner.settings.max_wait_s
+        for part in prefer.split(','):
+            part = part.strip()
+            if part == 'respond-async':
+                return False, None
+            found = _WAIT.fullmatch(part)
+            if found is not None:
+                wait_s = float(found[1])
+                return wait_s > 0, min(wait_s, self.runner.settings.max_wait_s)
+            if part.startswith('wait'):
+                raise errors.DispatchError(
+                    errors.ErrorKind.BAD_FIELD,
+                    f'header Prefer is {prefer[:80]!r}; accepted is '
+                    "'wait=SECONDS' or 'respond-async'",
+                )
+        return True, self.runner.settings.max_wait_s
+
+    async def _read_body(
+        self, receive: Receive, length: bytes | None
+    ) -> bytes:
+        if length is not None and int(length) > validation.MAX_BODY_BYTES:
+            raise _too_large(int(length))
+        timeout_s = self.runner.settings.body_timeout_s
+        chunks = []
+        n_bytes = 0
+        with trio.move_on_after(timeout_s):
+            while True:
+                message = await receive()
+                if message['type'] == 'http.disconnect':
+                    raise _Disconnected
+                chunk = message.get('body', b'')
+                if chunk:
+                    n_bytes += len(chunk)
+                    if n_bytes > validation.MAX_BODY_BYTES:
+                        raise _too_large(n_bytes)
+                    chunks.append(chunk)
+                if not message.get('more_body', False):
+                    return chunks[0] if len(chunks) == 1 else b''.join(chunks)
+        raise errors.DispatchError(
+            errors.ErrorKind.BAD_REQUEST,
+            f'body was not received within {timeout_s} s; {n_bytes} bytes '
+            'arrived',
+        )
+
+    async def _fetch(
+        self,
+        scope: Scope,
+        receive: Receive,
+        customer: str,
+        submission_id: str,
+    ) -> model.Answer | None:
+        job_id = _job_id(customer, submission_id)
+        wait_s = _query_number(
+            scope, 'wait_s', 0.0, 0.0, self.runner.settings.max_wait_s
+        )
+        return await self.runner.ask(
+            lambda request_id: events.Fetch(request_id, job_id, wait_s > 0),
+            wait_s=wait_s or None,
+            wait_gone=functools.partial(_wait_gone, receive),
+        )
+
+    def _mint(self, scope: Scope, customer: str) -> model.Answer:
+        validation.check_customer(customer)
+        count = _query_number(scope, 'count', 1, 1, _MAX_TICKETS)
+        if count != int(count):
+            raise errors.DispatchError(
+                errors.ErrorKind.BAD_FIELD,
+                f'query parameter count is {count}; accepted is an integer',
+            )
+        tickets = self.runner.engine.mint_tickets(
+            customer, int(count), trio.current_time()
+        )
+        return model.Answer(200, {'tickets': tickets})
+
+
+def _error_answer(error: errors.DispatchError) -> model.Answer:
+    status, body = errors.to_answer(error)
+    return model.Answer(status, {'error': body})
+
+
+def _too_large(n_bytes: int) -> errors.DispatchError:
+    return errors.DispatchError(
+        errors.ErrorKind.TOO_LARGE,
+        f'body of at least {n_bytes} bytes exceeds '
+        f'{validation.MAX_BODY_BYTES} bytes',
+    )
+
+
+def _job_id(customer: str, submission_id: str) -> model.JobId:
+    return model.JobId(
+        validation.check_customer(customer),
+        validation.check_submission_id(submission_id),
+    )
+
+
+def _query_number(
+    scope: Scope, name: str, default: float, low: float, high: float
+) -> float:
+    query = scope['query_string']
+    if not query:
+        return default
+    values = urllib.parse.parse_qs(query.decode('latin-1')).get(name)
+    if values is None:
+        return default
+    try:
+        value = float(values[-1])
+    except ValueError:
+        value = float('nan')
+    if not low <= value <= high:
+        raise errors.DispatchError(
+            errors.ErrorKind.BAD_FIELD,
+            f'query parameter {name} is {values[-1][:80]!r}; accepted is a '
+            f'number in [{low}, {high}]',
+        )
+    return value
+
+
+def _shielded(send: Send) -> Send:
+    """Protect the end of a response from cancellation.
+
+    When hypercorn ends a response it first tells the application that
+    the request is over, upon which quart cancels the task that still
+    has to close the connection; the connection then stayed open.
+    """
+
+    async def shielded_send(message: dict[str, typing.Any]) -> None:
+        with trio.CancelScope(shield=True):
+            await send(message)
+
+    return shielded_send
+
+
+async def _wait_gone(receive: Receive) -> None:
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            return
--- a/src/orioleloom/peer_api/__init__.py
+++ b/src/orioleloom/peer_api/__init__.py
@@ -1,1 +1,7 @@
-"""Placeholder."""
+"""Messages between entry instances over ZeroMQ."""
+
+from orioleloom.peer_api._socket import check_peer_address
+from orioleloom.peer_api._socket import PeerCounters
+from orioleloom.peer_api._socket import PeerSocket
+
+__all__ = ['PeerCounters', 'PeerSocket', 'check_peer_address']
--- /dev/null
+++ b/tests/peer_api/test_socket.py
@@ -0,0 +1,99 @@
+import socket
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+import trio
+
+from orioleloom import codec
+from orioleloom import errors
+from orioleloom import peer_api
+
+ANY = 'tcp://127.0.0.1:0'
+
+
+@pytest.fixture
+def pair():
+    sockets = [
+        peer_api.PeerSocket(ANY, f'e{n}/abc', high_water_mark=10)
+        for n in (1, 2)
+    ]
+    yield sockets
+    for opened in sockets:
+        opened.close()
+
+
+async def test_frames_arrive_in_order_with_counters(pair):
+    # Guards against a lost wake-up of the edge-triggered descriptor:
+    # frames arrive one at a time and in bursts.
+    sender, receiver = pair
+    received = []
+
+    async def consume():
+        async for frame in receiver.receive():
+            received.append(frame)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(consume)
+        with trio.fail_after(5):
+            for burst in (1, 1, 5, 1, 5):
+                for _ in range(burst):
+                    frame = codec.encode_peer(
+                        1, 'e1/abc', codec.LeavingNotice('e1')
+                    )
+                    assert sender.send(receiver.address, frame)
+                target = len(received) + burst
+                while len(received) < target:
+                    await trio.sleep(0.001)
+        nursery.cancel_scope.cancel()
+    assert codec.decode_peer(received[0])[1] == 'e1/abc'
+    assert receiver.counters.received_messages == 13
+    assert sender.counters.sent_messages == 13
+    assert sender.counters.sent_bytes == sum(map(len, received))
+
+
+async def test_full_queue_drops_and_counts(pair):
+    # Guards R12: a dead peer must neither block the loop nor collect an
+    # unbounded queue.
+    sender = pair[0]
+    with socket.socket() as unused:
+        unused.bind(('127.0.0.1', 0))
+        address = f'tcp://127.0.0.1:{unused.getsockname()[1]}'
+        results = [sender.send(address, b'x') for _ in range(15)]
+    assert results == [True] * 10 + [False] * 5
+    assert sender.counters.dropped_messages == 5
+
+
+async def test_gone_peers_are_closed(pair):
+    # Guards against one socket left over for every replaced instance.
+    sender, receiver = pair
+    sender.send(receiver.address, b'x')
+    sender.send('tcp://127.0.0.1:1', b'x')
+    sender.keep_only({receiver.address})
+    assert sender.peers() == [receiver.address]
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        'tcp://localhost:1',
+        'tcp://1.2.3:1',
+        'ipc:///tmp/x',
+        'tcp://1.2.3.4:99999',
+        'tcp://1.2.3.4',
+        '',
+    ],
+)
+def test_addresses_need_an_ip_number(pair, address):
+    # Guards R18: a host name would make the process use a resolver.
+    with pytest.raises(errors.DispatchError, match='peer address'):
+        pair[0].send(address, b'x')
+
+
+@hypothesis.given(strategies.binary(max_size=80))
+def test_any_frame_is_decoded_or_refused(frame):
+    # Guards R16: a truncated or garbage frame must not end the receiver.
+    try:
+        codec.decode_peer(frame)
+    except errors.DispatchError as exc:
+        assert exc.kind in ('bad_request', 'too_large')
