--- a/src/orioleloom/entry/_jobs.py
+++ b/src/orioleloom/entry/_jobs.py
@@ -57,7 +57,7 @@
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         if scope['type'] != 'http' or not scope['path'].startswith(_PREFIX):
-            await self.application(scope, receive, send)
+            await self.application(scope, receive, _shielded(send))
             return
         self.runner.counters['http_requests'] += 1
         try:
@@ -301,6 +301,21 @@
     return value
 
 
+def _shielded(send: Send) -> Send:
+    """Protect the end of a response from cancellation.
+
+    When hypercorn ends a response it first tells the application that
+    the request is over, upon which quart cancels the task that still
+    has to close the connection; the connection then stayed open.
+    """
+
+    async def shielded_send(message: dict[str, typing.Any]) -> None:
+        with trio.CancelScope(shield=True):
+            await send(message)
+
+    return shielded_send
+
+
 async def _wait_gone(receive: Receive) -> None:
     while True:
         message = await receive()
--- a/src/orioleloom/entry/_log.py
+++ b/src/orioleloom/entry/_log.py
@@ -1,6 +1,7 @@
 import logging
 import secrets
 import sys
+import traceback
 import typing
 
 import eliot
@@ -35,8 +36,10 @@
     :returns: reference that leads an operator from an answer to the log
     """
     reference = secrets.token_hex(6)
-    with eliot.start_action(
-        action_type='internal_error', where=where, reference=reference
-    ):
-        eliot.write_traceback()
+    eliot.log_message(
+        message_type='internal_error',
+        where=where,
+        reference=reference,
+        traceback=traceback.format_exc(),
+    )
     return reference
