Add the load package and the command load

Cause: response times and messages have to be compared with the ideal on one recorded load. Change: open-loop load reproducible from its seed, ideal response times of one all-knowing queue, report and plot. The demo and load use the stand-ins' flags.

--- a/src/orioleloom/cli/_demo.py
+++ b/src/orioleloom/cli/_demo.py
@@ -21,20 +21,9 @@
     'if no task started twice and each job was answered whole.'
 )
 
-_WORKERS = tuple(
-    _processes.WorkerSpec(
-        f'w{index}', upstream, speed, data_centre, rack=f'rack-{data_centre}'
-    )
-    for index, (upstream, speed, data_centre) in enumerate(
-        (
-            ('batching', 8.0, 'regina'),
-            ('batching', 3.0, 'regina'),
-            ('batching', 1.0, 'saskatoon'),
-            ('museum', 6.0, 'saskatoon'),
-            ('museum', 2.0, 'regina'),
-            ('museum', 1.0, 'saskatoon'),
-        )
-    )
+_WORKERS = (
+    _processes.WorkerGroup('plant', 'batching', 'regina', (8.0, 3.0, 1.0)),
+    _processes.WorkerGroup('hall', 'museum', 'saskatoon', (6.0, 2.0, 1.0)),
 )
 
 _ENTRIES = (
--- a/src/orioleloom/cli/_entry.py
+++ b/src/orioleloom/cli/_entry.py
@@ -4,6 +4,7 @@
 
 from orioleloom.cli import _exit
 from orioleloom import entry
+from orioleloom import errors
 
 HELP = 'run an entry instance'
 DESCRIPTION = (
@@ -27,7 +28,7 @@
         )
     try:
         settings = entry.from_arguments(arguments)
-    except ValueError as exc:
+    except (errors.DispatchError, ValueError) as exc:
         raise _exit.CommandError(_exit.ExitCode.USAGE, str(exc)) from exc
     trio.run(entry.serve, settings)
     return _exit.ExitCode.OK
--- a/src/orioleloom/cli/_processes.py
+++ b/src/orioleloom/cli/_processes.py
@@ -1,4 +1,4 @@
-import os
+import collections
 import pathlib
 import signal
 import socket
@@ -20,19 +20,19 @@
 STOP_TIMEOUT_S = 5.0
 
 
-class WorkerSpec(typing.NamedTuple):
-    """A stand-in worker to start.
+class WorkerGroup(typing.NamedTuple):
+    """Stand-in workers of one data centre, in one rack and one process.
 
-    :param speed: divides the work time of its tasks
+    :param prefix: ids are the prefix and a number from 0
+    :param speeds: one per worker; divides the work time of its tasks
     """
 
-    id: str
+    prefix: str
     upstream: str
-    speed: float
     data_centre: str
+    speeds: tuple[float, ...]
     slots: int = 8
     connections: int = 64
-    rack: str = ''
 
 
 class EntrySpec(typing.NamedTuple):
@@ -45,7 +45,7 @@
 class ClusterSpec(typing.NamedTuple):
     """Processes to start on loopback."""
 
-    workers: tuple[WorkerSpec, ...]
+    worker_groups: tuple[WorkerGroup, ...]
     entries: tuple[EntrySpec, ...]
 
 
@@ -116,7 +116,7 @@
     def __init__(self, spec: ClusterSpec):
         self.spec = spec
         self.platform_url = ''
-        self.worker_urls: dict[str, str] = {}
+        self._control_urls: list[str] = []
         self.entry_urls: dict[str, str] = {}
         self._members: dict[str, dict[str, typing.Any]] = {}
         self._processes: dict[str, _Process] = {}
@@ -158,28 +158,28 @@
 
     async def _start_platform(self) -> None:
         process = self._run('platform', platform_arguments())
-        self.platform_url = read_urls(await process.ready_line())[0]
+        self.platform_url = (await process.ready_line())['http']
 
     async def _start_workers(self) -> None:
-        """Start one process per upstream and register its workers."""
-        upstreams = sorted({w.upstream for w in self.spec.workers})
-        for upstream in upstreams:
-            specs = [w for w in self.spec.workers if w.upstream == upstream]
-            process = self._run(f'workers-{upstream}', worker_arguments(specs))
-            urls = read_urls(await process.ready_line())
-            for spec, url in zip(specs, urls, strict=True):
-                self.worker_urls[spec.id] = url
+        """Start the workers of each group and list them."""
+        for group in self.spec.worker_groups:
+            process = self._run(
+                f'workers-{group.prefix}', worker_arguments(group)
+            )
+            ready = await process.ready_line()
+            self._control_urls.append(f'http://{LOOPBACK}:{ready["control"]}')
+            for worker_id, port in ready['workers'].items():
                 await self._register(
                     {
-                        'id': spec.id,
+                        'id': worker_id,
                         'role': 'worker',
                         'state': 'live',
-                        'data_centre': spec.data_centre,
-                        'http': url,
-                        'upstream': spec.upstream,
-                        'slots': spec.slots,
-                        'connections': spec.connections,
-                        'rack': spec.rack,
+                        'data_centre': group.data_centre,
+                        'http': f'http://{LOOPBACK}:{port}',
+                        'upstream': group.upstream,
+                        'slots': group.slots,
+                        'connections': group.connections,
+                        'rack': f'rack-{group.prefix}',
                     }
                 )
 
@@ -278,15 +278,16 @@
 
     async def count_starts(self) -> dict[str, int]:
         """Return the starts of each task from the workers' ledgers."""
-        starts: dict[str, int] = {}
-        # Workers of one process may share a ledger, which then counts
-        # each start once per worker asked; entries carry the worker.
-        for worker_id, url in self.worker_urls.items():
+        starts: collections.Counter[str] = collections.Counter()
+        for url in self._control_urls:
             response = await self._http.get(f'{url}/v1/standin/ledger')
             response.raise_for_status()
-            for key, n_starts in read_ledger(response.json(), worker_id):
-                starts[key] = starts.get(key, 0) + n_starts
-        return starts
+            starts.update(
+                entry['key']
+                for entry in response.json()
+                if entry['event'] == 'start'
+            )
+        return dict(starts)
 
 
 def platform_arguments() -> list[str]:
@@ -294,17 +295,23 @@
     return ['orioleloom_standins.cli', 'platform', '--port', '0']
 
 
-def worker_arguments(specs: typing.Sequence[WorkerSpec]) -> list[str]:
-    """Return the arguments that start workers of one upstream."""
+def worker_arguments(group: WorkerGroup) -> list[str]:
+    """Return the arguments that start the workers of a group."""
     return [
         'orioleloom_standins.cli',
         'workers',
-        '--ids',
-        ','.join(spec.id for spec in specs),
+        '--port',
+        '0',
+        '--prefix',
+        group.prefix,
+        '--count',
+        str(len(group.speeds)),
         '--speeds',
-        ','.join(f'{spec.speed:g}' for spec in specs),
+        ','.join(f'{speed:g}' for speed in group.speeds),
         '--slots',
-        str(specs[0].slots),
+        str(group.slots),
+        '--connections',
+        str(group.connections),
     ]
 
 
@@ -319,36 +326,15 @@
         spec.id,
         '--data-centre',
         spec.data_centre,
-        '--http-port',
+        '--http-bind-port',
         str(http_port),
-        '--peer-port',
-        str(peer_port),
+        '--peer-bind',
+        f'tcp://{LOOPBACK}:{peer_port}',
         '--platform-url',
         platform_url,
     ]
 
 
-def read_urls(line: dict[str, typing.Any]) -> list[str]:
-    """Return the base URLs in a stand-in's ready line."""
-    ports = line.get('ports', line.get('port'))
-    if isinstance(ports, dict):
-        ports = list(ports.values())
-    if isinstance(ports, int):
-        ports = [ports]
-    if not ports:
-        raise ClusterError(f'ready line {line!r} names no ports')
-    return [f'http://{LOOPBACK}:{port}' for port in ports]
-
-
-def read_ledger(
-    body: dict[str, typing.Any], worker_id: str
-) -> typing.Iterator[tuple[str, int]]:
-    """Yield the key and the count of starts of each task."""
-    for start in body['starts']:
-        if start.get('worker', worker_id) == worker_id:
-            yield start['key'], 1
-
-
 def free_ports(count: int) -> list[int]:
     """Return free loopback ports.
 
@@ -363,9 +349,3 @@
     finally:
         for item in sockets:
             item.close()
-
-
-def check_environment() -> None:
-    """Raise :class:`ClusterError` where child processes cannot work."""
-    if os.name != 'posix':
-        raise ClusterError('stand-ins need a POSIX system')
--- /dev/null
+++ b/src/orioleloom/load/_options.py
@@ -0,0 +1,179 @@
+import math
+import typing
+
+ARRIVALS = ('poisson', 'uniform', 'bursts')
+
+
+class Span(typing.NamedTuple):
+    """One part of a distribution.
+
+    :param low: least value
+    :param high: greatest value
+    :param weight: share of this part relative to the others
+    """
+
+    low: float
+    high: float
+    weight: float
+
+
+class CustomerShare(typing.NamedTuple):
+    """A customer in the mix.
+
+    :param weight: share of the jobs relative to the others
+    """
+
+    customer: str
+    kind: str
+    upstream: str
+    weight: float
+
+
+class Worker(typing.NamedTuple):
+    """A worker as the ideal model sees it.
+
+    :param speed: divides the work time of a task
+    """
+
+    upstream: str
+    speed: float
+    slots: int = 8
+
+
+class LoadOptions(typing.NamedTuple):
+    """An open-loop load.
+
+    :param customers: mix of customers
+    :param arrival: ``poisson``, ``uniform`` or ``bursts``
+    :param jobs_per_s: mean rate of jobs; excludes ``utilisation``
+    :param utilisation: mean share of the workers' capacity to use
+    :param tasks_per_job: distribution, uniform within a part
+    :param run_time_ms: distribution of the run time on a worker of mean
+        speed, log-uniform within a part
+    :param wrong_share: share of tasks whose declared run time is wrong
+    :param wrong_factor: factor by which it is too long or too short
+    :param burst_factor: rate in a burst relative to the rate outside
+    :param burst_s: length of a burst
+    :param burst_interval_s: time from one burst's start to the next
+    :param duration_s: time over which jobs arrive
+    :param seed: makes the load reproducible
+    """
+
+    customers: tuple[CustomerShare, ...]
+    arrival: str = 'poisson'
+    jobs_per_s: float | None = None
+    utilisation: float | None = None
+    tasks_per_job: tuple[Span, ...] = (
+        Span(1, 8, 0.60),
+        Span(9, 60, 0.38),
+        Span(61, 300, 0.02),
+    )
+    run_time_ms: tuple[Span, ...] = (
+        Span(50, 1_000, 0.97),
+        Span(2_000, 6_000, 0.03),
+    )
+    wrong_share: float = 0.1
+    wrong_factor: float = 5.0
+    burst_factor: float = 10.0
+    burst_s: float = 1.0
+    burst_interval_s: float = 10.0
+    duration_s: float = 30.0
+    seed: int = 1
+
+
+class Workload(typing.NamedTuple):
+    """A preset of one operator.
+
+    :param data_centres: the entries and workers are spread over these
+    """
+
+    customers: tuple[CustomerShare, ...]
+    data_centres: tuple[str, ...]
+    n_workers: int = 24
+    n_entries: int = 8
+    slots: int = 8
+    connections: int = 64
+    max_speed: float = 8.0
+
+    def speeds(self) -> list[float]:
+        """Return the workers' speeds, from the greatest down to 1."""
+        steps = max(1, self.n_workers - 1)
+        return [
+            round(self.max_speed ** (1 - index / steps), 3)
+            for index in range(self.n_workers)
+        ]
+
+    def workers(self) -> list[Worker]:
+        """Return the workers for the ideal model."""
+        upstream = self.customers[0].upstream
+        return [Worker(upstream, speed, self.slots) for speed in self.speeds()]
+
+
+# Sizes from F1 and F2 of the design page.
+PRESETS = {
+    'harrowgate': Workload(
+        customers=(
+            CustomerShare('plant', 'slurry_check', 'batching', 0.5),
+            CustomerShare('crews', 'crew_booking', 'batching', 0.3),
+            CustomerShare('lab', 'cure_time_lookup', 'batching', 0.2),
+        ),
+        data_centres=('regina', 'saskatoon', 'brandon', 'lethbridge'),
+    ),
+    'noche': Workload(
+        customers=(
+            CustomerShare('seats', 'seat_hold', 'museum', 0.6),
+            CustomerShare('roster', 'roster', 'museum', 0.2),
+            CustomerShare('guardians', 'guardian_confirmation', 'museum', 0.2),
+        ),
+        data_centres=('bogota-north', 'bogota-centre', 'bogota-south'),
+    ),
+}
+
+
+def capacity(workers: typing.Iterable[Worker]) -> float:
+    """Return the work that the workers do per unit of time."""
+    return sum(worker.slots * worker.speed for worker in workers)
+
+
+def mean_speed(workers: typing.Sequence[Worker]) -> float:
+    """Return the mean speed over all slots."""
+    return capacity(workers) / sum(worker.slots for worker in workers)
+
+
+def check_options(options: LoadOptions) -> None:
+    """Check the options.
+
+    :raises ValueError: names the option, its value and what is accepted
+    """
+    if options.arrival not in ARRIVALS:
+        raise ValueError(
+            f'arrival is {options.arrival!r}; one of {ARRIVALS} is accepted'
+        )
+    if (options.jobs_per_s is None) == (options.utilisation is None):
+        raise ValueError('give one of jobs_per_s and utilisation')
+    for name, low, high in (
+        ('jobs_per_s', 0.001, 100_000),
+        ('utilisation', 0.001, 20),
+        ('wrong_share', 0, 1),
+        ('wrong_factor', 1, 1_000),
+        ('burst_factor', 1, 1_000),
+        ('burst_s', 0.001, 3_600),
+        ('burst_interval_s', 0.001, 3_600),
+        ('duration_s', 0.001, 3_600),
+    ):
+        value = getattr(options, name)
+        if value is None:
+            continue
+        if not math.isfinite(value) or not low <= value <= high:
+            raise ValueError(
+                f'{name} is {value!r}; {low} to {high} is accepted'
+            )
+    if options.burst_s > options.burst_interval_s:
+        raise ValueError(
+            f'burst_s is {options.burst_s!r}; at most burst_interval_s '
+            f'({options.burst_interval_s}) is accepted'
+        )
+    for name in ('customers', 'tasks_per_job', 'run_time_ms'):
+        parts = getattr(options, name)
+        if not parts or sum(part.weight for part in parts) <= 0:
+            raise ValueError(f'{name} is {parts!r}; it needs positive weights')
