Load the server only for the command entry

Cause: every command imported the whole server, and failed when one of its parts could not be imported. Change: only the chosen command adds its flags, and entry imports late.

--- a/src/orioleloom/cli/_entry.py
+++ b/src/orioleloom/cli/_entry.py
@@ -3,7 +3,6 @@
 import trio
 
 from orioleloom.cli import _exit
-from orioleloom import entry
 from orioleloom import errors
 
 HELP = 'run an entry instance'
@@ -15,17 +14,16 @@
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the flags of an entry instance."""
-    # The commands of a caller work in an installation without the entry.
-    if hasattr(entry, 'add_arguments'):
-        entry.add_arguments(parser)
+    # Imported here, so that other commands start without the server.
+    from orioleloom import entry
+
+    entry.add_arguments(parser)
 
 
 def run(arguments: argparse.Namespace) -> _exit.ExitCode:
     """Run the instance."""
-    if not hasattr(entry, 'serve'):
-        raise _exit.CommandError(
-            _exit.ExitCode.USAGE, 'the package orioleloom.entry is missing'
-        )
+    from orioleloom import entry
+
     try:
         settings = entry.from_arguments(arguments)
     except (errors.DispatchError, ValueError) as exc:
--- a/src/orioleloom/cli/_main.py
+++ b/src/orioleloom/cli/_main.py
@@ -23,8 +23,13 @@
 )
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Build the parser of all commands."""
+def build_parser(chosen: str | None = None) -> argparse.ArgumentParser:
+    """Build the parser.
+
+    :param chosen: command that gets its flags; ``None`` means all. The
+        flags of ``entry`` import the whole server, which would more than
+        double the start time of every other command.
+    """
     parser = argparse.ArgumentParser(
         prog='orioleloom',
         description='Dispatcher for sub-second tasks. Each flag can also be '
@@ -44,7 +49,8 @@
             epilog=_exit.epilog(),
             formatter_class=argparse.RawDescriptionHelpFormatter,
         )
-        module.add_arguments(command)
+        if chosen is None or chosen == name:
+            module.add_arguments(command)
         command.set_defaults(run=module.run)
     return parser
 
@@ -55,7 +61,9 @@
     :param argv: arguments without the program's name
     :returns: exit code, a value of :class:`ExitCode`
     """
-    arguments = build_parser().parse_args(argv)
+    argv = sys.argv[1:] if argv is None else argv
+    chosen = argv[0] if argv else ''
+    arguments = build_parser(chosen).parse_args(argv)
     try:
         return int(arguments.run(arguments))
     except _exit.CommandError as exc:
