--- a/src/orioleloom/claims/_tickets.py
+++ b/src/orioleloom/claims/_tickets.py
@@ -34,11 +34,11 @@
     :returns: the submission id
 
     >>> mint_ticket('e1', 'ab', 2.5, random.Random(0))[:14]
-    't1~e1~ab~2500~'
+    't1.e1.ab.2500.'
     """
     nonce = f'{random_state.getrandbits(_NONCE_BITS):016x}'
     minted_ms = int(now_s * 1000)
-    return '~'.join(
+    return '.'.join(
         (TICKET_PREFIX, instance_id, incarnation, str(minted_ms), nonce)
     )
 
@@ -48,7 +48,7 @@
 
     :returns: ``None`` when the id was chosen by the caller
     """
-    parts = submission_id.split('~')
+    parts = submission_id.split('.')
     if len(parts) != 5 or parts[0] != TICKET_PREFIX:
         return None
     _, instance_id, incarnation, minted_ms, nonce = parts
--- a/src/orioleloom/engine/_engine.py
+++ b/src/orioleloom/engine/_engine.py
@@ -327,11 +327,19 @@
         return contract
 
     def is_ready(self) -> bool:
-        """Whether the balancer may send submissions here."""
+        """Whether the balancer may send submissions here.
+
+        A new instance has no share of the limits until its peers know
+        of it, so submissions would wait. While the platform is away it
+        serves what it can borrow from peers.
+        """
+        core = self.core
+        rank, _ = core.members.rank_and_count(core.now_s)
         return (
             self._contracts.loaded
             and self._members_known
-            and not self.core.stopping
+            and not core.stopping
+            and (rank is not None or not core.platform_available)
         )
 
     def is_drained(self) -> bool:
--- a/src/orioleloom/entry/_daemon.py
+++ b/src/orioleloom/entry/_daemon.py
@@ -39,8 +39,10 @@
         **{
             name: getattr(settings, name)
             for name in engine.EngineSettings._fields
-            if name in settings._fields
-        }
+            if name in settings._fields and name != 'seed_peers'
+        },
+        peer_address=settings.peer_bind,
+        seed_peers=_settings.seed_addresses(settings),
     )
     return Parts(
         engine.Engine(
@@ -51,7 +53,7 @@
             random_state=random.Random(),
         ),
         platform_api.PlatformClient(settings.platform_url),
-        worker_api.WorkerClient(),
+        worker_api.WorkerClient(settings.instance_id),
     )
 
 
@@ -90,8 +92,10 @@
     # Never used twice, so that a restarted instance is another owner.
     identity = f'{settings.instance_id}/{secrets.token_hex(8)}'
     _log.start_logging()
-    parts = build(settings, identity)
     peer_socket = peer_api.PeerSocket(settings.peer_bind, identity)
+    # With port 0 the address is known only once it is bound.
+    settings = settings._replace(peer_bind=peer_socket.address)
+    parts = build(settings, identity)
     runner = _runner.EngineRunner(
         engine=parts.engine,
         identity=identity,
--- a/src/orioleloom/entry/_runner.py
+++ b/src/orioleloom/entry/_runner.py
@@ -345,6 +345,9 @@
                 message_type='platform_state', available=available
             )
             self.post(events.PlatformState(available))
+        elif not available and not self.engine.is_ready():
+            # Asks the peers again for what the platform cannot give.
+            self.post(events.PlatformState(available))
         if found is None:
             self.counters['platform_failures'] += 1
             return
@@ -392,13 +395,9 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send work here."""
-        return (
-            not self.stopping
-            and self._members_read
-            # While the table is away, contracts come from peers.
-            and (self._contracts_read or bool(self.engine.contracts()))
-            and self.engine.is_ready()
-        )
+        # While the platform is away, contracts and members come from
+        # peers, so the engine decides alone.
+        return not self.stopping and self.engine.is_ready()
 
     def begin_stop(self) -> None:
         """Begin a planned stop; a second call has no effect."""
--- a/src/orioleloom/entry/_settings.py
+++ b/src/orioleloom/entry/_settings.py
@@ -29,6 +29,7 @@
     http_bind_host: str = '127.0.0.1'
     http_bind_port: int = 8080
     peer_bind: str = 'tcp://127.0.0.1:8081'
+    seed_peers: str = ''
     members_poll_interval_s: float = 2.0
     contracts_poll_interval_s: float = 2.0
     busy_tick_interval_s: float = 0.05
@@ -54,6 +55,8 @@
     'http_bind_host': 'IP number on which HTTP is served',
     'http_bind_port': 'port on which HTTP is served; 0 picks a free one',
     'peer_bind': 'tcp://IP:PORT for messages of other instances',
+    'seed_peers': 'peer addresses, separated by commas, that are asked for '
+    'contracts when the platform is away at the start',
     'members_poll_interval_s': 'seconds between reads of the member list',
     'contracts_poll_interval_s': 'seconds between reads of the contracts',
     'busy_tick_interval_s': 'seconds between checks while jobs are held',
@@ -135,9 +138,16 @@
     if url.scheme not in ('http', 'https') or not url.hostname:
         _refuse('platform_url', settings.platform_url, 'an http(s) URL')
     peer_api.check_peer_address(settings.peer_bind)
+    for address in seed_addresses(settings):
+        peer_api.check_peer_address(address)
     return settings
 
 
+def seed_addresses(settings: Settings) -> tuple[str, ...]:
+    """Return the peer addresses to ask at the start."""
+    return tuple(a for a in settings.seed_peers.split(',') if a)
+
+
 def add_arguments(
     parser: argparse.ArgumentParser,
     environment: collections.abc.Mapping[str, str] = os.environ,
