--- a/src/orioleloom/codec/_peer.py
+++ b/src/orioleloom/codec/_peer.py
@@ -72,16 +72,21 @@
     contract_version: int
     in_flight: int
     starts_per_s: float
+    burst: int = 0
 
 
 class ShareGrant(typing.NamedTuple):
-    """Lend share until ``ttl_ms`` after its receipt; may be zero."""
+    """Lend share until ``ttl_ms`` after the request was sent.
+
+    :param burst: bucket size lent, and start tokens handed over with it
+    """
 
     customer: str
     contract_version: int
     in_flight: int
     starts_per_s: float
     ttl_ms: int
+    burst: int = 0
 
 
 class WorkerNotice(typing.NamedTuple):
--- a/src/orioleloom/limits/_records.py
+++ b/src/orioleloom/limits/_records.py
@@ -1,3 +1,4 @@
+import collections.abc
 import dataclasses
 import math
 import typing
@@ -8,6 +9,40 @@
 _SLOT_S = 1.0
 
 
+class Amounts(typing.NamedTuple):
+    """Parts of the three limits of a contract."""
+
+    in_flight: int
+    starts_per_s: float
+    burst: int
+
+    def capped(self, limit: 'Amounts') -> 'Amounts':
+        """Return each amount cut to the range from 0 to the limit's."""
+        return Amounts(
+            max(0, min(self.in_flight, limit.in_flight)),
+            max(0.0, min(self.starts_per_s, limit.starts_per_s)),
+            max(0, min(self.burst, limit.burst)),
+        )
+
+
+NOTHING = Amounts(0, 0.0, 0)
+
+
+def total(parts: collections.abc.Iterable[Amounts]) -> Amounts:
+    """Return the sums of the amounts."""
+    parts = list(parts)
+    return Amounts(
+        sum(part.in_flight for part in parts),
+        sum(part.starts_per_s for part in parts),
+        sum(part.burst for part in parts),
+    )
+
+
+def largest(parts: collections.abc.Iterable[Amounts]) -> Amounts:
+    """Return the largest of each amount."""
+    return Amounts(*map(max, zip(*parts)))
+
+
 class Grant(typing.NamedTuple):
     """Share borrowed from one lender.
 
@@ -18,17 +53,20 @@
 
     message_id: int
     version: int
-    in_flight: int
-    starts_per_s: float
+    amounts: Amounts
     ends_at_s: float
 
 
 class Loan(typing.NamedTuple):
-    """Share that a borrower may hold until ``ends_at_s``."""
+    """Share that a borrower may hold until ``ends_at_s``.
+
+    :param version: contract version under which it was lent; a repeated
+        answer must carry it although a newer one is in force by then
+    """
 
     message_id: int
-    in_flight: int
-    starts_per_s: float
+    version: int
+    amounts: Amounts
     ends_at_s: float
 
 
@@ -36,8 +74,7 @@
     """The newest request of a borrower."""
 
     message_id: int
-    in_flight: int
-    starts_per_s: float
+    amounts: Amounts
     asked_at_s: float
 
 
@@ -45,8 +82,7 @@
     """A request of this instance."""
 
     sent_at_s: float
-    in_flight: int
-    starts_per_s: float
+    amounts: Amounts
 
 
 class RecentDemand:
@@ -95,17 +131,13 @@
     contract: model.Contract
     now_s: float
     # Limits by version: grants of older versions are scaled by them.
-    limits: dict[int, tuple[int, float]] = dataclasses.field(
-        default_factory=dict
-    )
-    own: int = 0
-    own_rate: float = 0.0
-    borrowed: int = 0
-    borrowed_rate: float = 0.0
-    lent: int = 0
-    lent_rate: float = 0.0
+    limits: dict[int, Amounts] = dataclasses.field(default_factory=dict)
+    own: Amounts = NOTHING
+    borrowed: Amounts = NOTHING
+    lent: Amounts = NOTHING
+    # Own share less loans plus grants; what may be used here.
+    usable: Amounts = NOTHING
     next_end_s: float = math.inf
-    bucket_size: float = 0.0
     tokens: float = 0.0
     bucket_filled_once: bool = False
     n_running: int = 0
@@ -121,10 +153,15 @@
     ask_factor: int = 0
     interval_s: float = 0.0
 
-    def share(self) -> int:
-        """Return the tasks that may be in flight here."""
-        return max(0, self.own - self.lent) + self.borrowed
-
-    def rate(self) -> float:
-        """Return the start rate allowed here."""
-        return max(0.0, self.own_rate - self.lent_rate) + self.borrowed_rate
+    def unlent(self) -> Amounts:
+        """Return the own share that is not lent."""
+        return Amounts(
+            max(0, self.own.in_flight - self.lent.in_flight),
+            max(0.0, self.own.starts_per_s - self.lent.starts_per_s),
+            max(0, self.own.burst - self.lent.burst),
+        )
+
+    def bucket_size(self) -> int:
+        """Return the most tokens that the bucket holds."""
+        # A bucket of less than one token would never allow a start.
+        return max(1, self.usable.burst)
--- a/src/orioleloom/limits/_shares.py
+++ b/src/orioleloom/limits/_shares.py
@@ -14,13 +14,16 @@
 
 # Half of a grant's life, so that a loan is renewed before it ends.
 REQUEST_INTERVAL_S = 2.5
-_MAX_REQUEST_INTERVAL_S = 10.0
+
+# Lenders remember a request for 6 s; one that got nothing must be
+# repeated within that time, or its sender's part goes to others.
+_MAX_REQUEST_INTERVAL_S = 5.0
 
 # Instances that ran out together must not ask at the same moments.
 _INTERVAL_JITTER = 0.1
 
 # Bounds the messages of one exchange in a fleet of any size.
-MAX_PEERS_ASKED = 8
+MAX_PEERS_ASKED = 16
 
 # Asking for more than is missing covers peers that lend less.
 _FIRST_ASK_FACTOR = 2
@@ -52,8 +55,8 @@
     know the same contract and the same list.
 
     *Bound.* When lists differ, the sum exceeds the limit by at most the
-    shares of the instances that one list has and another has not, and
-    only for the time that the lists differ. While contract versions
+    shares of the instances that one list has and another has not, for
+    at most as long as the lists differed. While contract versions
     differ, the sum is at most the largest limit among them; a grant of
     an older, higher version is scaled down as soon as the borrower
     knows the new one and ends within 5 s in any case. Running tasks are
@@ -94,9 +97,10 @@
             return
         self._advance(known, now_s)
         known.contract = contract
-        known.limits[contract.version] = (
+        known.limits[contract.version] = _records.Amounts(
             contract.in_flight,
             contract.starts_per_s,
+            contract.burst,
         )
         while len(known.limits) > _MAX_VERSIONS_KEPT:
             del known.limits[min(known.limits)]
@@ -122,7 +126,9 @@
         if known is None:
             return 0
         self._advance(known, now_s)
-        return max(0, min(known.share() - known.n_running, int(known.tokens)))
+        return max(
+            0, min(known.usable.in_flight - known.n_running, int(known.tokens))
+        )
 
     def start(self, customer: str, now_s: float) -> None:
         """Count the start of a task."""
@@ -142,7 +148,7 @@
         known = self._customers[customer]
         self._advance(known, now_s)
         known.n_running = max(0, known.n_running - 1)
-        known.tokens = min(known.bucket_size, known.tokens + 1)
+        known.tokens = min(known.bucket_size(), known.tokens + 1)
         known.demand.note(known.n_running, -1, now_s)
 
     def next_allowance_at_s(self, customer: str, now_s: float) -> float | None:
@@ -155,14 +161,14 @@
         if known is None:
             return None
         self._advance(known, now_s)
-        if known.share() <= known.n_running:
+        if known.usable.in_flight <= known.n_running:
             # The end of a loan gives share back without an event.
-            return known.next_end_s if known.lent else None
+            return known.next_end_s if known.lent.in_flight else None
         if known.tokens >= 1:
             return now_s
-        rate = known.rate()
+        rate = known.usable.starts_per_s
         if rate <= 0:
-            return known.next_end_s if known.lent_rate else None
+            return known.next_end_s if known.lent.starts_per_s else None
         return now_s + (1 - known.tokens) / rate
 
     def shortage(
@@ -188,41 +194,32 @@
         if known is None:
             return None
         self._advance(known, now_s)
-        demand = known.n_running + n_waiting
-        known.demand.note(demand, 0, now_s)
+        known.demand.note(known.n_running + n_waiting, 0, now_s)
         n_peers = self._n_entries - (0 if self._rank is None else 1)
-        limit = known.contract.in_flight
-        want = min(demand, limit) - max(0, known.own - known.lent)
-        want_rate = self._rate_shortage(known, n_waiting, now_s)
-        if n_peers < 1 or (want <= 0 and want_rate <= 0):
+        want = self._missing(known, n_waiting, now_s)
+        if n_peers < 1 or want == _records.NOTHING:
             known.ask_factor = 0
-            known.interval_s = REQUEST_INTERVAL_S
             return None
         if now_s < known.next_request_at_s:
             return None
         self._plan_request(known, now_s)
-        want = max(0, want)
-        want_rate = max(0.0, want_rate)
         factor = known.ask_factor
-        even_share = max(1.0, limit / self._n_entries)
-        even_rate = known.contract.starts_per_s / self._n_entries
-        n_to_ask = math.ceil(factor * want / even_share)
-        if want_rate > 0:
-            n_to_ask = max(n_to_ask, math.ceil(factor * want_rate / even_rate))
-        n_to_ask = max(1, min(n_to_ask, n_peers, MAX_PEERS_ASKED))
-        request = codec.ShareRequest(
-            customer,
-            known.contract.version,
-            min(want, math.ceil(factor * want / n_to_ask)),
-            min(want_rate, factor * want_rate / n_to_ask),
-        )
-        known.n_to_ask = n_to_ask
-        known.wants_in_flight = want > 0
+        n_to_ask = 1
+        for amount, limit in zip(want, known.limits[known.contract.version]):
+            if amount > 0:
+                even = max(1.0, limit / self._n_entries)
+                n_to_ask = max(n_to_ask, math.ceil(factor * amount / even))
+        known.n_to_ask = min(n_to_ask, n_peers, MAX_PEERS_ASKED)
+        known.wants_in_flight = want.in_flight > 0
+        part = factor / known.n_to_ask
+        amounts = _records.Amounts(
+            math.ceil(want.in_flight * part),
+            want.starts_per_s * part,
+            math.ceil(want.burst * part),
+        ).capped(want)
         known.last_message_id = max(known.last_message_id, message_id)
-        known.sent[message_id] = _records.Sent(
-            now_s, request.in_flight, request.starts_per_s
-        )
-        return request
+        known.sent[message_id] = _records.Sent(now_s, amounts)
+        return codec.ShareRequest(customer, known.contract.version, *amounts)
 
     def peers_to_ask(
         self,
@@ -232,8 +229,9 @@
     ) -> list[str]:
         """Choose the peers that get the request of :meth:`shortage`.
 
-        Peers that lend to this instance come first. Peers whose rank
-        has no share, and peers that are short themselves, are left out.
+        Peers that lend to this instance come first. Left out are peers
+        whose rank has no share, peers that had nothing to lend and
+        peers that were short themselves within the last 5 s.
 
         :param peer_ids: the other listed entry instances, sorted by id
         """
@@ -242,8 +240,9 @@
         others = []
         for index, peer_id in enumerate(peer_ids):
             grant = known.grants.get(peer_id)
-            if grant is not None and grant.in_flight + grant.starts_per_s > 0:
-                lenders.append(peer_id)
+            if grant is not None:
+                if grant.amounts != _records.NOTHING:
+                    lenders.append(peer_id)
                 continue
             rank = index
             if self._rank is not None and index >= self._rank:
@@ -253,10 +252,7 @@
             ):
                 continue
             want = known.wants.get(peer_id)
-            if (
-                want is not None
-                and now_s - want.asked_at_s < REQUEST_INTERVAL_S
-            ):
+            if want is not None and now_s - want.asked_at_s < GRANT_TTL_S:
                 continue
             others.append(peer_id)
         self.random_state.shuffle(others)
@@ -288,10 +284,11 @@
         loan = self._loan(known, borrower, request, now_s, message_id)
         return codec.ShareGrant(
             request.customer,
-            known.contract.version,
-            loan.in_flight,
-            loan.starts_per_s,
+            loan.version,
+            loan.amounts.in_flight,
+            loan.amounts.starts_per_s,
             int(GRANT_TTL_S * 1000),
+            loan.amounts.burst,
         )
 
     def receive(
@@ -320,13 +317,15 @@
         ends_at_s = sent.sent_at_s + min(grant.ttl_ms / 1000, GRANT_TTL_S)
         if ends_at_s <= now_s:
             return
-        known.grants[lender] = _records.Grant(
-            message_id,
-            grant.contract_version,
-            max(0, min(grant.in_flight, sent.in_flight)),
-            max(0.0, min(grant.starts_per_s, sent.starts_per_s)),
-            ends_at_s,
+        amounts = _records.Amounts(
+            grant.in_flight, grant.starts_per_s, grant.burst
+        ).capped(sent.amounts)
+        accepted = _records.Grant(
+            message_id, grant.contract_version, amounts, ends_at_s
         )
+        known.grants[lender] = accepted
+        # The lender took these tokens out of its bucket.
+        known.tokens += self._scaled(known, accepted).burst
         self._resum(known)
 
     def expire(self, now_s: float) -> None:
@@ -349,7 +348,10 @@
             if known.last_message_id >= 0:
                 # Keeps out grants of the peer that are still on the way.
                 known.grants[peer] = _records.Grant(
-                    known.last_message_id, 0, 0, 0.0, now_s + GRANT_TTL_S
+                    known.last_message_id,
+                    0,
+                    _records.NOTHING,
+                    now_s + GRANT_TTL_S,
                 )
             self._resum(known)
 
@@ -364,11 +366,11 @@
             name: {
                 'version': known.contract.version,
                 'in_flight_limit': known.contract.in_flight,
-                'own': known.own,
-                'lent': known.lent,
-                'borrowed': known.borrowed,
+                'own': known.own.in_flight,
+                'lent': known.lent.in_flight,
+                'borrowed': known.borrowed.in_flight,
                 'running': known.n_running,
-                'starts_per_s': round(known.rate(), 3),
+                'starts_per_s': round(known.usable.starts_per_s, 3),
                 'tokens': round(known.tokens, 3),
             }
             for name, known in self._customers.items()
@@ -386,7 +388,8 @@
         elapsed_s = now_s - known.now_s
         known.now_s = now_s
         known.tokens = min(
-            known.bucket_size, known.tokens + elapsed_s * known.rate()
+            known.bucket_size(),
+            known.tokens + elapsed_s * known.usable.starts_per_s,
         )
 
     def _drop_ended(self, known: _records.CustomerShare) -> None:
@@ -404,71 +407,78 @@
         self._resum(known)
 
     def _resum(self, known: _records.CustomerShare) -> None:
-        known.borrowed = 0
-        known.borrowed_rate = 0.0
-        ends = []
-        for grant in known.grants.values():
-            in_flight, rate = self._scaled(known, grant)
-            known.borrowed += in_flight
-            known.borrowed_rate += rate
-            ends.append(grant.ends_at_s)
-        known.lent = 0
-        known.lent_rate = 0.0
+        known.borrowed = _records.total(
+            self._scaled(known, grant) for grant in known.grants.values()
+        )
+        known.lent = _records.total(
+            _records.largest(loan.amounts for loan in loans)
+            for loans in known.loans.values()
+        )
+        known.usable = _records.total([known.unlent(), known.borrowed])
+        known.tokens = min(known.tokens, known.bucket_size())
+        ends = [grant.ends_at_s for grant in known.grants.values()]
         for loans in known.loans.values():
-            known.lent += max(loan.in_flight for loan in loans)
-            known.lent_rate += max(loan.starts_per_s for loan in loans)
             ends.extend(loan.ends_at_s for loan in loans)
         known.next_end_s = min(ends, default=math.inf)
 
     @staticmethod
     def _scaled(
         known: _records.CustomerShare, grant: _records.Grant
-    ) -> tuple[int, float]:
-        contract = known.contract
-        if grant.version >= contract.version:
-            return grant.in_flight, grant.starts_per_s
-        old_limit, old_rate = known.limits.get(grant.version, (0, 0.0))
-        in_flight = 0
-        rate = 0.0
-        if old_limit > 0:
-            in_flight = min(
-                grant.in_flight,
-                grant.in_flight * contract.in_flight // old_limit,
-            )
-        if old_rate > 0:
-            rate = grant.starts_per_s * min(
-                1.0, contract.starts_per_s / old_rate
-            )
-        return in_flight, rate
+    ) -> _records.Amounts:
+        # A grant of an older version shrinks with the limit.
+        version = known.contract.version
+        if grant.version >= version:
+            return grant.amounts
+        new = known.limits[version]
+        old = known.limits.get(grant.version)
+        if old is None:
+            # It came before this instance knew the lender's contract, and
+            # that version was skipped: nothing says how far to scale.
+            return _records.NOTHING
+        return _records.Amounts(
+            grant.amounts.in_flight * new.in_flight // max(1, old.in_flight),
+            grant.amounts.starts_per_s
+            * (new.starts_per_s / old.starts_per_s if old.starts_per_s else 0),
+            grant.amounts.burst * new.burst // max(1, old.burst),
+        ).capped(grant.amounts)
 
     def _resize(self, known: _records.CustomerShare) -> None:
         contract = known.contract
-        known.own = integer_share(
-            contract.in_flight, self._rank, self._n_entries
-        )
-        known.own_rate = 0.0
-        if self._rank is not None and self._n_entries:
-            known.own_rate = contract.starts_per_s / self._n_entries
-        # A bucket of less than one token would never allow a start.
-        known.bucket_size = max(
-            1, integer_share(contract.burst, self._rank, self._n_entries)
+        n_entries = self._n_entries
+        rate = 0.0
+        if self._rank is not None and n_entries:
+            rate = contract.starts_per_s / n_entries
+        known.own = _records.Amounts(
+            integer_share(contract.in_flight, self._rank, n_entries),
+            rate,
+            integer_share(contract.burst, self._rank, n_entries),
         )
-        if not known.bucket_filled_once and known.own_rate > 0:
-            known.bucket_filled_once = True
-            known.tokens = known.bucket_size
-        known.tokens = min(known.tokens, known.bucket_size)
         self._resum(known)
+        if not known.bucket_filled_once and rate > 0:
+            known.bucket_filled_once = True
+            known.tokens = known.bucket_size()
 
-    def _rate_shortage(
+    def _missing(
         self, known: _records.CustomerShare, n_waiting: int, now_s: float
-    ) -> float:
-        if known.tokens >= max(1, known.bucket_size / 2):
-            return 0.0
-        needed = known.demand.starts_per_s(now_s) + max(
-            0, n_waiting - max(0.0, known.tokens)
+    ) -> _records.Amounts:
+        """Return what the unlent own share lacks for the demand."""
+        contract = known.contract
+        unlent = known.unlent()
+        in_flight = (
+            min(known.n_running + n_waiting, contract.in_flight)
+            - unlent.in_flight
+        )
+        rate = 0.0
+        burst = 0
+        n_startable = min(n_waiting, contract.in_flight)
+        if known.tokens < max(1, n_startable, known.bucket_size() / 2):
+            n_late = max(0, n_startable - max(0, int(known.tokens)))
+            rate = known.demand.starts_per_s(now_s) + n_late
+            rate = min(rate, contract.starts_per_s) - unlent.starts_per_s
+            burst = min(n_late, contract.burst - unlent.burst)
+        return _records.Amounts(
+            max(0, in_flight), max(0.0, rate), max(0, burst)
         )
-        needed = min(needed, known.contract.starts_per_s)
-        return needed - max(0.0, known.own_rate - known.lent_rate)
 
     def _plan_request(
         self, known: _records.CustomerShare, now_s: float
@@ -477,7 +487,7 @@
         if known.ask_factor == 0 or last is None:
             known.ask_factor = _FIRST_ASK_FACTOR
             known.interval_s = REQUEST_INTERVAL_S
-        elif known.borrowed == 0 and known.borrowed_rate == 0:
+        elif known.borrowed == _records.NOTHING:
             known.interval_s = min(
                 _MAX_REQUEST_INTERVAL_S, 2 * known.interval_s
             )
@@ -501,7 +511,7 @@
         now_s: float,
         message_id: int,
     ) -> _records.Loan:
-        nothing = _records.Loan(message_id, 0, 0.0, now_s)
+        version = known.contract.version
         lifetime_s = GRANT_TTL_S + LENDER_MARGIN_S
         known.wants = {
             name: want
@@ -514,56 +524,49 @@
             for loan in loans:
                 if loan.message_id == message_id:
                     return loan
-            return nothing
-        known.wants[borrower] = _records.Want(
-            message_id,
-            max(0, request.in_flight),
-            max(0.0, request.starts_per_s),
-            now_s,
-        )
-        in_flight = int(
-            self._spare(
-                known,
-                borrower,
-                'in_flight',
-                known.own - known.demand.peak(now_s),
-            )
-        )
-        rate = self._spare(
-            known,
-            borrower,
-            'starts_per_s',
-            known.own_rate - known.demand.starts_per_s(now_s),
-        )
-        if in_flight == 0 and rate == 0:
-            return nothing
-        loan = _records.Loan(message_id, in_flight, rate, now_s + lifetime_s)
+            return _records.Loan(message_id, version, _records.NOTHING, now_s)
+        wanted = _records.Amounts(
+            request.in_flight, request.starts_per_s, request.burst
+        ).capped(known.limits[known.contract.version])
+        known.wants[borrower] = _records.Want(message_id, wanted, now_s)
+        amounts = self._spare(known, borrower, now_s).capped(wanted)
+        loan = _records.Loan(message_id, version, amounts, now_s + lifetime_s)
+        if amounts == _records.NOTHING:
+            return loan
         # The borrower may not get this grant and hold an older one on.
         known.loans[borrower] = [
-            old
-            for old in loans
-            if old.in_flight > in_flight or old.starts_per_s > rate
+            old for old in loans if old.amounts.capped(amounts) != old.amounts
         ] + [loan]
+        known.tokens -= amounts.burst
         self._resum(known)
         return loan
 
     @staticmethod
     def _spare(
-        known: _records.CustomerShare,
-        borrower: str,
-        field: str,
-        pool: float,
-    ) -> float:
-        wanted = getattr(known.wants[borrower], field)
-        others_want = sum(
-            getattr(want, field)
+        known: _records.CustomerShare, borrower: str, now_s: float
+    ) -> _records.Amounts:
+        """Return what may be lent to one of the peers that are short."""
+        starts = known.demand.starts_per_s(now_s)
+        pool = _records.Amounts(
+            known.own.in_flight - known.demand.peak(now_s),
+            known.own.starts_per_s - starts,
+            math.floor(known.tokens - starts),
+        )
+        wanted = _records.total(
+            want.amounts
             for name, want in known.wants.items()
             if name != borrower
         )
-        others_hold = sum(
-            max(getattr(loan, field) for loan in loans)
+        held = _records.total(
+            _records.largest(loan.amounts for loan in loans)
             for name, loans in known.loans.items()
             if name != borrower
         )
-        part = max(pool / len(known.wants), pool - others_want)
-        return max(0, min(wanted, part, pool - others_hold))
+        # Tokens handed over are out of the bucket already.
+        held = held._replace(burst=0)
+        n_short = len(known.wants)
+        in_flight, rate, burst = (
+            min(max(part / n_short, part - others), part - taken)
+            for part, others, taken in zip(pool, wanted, held)
+        )
+        return _records.Amounts(math.floor(in_flight), rate, math.floor(burst))
