--- a/src/orioleloom/limits/_shares.py
+++ b/src/orioleloom/limits/_shares.py
@@ -57,9 +57,10 @@
     *Bound.* When lists differ, the sum exceeds the limit by at most the
     shares of the instances that one list has and another has not, for
     at most as long as the lists differed. While contract versions
-    differ, the sum is at most the largest limit among them; a grant of
-    an older, higher version is scaled down as soon as the borrower
-    knows the new one and ends within 5 s in any case. Running tasks are
+    differ, the sum is at most the largest limit that an instance has in
+    force or had within the last 5 s. A grant of an older version is
+    scaled down as soon as the borrower knows a lower limit, and ends
+    within 5 s in any case. Running tasks are
     not stopped: a task that runs on after the share under which it
     started has moved is not counted by this bound. The start rate has
     the same bound; each instance may add one start to the burst, as
--- a/tests/limits/limits_fleet.py
+++ b/tests/limits/limits_fleet.py
@@ -20,6 +20,7 @@
         self.now_s = 100.0
         self.contracts = [first_contract]
         self.known = {}
+        self.replaced = []
         self.shares = {}
         self.held_until_s = {}
         self.messages = []
@@ -47,6 +48,8 @@
             self.shares[name].set_rank(rank, len(self.shares), self.now_s)
 
     def set_contract(self, name, new):
+        if name in self.known:
+            self.replaced.append((self.now_s, self.known[name].in_flight))
         self.known[name] = new
         self.shares[name].set_contract(new, self.now_s)
 
@@ -118,6 +121,18 @@
             shares.start(CUSTOMER, self.now_s)
         return n_started
 
+    def limit(self):
+        """Return the stated bound of the shares' sum."""
+        known = {self.known[name] for name in self.shares}
+        limits_known = {one.in_flight for one in known}
+        if len(known) > 1:
+            limits_known |= {
+                in_flight
+                for at_s, in_flight in self.replaced
+                if self.now_s < at_s + TTL_S
+            }
+        return max(limits_known)
+
     def total_share(self):
         """Sum of own share less loans plus grants, over all."""
         return sum(
