--- a/src/orioleloom/worker_api/_h11.py
+++ b/src/orioleloom/worker_api/_h11.py
@@ -13,17 +13,22 @@
 
 
 class _Connection:
-    def __init__(self, stream: trio.SocketStream):
+    def __init__(self, stream: trio.SocketStream, host: str):
         self.stream = stream
+        self.host = host
         self.http = h11.Connection(h11.CLIENT)
         self._poll = select.poll()
         self._poll.register(stream.socket.fileno(), select.POLLIN)
 
     def is_usable(self) -> bool:
         # An idle connection that is readable was closed by the worker
-        # or carries bytes that nobody asked for.
+        # or carries unexpected bytes.
         return not self._poll.poll(0)
 
+    def close(self) -> None:
+        # Without waiting, so that it also works when cancelled.
+        self.stream.socket.close()
+
     async def next_event(self) -> typing.Any:
         while True:
             event = self.http.next_event()
@@ -50,20 +55,45 @@
     when all arrive together.
 
     :param connect_timeout_s: time allowed to connect, in seconds
+    :param max_idle: idle connections kept over all workers; those to
+        the least recently used worker are closed first
     """
 
-    def __init__(self, *, connect_timeout_s: float = 1.0):
+    def __init__(
+        self, *, connect_timeout_s: float = 1.0, max_idle: int = 1024
+    ):
         self.connect_timeout_s = connect_timeout_s
+        self.max_idle = max_idle
+        # Least recently used worker first; no list is empty.
         self._idle: dict[str, list[_Connection]] = {}
+        self._n_idle = 0
         self._addresses: dict[str, tuple[str, int]] = {}
 
+    def _take_idle(self, base_url: str) -> _Connection | None:
+        idle = self._idle.pop(base_url, None)
+        if not idle:
+            return None
+        connection = idle.pop()
+        self._n_idle -= 1
+        if idle:
+            self._idle[base_url] = idle
+        return connection
+
+    def _keep_idle(self, base_url: str, connection: _Connection) -> None:
+        idle = self._idle.pop(base_url, [])
+        idle.append(connection)
+        self._idle[base_url] = idle
+        self._n_idle += 1
+        if self._n_idle > self.max_idle:
+            oldest = self._take_idle(next(iter(self._idle)))
+            if oldest is not None:
+                oldest.close()
+
     async def _connect(self, base_url: str) -> _Connection:
-        idle = self._idle.get(base_url, [])
-        while idle:
-            connection = idle.pop()
+        while (connection := self._take_idle(base_url)) is not None:
             if connection.is_usable():
                 return connection
-            await connection.stream.aclose()
+            connection.close()
         address = self._addresses.get(base_url)
         if address is None:
             parts = urllib.parse.urlsplit(base_url)
@@ -78,7 +108,7 @@
                 stream = await trio.open_tcp_stream(*address)
         except (OSError, trio.TooSlowError) as exc:
             raise _transport.NotSentError(f'cannot connect: {exc}') from exc
-        return _Connection(stream)
+        return _Connection(stream, '%s:%d' % address)
 
     @contextlib.asynccontextmanager
     async def post(
@@ -93,12 +123,11 @@
         http = connection.http
         reusable = False
         try:
-            host = '%s:%d' % self._addresses[base_url]
             request = h11.Request(
                 method='POST',
                 target=path,
                 headers=[
-                    ('host', host),
+                    ('host', connection.host),
                     ('content-type', 'application/json'),
                     ('content-length', str(len(body))),
                 ],
@@ -128,15 +157,15 @@
             ) from exc
         finally:
             if reusable:
-                self._idle.setdefault(base_url, []).append(connection)
+                self._keep_idle(base_url, connection)
             else:
-                connection.stream.socket.close()
+                connection.close()
 
     async def forget(self, base_url: str) -> None:
         """Close the connections to a worker that left the list."""
         self._addresses.pop(base_url, None)
-        for connection in self._idle.pop(base_url, ()):
-            await connection.stream.aclose()
+        while (connection := self._take_idle(base_url)) is not None:
+            connection.close()
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/orioleloom_standins/_platform.py
+++ b/src/orioleloom_standins/_platform.py
@@ -148,7 +148,7 @@
 
         :param kind: one of :data:`FAULT_KINDS`
         :param delay_ms: delay of a ``slow`` request
-        :param share: share of the requests that it meets
+        :param share: share of the requests that it affects
         :param after_effect: a ``slow`` write takes effect before the
             delay instead of after it
         :raises ValueError: ``kind`` is unknown or ``share`` not in 0..1
@@ -161,7 +161,7 @@
             now_s + duration_s, delay_ms / 1000, share, after_effect
         )
 
-    def _struck_by(self, kind: str, now_s: float) -> _Fault | None:
+    def _active(self, kind: str, now_s: float) -> _Fault | None:
         fault = self._faults.get(kind)
         if fault is None or now_s >= fault.until_s:
             return None
@@ -179,8 +179,8 @@
             ``object_put`` or ``object_get``
         """
         self._count(kind)
-        if self._struck_by('outage', now_s) or (
-            kind == 'members' and self._struck_by('list_outage', now_s)
+        if self._active('outage', now_s) or (
+            kind == 'members' and self._active('list_outage', now_s)
         ):
             self._count(f'{kind}_503')
             return Admission(503)
@@ -192,12 +192,12 @@
             return Admission(429)
         delay_s = self.write_latency_s if is_write else 0.0
         late_s = 0.0
-        slow = self._struck_by('slow', now_s)
+        slow = self._active('slow', now_s)
         if slow is not None and slow.after_effect:
             late_s = slow.delay_s
         elif slow is not None:
             delay_s += slow.delay_s
-        lost = self._struck_by('lost_answers', now_s) is not None
+        lost = self._active('lost_answers', now_s) is not None
         if lost:
             self._count(f'{kind}_lost')
         return Admission(200, delay_s, late_s, lost)
--- a/src/orioleloom_standins/_worker.py
+++ b/src/orioleloom_standins/_worker.py
@@ -173,7 +173,7 @@
 
         :param kind: one of :data:`FAULT_KINDS`
         :param factor: divides the speed under ``slow_factor``
-        :param share: share of tasks or lines that it meets
+        :param share: share of tasks or lines that it affects
         :raises ValueError: a parameter is not accepted
         """
         if kind not in FAULT_KINDS:
@@ -192,8 +192,8 @@
         fault = self._faults.get(kind)
         return fault[0] if fault is not None and now_s < fault[0] else None
 
-    def struck_by(self, kind: str, now_s: float) -> bool:
-        """Return whether an active fault meets this task or line."""
+    def fault_applies(self, kind: str, now_s: float) -> bool:
+        """Return whether an active fault affects this task or line."""
         if self.fault_until(kind, now_s) is None:
             return False
         share = self._faults[kind][2]
@@ -274,7 +274,7 @@
         duration_s = max(0.0, _number(payload, 'work_ms')) / 1000 / self.speed
         if self.fault_until('slow_factor', now_s) is not None:
             duration_s *= self._faults['slow_factor'][1]
-        if self.struck_by('fail_all', now_s):
+        if self.fault_applies('fail_all', now_s):
             fails = True
             duration_s = _FAIL_ALL_S
         run = Run(
--- a/src/orioleloom_standins/_worker_http.py
+++ b/src/orioleloom_standins/_worker_http.py
@@ -55,7 +55,7 @@
         self.worker = worker
         self.port = 0
         self._batches: set[_Batch] = set()
-        self._n_connections = 0
+        self.n_connections = 0
         self._died = trio.Event()
         # Set and replaced at each change of a fault.
         self._changed = trio.Event()
@@ -98,28 +98,44 @@
                     break
                 await self._wait_for_change(until_s - now_s)
 
-    def set_fault(self, fault: _FaultBody) -> None:
-        """Start or end a fault."""
+    def set_fault(
+        self,
+        kind: str,
+        *,
+        duration_s: float,
+        factor: float = 1.0,
+        share: float = 1.0,
+    ) -> None:
+        """Start or end a fault; see :meth:`Worker.set_fault`."""
         self.worker.set_fault(
-            fault.kind,
+            kind,
             time.monotonic(),
-            duration_s=fault.duration_s,
-            factor=fault.factor,
-            share=fault.share,
+            duration_s=duration_s,
+            factor=factor,
+            share=share,
         )
-        if fault.kind == 'die' and fault.duration_s > 0:
+        if kind == 'die' and duration_s > 0:
             self._died.set()
         self._changed.set()
         self._changed = trio.Event()
 
+    def apply_fault(self, fault: _FaultBody) -> None:
+        """Apply the body of ``POST /v1/standin/faults``."""
+        self.set_fault(
+            fault.kind,
+            duration_s=fault.duration_s,
+            factor=fault.factor,
+            share=fault.share,
+        )
+
     async def _wait_for_change(self, timeout_s: float) -> None:
         changed = self._changed
         with trio.move_on_after(timeout_s):
             await changed.wait()
 
     async def _serve_stream(self, stream: trio.SocketStream) -> None:
-        self._n_connections += 1
-        full = self._n_connections > self.worker.connections
+        self.n_connections += 1
+        full = self.n_connections > self.worker.connections
 
         async def handle(
             request: _http.Request, exchange: _http.Exchange
@@ -129,7 +145,7 @@
         try:
             await _http.serve_connection(stream, handle)
         finally:
-            self._n_connections -= 1
+            self.n_connections -= 1
 
     async def _stall(self) -> None:
         # Like a paused process: requests are handled after the pause.
@@ -170,12 +186,13 @@
                 await exchange.send_json(200, worker.counters)
             case 'POST', '/v1/standin/faults':
                 fault = msgspec.json.decode(request.body, type=_FaultBody)
-                if fault.kind != 'die':
-                    self.set_fault(fault)
+                if fault.kind == 'die':
+                    # Death drops the connection that would answer.
+                    await exchange.send_json(200, {})
+                    self.apply_fault(fault)
+                else:
+                    self.apply_fault(fault)
                     await exchange.send_json(200, {})
-                    return
-                await exchange.send_json(200, {})
-                self.set_fault(fault)
             case method, path:
                 await exchange.send_json(404, {'error': f'no {method} {path}'})
 
@@ -275,9 +292,9 @@
         cut = False
         for line in lines:
             text = codec.encode_task_line(line)
-            if self._worker.struck_by('garbage', now_s):
+            if self._worker.fault_applies('garbage', now_s):
                 text = b'{"key": 7, "outcome\x00\n'
-            if self._worker.struck_by('cut', now_s):
+            if self._worker.fault_applies('cut', now_s):
                 encoded.append(text[: len(text) // 2])
                 cut = True
                 break
@@ -361,7 +378,7 @@
                 fault = msgspec.json.decode(request.body, type=_FaultBody)
                 if fault.worker not in self.servers:
                     raise ValueError(f'worker {fault.worker!r} is not here')
-                self.servers[fault.worker].set_fault(fault)
+                self.servers[fault.worker].apply_fault(fault)
                 await exchange.send_json(200, {})
             case 'GET', '/v1/standin/ledger':
                 ledgers = {
--- a/tests/standins/test_worker.py
+++ b/tests/standins/test_worker.py
@@ -182,7 +182,7 @@
 
 
 @pytest.mark.parametrize('kind', ['garbage', 'cut'])
-async def test_a_spoilt_answer_leaves_the_ledger_true(kind):
+async def test_a_faulty_answer_leaves_the_ledger_true(kind):
     async with running_host() as harness:
         await harness.fault(kind, duration_s=60)
         if kind == 'cut':
--- a/tests/worker_api/test_client.py
+++ b/tests/worker_api/test_client.py
@@ -241,3 +241,27 @@
         functools.partial(
             worker_api.WorkerClient, 'e1', connections_per_worker=1
         )()
+
+
+async def test_idle_connections_are_bounded_over_all_workers():
+    # Guards F14: descriptors must not grow with the number of workers.
+    transport = worker_api.H11Transport(max_idle=1)
+    async with contextlib.AsyncExitStack() as stack:
+        host = standins.WorkerHost(
+            standins.Worker(worker_id=name, connections=1)
+            for name in ('w0', 'w1')
+        )
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        ports = await nursery.start(host.serve)
+        client = await stack.enter_async_context(
+            worker_api.WorkerClient('e1', transport=transport)
+        )
+        for port in ports['workers'].values():
+            end = await client.run_exchange(
+                send(f'http://127.0.0.1:{port}', [{}]), lambda _: None
+            )
+            assert end.reason == ''
+        servers = list(host.servers.values())
+        await until(lambda: servers[0].n_connections == 0)
+        assert servers[1].n_connections == 1
+        nursery.cancel_scope.cancel()
