Test a lease that expires while connecting

Cause: such an exchange sent nothing, and reporting it as possibly started would turn its tasks into unknown outcomes. Change: a test with a listener whose queue is full.

--- a/tests/worker_api/test_client.py
+++ b/tests/worker_api/test_client.py
@@ -265,3 +265,25 @@
         await until(lambda: servers[0].n_connections == 0)
         assert servers[1].n_connections == 1
         nursery.cancel_scope.cancel()
+
+
+async def test_a_lease_that_expires_while_connecting_means_not_started():
+    # Guards section 4: no byte left, so the tasks may go elsewhere.
+    with contextlib.ExitStack() as stack:
+        # A listener whose queue is full leaves further connects waiting.
+        listener = stack.enter_context(socket.socket())
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        for _ in range(3):
+            other = stack.enter_context(socket.socket())
+            other.setblocking(False)
+            other.connect_ex(listener.getsockname())
+        url = f'http://127.0.0.1:{listener.getsockname()[1]}'
+        async with worker_api.WorkerClient(
+            'e1', connect_timeout_s=10.0
+        ) as client:
+            end = await client.run_exchange(
+                send(url, [{}], lease_s=0.2), lambda _: None
+            )
+    assert 'lease' in end.reason
+    assert not end.may_have_started
