--- a/tests/worker_api/test_client.py
+++ b/tests/worker_api/test_client.py
@@ -241,3 +241,49 @@
         functools.partial(
             worker_api.WorkerClient, 'e1', connections_per_worker=1
         )()
+
+
+async def test_idle_connections_are_bounded_over_all_workers():
+    # Guards F14: descriptors must not grow with the number of workers.
+    transport = worker_api.H11Transport(max_idle=1)
+    async with contextlib.AsyncExitStack() as stack:
+        host = standins.WorkerHost(
+            standins.Worker(worker_id=name, connections=1)
+            for name in ('w0', 'w1')
+        )
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        ports = await nursery.start(host.serve)
+        client = await stack.enter_async_context(
+            worker_api.WorkerClient('e1', transport=transport)
+        )
+        for port in ports['workers'].values():
+            end = await client.run_exchange(
+                send(f'http://127.0.0.1:{port}', [{}]), lambda _: None
+            )
+            assert end.reason == ''
+        servers = list(host.servers.values())
+        await until(lambda: servers[0].n_connections == 0)
+        assert servers[1].n_connections == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_lease_that_expires_while_connecting_means_not_started():
+    # Guards section 4: no byte left, so the tasks may go elsewhere.
+    with contextlib.ExitStack() as stack:
+        # A listener whose queue is full leaves further connects waiting.
+        listener = stack.enter_context(socket.socket())
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        for _ in range(3):
+            other = stack.enter_context(socket.socket())
+            other.setblocking(False)
+            other.connect_ex(listener.getsockname())
+        url = f'http://127.0.0.1:{listener.getsockname()[1]}'
+        async with worker_api.WorkerClient(
+            'e1', connect_timeout_s=10.0
+        ) as client:
+            end = await client.run_exchange(
+                send(url, [{}], lease_s=0.2), lambda _: None
+            )
+    assert 'lease' in end.reason
+    assert not end.may_have_started
