Quote the last benchmark of the worker transports

Cause: idle connections are bounded since the figures were taken, and the gain differs between runs. Figures: client processor time per exchange, httpx against h11, medians of 5 rounds of 800 exchanges on a busy machine: 0.95 and 0.26 ms (one task at once), 1.06 and 0.34 ms (one, spread), 1.08 and 0.51 ms (eight at once), 2.09 and 1.17 ms (eight, spread). Conclusion: 1.8 to 3.6 times; h11 stays the default.

--- a/src/orioleloom/worker_api/_h11.py
+++ b/src/orioleloom/worker_api/_h11.py
@@ -48,11 +48,11 @@
 class H11Transport:
     """Transport directly on h11 and trio; the default.
 
-    It is the default because httpx takes two to three times the
-    processor time an exchange (``benchmarks.worker_client``): 1.33 ms
-    against 0.51 ms with one task, and with eight tasks 2.45 ms against
-    1.25 ms when each line arrives on its own, 0.90 ms against 0.44 ms
-    when all arrive together.
+    It is the default because httpx takes about twice to three times
+    the processor time an exchange. ``benchmarks.worker_client`` gave
+    1.06 ms against 0.34 ms with one task; with eight tasks 1.08 ms
+    against 0.51 ms when all lines arrive together and 2.09 ms against
+    1.17 ms when each line arrives on its own.
 
     :param connect_timeout_s: time allowed to connect, in seconds
     :param max_idle: idle connections kept over all workers; those to
