Post the end of an exchange as the worker client reports it

Cause: the runner took the client's ExchangeEnded for a bool, so a refused connection counted as 'may have started' and its tasks were reported unknown instead of being placed again. Change: the event is posted as it is. Found by reading the merge; the client's own tests cover both ends.

--- a/src/orioleloom/entry/_runner.py
+++ b/src/orioleloom/entry/_runner.py
@@ -223,14 +223,14 @@
         def on_line(line: model.TaskLine) -> None:
             self.post(events.LineReceived(exchange_id, line))
 
-        reason = ''
         try:
-            may_have_started = await self.workers.run_exchange(effect, on_line)
+            ended = await self.workers.run_exchange(effect, on_line)
         except Exception:
             reference = _log.log_internal_error('worker exchange')
-            may_have_started = True
-            reason = f'internal error; log reference {reference}'
-        self.post(events.ExchangeEnded(exchange_id, may_have_started, reason))
+            ended = events.ExchangeEnded(
+                exchange_id, True, f'internal error; log reference {reference}'
+            )
+        self.post(ended)
 
     async def _cancel_tasks(self, effect: effects.CancelTasks) -> None:
         try:
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -110,7 +110,7 @@
     async def run_exchange(self, effect, on_line):
         for task in effect.tasks:
             on_line(model.TaskLine(task.key, model.TaskOutcome.OK))
-        return True
+        return events.ExchangeEnded(effect.exchange_id, True)
 
     async def cancel(self, effect):
         self.cancelled.append(effect)
