--- a/src/orioleloom/placement/_group.py
+++ b/src/orioleloom/placement/_group.py
@@ -5,6 +5,9 @@
 
 from orioleloom.placement import _worker
 
+FIRST_PROBE_WAIT_S = 0.02
+MAX_PROBE_WAIT_S = 0.32
+
 
 class Group:
     """Workers of an upstream and those among them that may start a task.
@@ -20,6 +23,9 @@
         # Own tasks in progress per speed class, for finishing rates.
         self._running: dict[int, int] = {}
         self.n_open = 0
+        self.n_running = 0
+        self.probe_at_s = math.inf
+        self.probe_wait_s = FIRST_PROBE_WAIT_S
 
     def open_classes(self) -> list[int]:
         """Return speed classes in use, fastest first; some may be empty."""
@@ -72,10 +78,12 @@
         if worker.counted_class != speed_class:
             if worker.counted_outstanding:
                 running[worker.counted_class] -= worker.counted_outstanding
+                self.n_running -= worker.counted_outstanding
                 worker.counted_outstanding = 0
             worker.counted_class = speed_class
         change = worker.outstanding - worker.counted_outstanding
         if change:
+            self.n_running += change
             running[speed_class] = running.get(speed_class, 0) + change
             worker.counted_outstanding = worker.outstanding
 
--- a/src/orioleloom/placement/_policies.py
+++ b/src/orioleloom/placement/_policies.py
@@ -10,11 +10,19 @@
 _CLASS_WIDTH = math.log(2.0) / 4.0
 # A baseline tries a full worker again after this time.
 _BASELINE_RETRY_S = 0.01
+# A report older than this many relaxation times says no more than the mean.
+_LAST_LOOK = 2.0
 
 
 class Policy(typing.Protocol):
     """Rule that decides where and when a task starts."""
 
+    def succeeded(self) -> None:
+        """Learn that a start was accepted."""
+
+    def rejected(self) -> None:
+        """Learn that a start was rejected."""
+
     def believes_free(self, worker: _worker.Worker, now_s: float) -> bool:
         """Tell whether one more task may start on the worker."""
 
@@ -34,27 +42,53 @@
 class ExpectedCompletion:
     """Least expected completion time within home shares and reports.
 
-    :param home_threshold: expected free slots needed within the home
-        share
-    :param borrow_threshold: expected free slots needed beyond it
-    :param probe_s: first wait before a home slot is tried again after a
-        rejection
+    A start needs a certainty that a slot is free. Each rejection raises
+    the certainty asked for and each success lowers it a little, so that
+    the share of rejected starts settles at ``rejected_share``.
+
+    :param rejected_share: rejections allowed for each start
+    :param borrow_margin: certainty asked for beyond the home share, in
+        deviations above that for the home share
 
-    >>> policy = ExpectedCompletion(borrow_threshold=0.8)
+    >>> policy = ExpectedCompletion(rejected_share=0.02)
     """
 
     def __init__(
         self,
         *,
-        home_threshold: float = 0.5,
-        borrow_threshold: float = 0.9,
-        probe_s: float = 0.02,
-        max_probe_s: float = 0.5,
+        rejected_share: float = 0.0125,
+        borrow_margin: float = 0.0,
+        step: float = 0.1,
+        home_bonus: float = 0.0,
+        max_age: float = 100.0,
+        rider_certainty: float = 9.0,
+        max_batch: int = 8,
+        forget_s: float = 1.0,
+        min_certainty: float = 0.0,
+        max_certainty: float = 2.2,
     ) -> None:
-        self.home_threshold = home_threshold
-        self.borrow_threshold = borrow_threshold
-        self.probe_s = probe_s
-        self.max_probe_s = max_probe_s
+        self.rejected_share = rejected_share
+        self.borrow_margin = borrow_margin
+        self.step = step
+        self.rider_certainty = rider_certainty
+        self.max_batch = max_batch
+        self.home_bonus = home_bonus
+        self.max_age = max_age
+        _worker.FORGET_S = forget_s
+        self.min_certainty = min_certainty
+        self.max_certainty = max_certainty
+        self.certainty_ = 2.0
+
+    def succeeded(self) -> None:
+        """Ask for a little less certainty."""
+        self.certainty_ = max(
+            self.min_certainty,
+            self.certainty_ - self.step * self.rejected_share,
+        )
+
+    def rejected(self) -> None:
+        """Ask for more certainty."""
+        self.certainty_ = min(self.max_certainty, self.certainty_ + self.step)
 
     def believes_free(self, worker: _worker.Worker, now_s: float) -> bool:
         """Apply the home share and the decayed report."""
@@ -62,23 +96,24 @@
         if worker.reported_at_s == -math.inf:
             return in_home
         if in_home:
-            wanted = self.home_threshold
-            if now_s >= self._probe_at_s(worker):
-                return True
-        else:
-            wanted = self.borrow_threshold
-        return worker.expected_free(now_s) >= wanted
+            wanted = self.certainty_ - self.home_bonus
+            return worker.free_score(now_s) >= wanted
+        if now_s - worker.reported_at_s > self.max_age * worker.relax_s:
+            return False
+        if worker.batch_at_s == now_s and worker.n_in_batch < self.max_batch:
+            return worker.free_score(now_s) >= self.rider_certainty
+        kept = self.borrow_margin
+        return worker.free_score(now_s, kept) >= self.certainty_
 
     def free_again_at_s(self, worker: _worker.Worker, now_s: float) -> float:
-        """Return when the belief or a home probe allows a start."""
-        if worker.outstanding >= worker.slots:
+        """Return when the decayed report should be looked at again."""
+        age_s = now_s - worker.reported_at_s
+        if (
+            worker.outstanding >= worker.slots
+            or age_s > _LAST_LOOK * worker.relax_s
+        ):
             return math.inf
-        if worker.reported_at_s == -math.inf:
-            return math.inf
-        if worker.outstanding < worker.home:
-            at_s = worker.free_again_at_s(self.home_threshold)
-            return max(now_s, min(at_s, self._probe_at_s(worker)))
-        return worker.free_again_at_s(self.borrow_threshold)
+        return now_s + max(age_s, worker.relax_s / 4.0)
 
     def pick(
         self,
@@ -96,11 +131,6 @@
                 return members[int(random_state.random() * len(members))]
         return None
 
-    def _probe_at_s(self, worker: _worker.Worker) -> float:
-        n_rejected = min(worker.n_rejected_in_row, 8)
-        wait_s = min(self.max_probe_s, self.probe_s * 2.0**n_rejected)
-        return worker.reported_at_s + wait_s
-
     def _waits(
         self,
         group: _group.Group,
@@ -125,6 +155,12 @@
 class _Baseline:
     """Uses own outstanding tasks only; a full worker rejects."""
 
+    def succeeded(self) -> None:
+        """Learn nothing."""
+
+    def rejected(self) -> None:
+        """Learn nothing."""
+
     def believes_free(self, worker: _worker.Worker, now_s: float) -> bool:
         """Skip a worker that rejected a task just now."""
         return now_s >= worker.probe_at_s
--- a/src/orioleloom/placement/_pool.py
+++ b/src/orioleloom/placement/_pool.py
@@ -125,7 +125,7 @@
                 group, log_ms, n_waiting, self.random_state
             )
             if worker is None:
-                return None
+                return self._probe(group, now_s)
             entry = self._entries[worker.id]
             if self._is_open(entry, now_s):
                 return worker.id
@@ -135,7 +135,7 @@
         """Record that a task is sent to a worker."""
         entry = self._entries.get(worker_id)
         if entry:
-            entry.worker.outstanding += 1
+            entry.worker.start(now_s)
             entry.health.on_started()
             self._refresh(entry, now_s)
 
@@ -157,8 +157,10 @@
         self._run_times.observe(
             worker, kind, declared_run_time_ms, run_time_ms
         )
-        worker.n_rejected_in_row = 0
+        worker.learn_relaxation(elapsed_ms)
         worker.report(free_slots, now_s)
+        self.policy.succeeded()
+        entry.group.probe_wait_s = _group.FIRST_PROBE_WAIT_S
         entry.health.on_success()
         self._reachable(entry, now_s)
         self._refresh(entry, now_s)
@@ -187,8 +189,9 @@
         if not entry:
             return
         worker = entry.worker
+        if worker.reject():
+            self.policy.rejected()
         worker.report(free_slots, now_s)
-        worker.n_rejected_in_row += 1
         worker.probe_at_s = now_s + _BASELINE_RETRY_S
         entry.health.on_answer()
         self._reachable(entry, now_s)
@@ -246,6 +249,14 @@
 
     def next_change_at_s(self) -> float:
         """Return when a closed worker may open without an event."""
+        return min(
+            self._next_wakeup_s(),
+            min(
+                (g.probe_at_s for g in self._groups.values()), default=math.inf
+            ),
+        )
+
+    def _next_wakeup_s(self) -> float:
         while self._wakeups:
             at_s, worker_id = self._wakeups[0]
             entry = self._entries.get(worker_id)
@@ -254,6 +265,32 @@
             heapq.heappop(self._wakeups)
         return math.inf
 
+    def _probe(self, group: _group.Group, now_s: float) -> str | None:
+        """Try a worker believed full when no event could free a slot.
+
+        Without a task in progress no report arrives, so a task must be
+        tried now and then whatever the last reports say.
+        """
+        if group.n_running or group.n_open:
+            return None
+        if group.probe_at_s == math.inf:
+            group.probe_at_s = now_s + group.probe_wait_s
+        if now_s < group.probe_at_s:
+            return None
+        group.probe_at_s = math.inf
+        group.probe_wait_s = min(
+            _group.MAX_PROBE_WAIT_S, 2.0 * group.probe_wait_s
+        )
+        open_workers = [
+            w
+            for w in group.workers.values()
+            if self._is_usable(self._entries[w.id], now_s)
+        ]
+        if not open_workers:
+            return None
+        best = max(open_workers, key=lambda w: w.free_score(now_s))
+        return best.id
+
     def state(self) -> dict[str, typing.Any]:
         """Return what is known of each worker, for the state dump."""
         return {
@@ -369,6 +406,11 @@
         return n_quarantined + 1 <= max(1, len(workers) // 3)
 
     def _is_open(self, entry: _Entry, now_s: float) -> bool:
+        return self._is_usable(entry, now_s) and self.policy.believes_free(
+            entry.worker, now_s
+        )
+
+    def _is_usable(self, entry: _Entry, now_s: float) -> bool:
         worker = entry.worker
         if not worker.live or worker.outstanding >= worker.slots:
             return False
@@ -378,7 +420,7 @@
             entry.health.n_failures_in_row or self._racks.is_doubtful(worker)
         ):
             return False
-        return self.policy.believes_free(worker, now_s)
+        return True
 
     def _refresh(self, entry: _Entry, now_s: float) -> None:
         """Bring the index up to date with what is known of a worker."""
--- a/src/orioleloom/placement/_worker.py
+++ b/src/orioleloom/placement/_worker.py
@@ -5,6 +5,9 @@
 _MIN_WEIGHT = 0.06
 _OTHERS_WEIGHT = 0.15
 _INITIAL_RELAX_S = 0.25
+FORGET_S = 1.0
+# Error of a report that is as old as its way to the instance.
+_REPORT_VARIANCE = 0.04
 # Factors are grouped into classes a quarter octave wide.
 _CLASS_WIDTH = math.log(2.0) / 4.0
 
@@ -29,9 +32,13 @@
         self.reported_at_s = -math.inf
         self.others = 0.0
         self.others_mean = 0.0
+        self.others_variance = 1.0
         self.relax_s = _INITIAL_RELAX_S
-        self.n_rejected_in_row = 0
         self.probe_at_s = -math.inf
+        # Tasks sent together, and how many of them were rejected.
+        self.batch_at_s = -math.inf
+        self.n_in_batch = 0
+        self.n_batch_rejected = 0
         # Bookkeeping of the index: position, speed class and wake-up.
         self.position = -1
         self.indexed_class = 0
@@ -45,6 +52,28 @@
         weight = max(_MIN_WEIGHT, 1.0 / self.n_results)
         self.log_factor += weight * (sample - self.log_factor)
 
+    def start(self, now_s: float) -> None:
+        """Count a task; tasks started at one time travel together."""
+        self.outstanding += 1
+        if self.batch_at_s != now_s:
+            self.batch_at_s = now_s
+            self.n_in_batch = 0
+            self.n_batch_rejected = 0
+        self.n_in_batch += 1
+
+    def reject(self) -> bool:
+        """Count a rejected task.
+
+        :returns: whether its whole batch is rejected now
+        """
+        self.n_batch_rejected += 1
+        return self.n_batch_rejected == self.n_in_batch
+
+    def learn_relaxation(self, elapsed_ms: float) -> None:
+        """Learn how long a report holds from how long tasks stay."""
+        self.relax_s += _MIN_WEIGHT * (elapsed_ms / 1000.0 - self.relax_s)
+        self.relax_s = max(self.relax_s, 0.001)
+
     def speed_class(self) -> int:
         """Return the class of the factor; smaller is faster."""
         return round(self.log_factor / _CLASS_WIDTH)
@@ -53,24 +82,25 @@
         """Take over the free slots that a result line reports."""
         others = max(0.0, self.slots - self.outstanding - free_slots)
         self.others = others
-        self.others_mean += _OTHERS_WEIGHT * (others - self.others_mean)
+        off = others - self.others_mean
+        self.others_mean += _OTHERS_WEIGHT * off
+        self.others_variance += _OTHERS_WEIGHT * (
+            (1.0 - _OTHERS_WEIGHT) * off * off - self.others_variance
+        )
         self.reported_at_s = now_s
 
-    def expected_free(self, now_s: float) -> float:
-        """Return the expected number of free slots.
+    def free_score(self, now_s: float, kept: float = 0.0) -> float:
+        """Return the certainty that a slot is free, in deviations.
 
-        The last report decays towards the mean that this instance saw.
+        The last report decays towards the mean and the variance that
+        this instance saw in the worker's reports.
         """
-        decay = math.exp(-max(0.0, now_s - self.reported_at_s) / self.relax_s)
-        others = self.others_mean + (self.others - self.others_mean) * decay
-        return self.slots - self.outstanding - others
-
-    def free_again_at_s(self, wanted: float) -> float:
-        """Return when ``expected_free`` reaches a value, or infinity."""
-        limit = self.slots - self.outstanding - wanted - self.others_mean
-        excess = self.others - self.others_mean
-        if limit <= 0.0 or excess <= 0.0:
-            return math.inf
-        return self.reported_at_s + self.relax_s * max(
-            0.0, math.log(excess / limit)
+        age_s = now_s - self.reported_at_s
+        decay = math.exp(-age_s / self.relax_s)
+        mean = self.others_mean * math.exp(-age_s / FORGET_S)
+        others = mean + (self.others - mean) * decay
+        variance = _REPORT_VARIANCE + self.others_variance * (
+            1.0 - decay * decay
         )
+        spare = self.slots - self.outstanding - others - 0.5 - kept
+        return spare / math.sqrt(variance)
