--- a/src/orioleloom/placement/_pool.py
+++ b/src/orioleloom/placement/_pool.py
@@ -281,23 +281,24 @@
         if group.n_running or group.n_open:
             group.probe_at_s = math.inf
             return None
+        if now_s < group.probe_at_s < math.inf:
+            return None
+        usable = [
+            w
+            for w in group.workers.values()
+            if self._is_usable(self._entries[w.id], now_s)
+        ]
+        if not usable:
+            group.probe_at_s = math.inf
+            return None
         if group.probe_at_s == math.inf:
             group.probe_at_s = now_s + group.probe_wait_s
-        if now_s < group.probe_at_s:
             return None
         group.probe_at_s = math.inf
         group.probe_wait_s = min(
             _group.MAX_PROBE_WAIT_S, 2.0 * group.probe_wait_s
         )
-        open_workers = [
-            w
-            for w in group.workers.values()
-            if self._is_usable(self._entries[w.id], now_s)
-        ]
-        if not open_workers:
-            return None
-        best = max(open_workers, key=lambda w: w.free_score(now_s))
-        return best.id
+        return max(usable, key=lambda w: w.free_score(now_s)).id
 
     def state(self) -> dict[str, typing.Any]:
         """Return what is known of each worker, for the state dump."""
@@ -420,9 +421,12 @@
         )
 
     def _is_open(self, entry: _Entry, now_s: float) -> bool:
-        return self._is_usable(entry, now_s) and self.policy.believes_free(
-            entry.worker, now_s
-        )
+        if not self._is_usable(entry, now_s):
+            return False
+        if entry.health.condition is not _health.Condition.USABLE:
+            # A trial is due whatever the last report said.
+            return True
+        return self.policy.believes_free(entry.worker, now_s)
 
     def _is_usable(self, entry: _Entry, now_s: float) -> bool:
         worker = entry.worker
--- /dev/null
+++ b/tests/placement/test_pool.py
@@ -0,0 +1,289 @@
+"""Checks that every policy passes, and rules of the pool."""
+
+import math
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from orioleloom import model
+from orioleloom import placement
+
+POLICIES = (
+    placement.ExpectedCompletion,
+    placement.LeastOutstanding,
+    placement.PowerOfTwo,
+    placement.Random,
+    placement.RoundRobin,
+)
+every_policy = pytest.mark.parametrize('make_policy', POLICIES)
+SLOTS = 2
+
+
+def member(
+    worker_id,
+    state=model.MemberState.LIVE,
+    upstream='up',
+    rack='',
+    slots=SLOTS,
+):
+    return model.Member(
+        worker_id,
+        model.Role.WORKER,
+        state,
+        'dc',
+        'http://worker',
+        upstream=upstream,
+        slots=slots,
+        rack=rack,
+    )
+
+
+def make_pool(make_policy=placement.ExpectedCompletion, n=6, seed=1, **kwargs):
+    pool = placement.WorkerPool(
+        instance_id='entry-0',
+        policy=make_policy(),
+        random_state=random.Random(seed),
+    )
+    pool.set_workers([member(f'w{i}', **kwargs) for i in range(n)], 0.0)
+    pool.set_rank(0, 1)
+    return pool
+
+
+def start(pool, now_s, upstream='up'):
+    worker_id = pool.choose(upstream, 'kind', None, 1, now_s)
+    if worker_id is not None:
+        pool.started(worker_id, 'kind', now_s)
+    return worker_id
+
+
+def start_all(pool, now_s):
+    return list(iter(lambda: start(pool, now_s), None))
+
+
+def fail(pool, worker_id, n, now_s):
+    for _ in range(n):
+        pool.started(worker_id, 'kind', now_s)
+        pool.failed(worker_id, 'kind', 1.0, SLOTS, now_s)
+
+
+def condition(pool, worker_id):
+    return pool.state()['workers'][worker_id]['condition']
+
+
+@every_policy
+def test_full_worker_is_not_chosen(make_policy):
+    """Guards against more tasks on a worker than it has slots."""
+    chosen = start_all(make_pool(make_policy), 0.0)
+    assert sorted(chosen) == sorted([f'w{i}' for i in range(6)] * SLOTS)
+
+
+@every_policy
+def test_leaving_workers_and_other_upstreams_get_nothing(make_policy):
+    """R6. Guards against work for leaving, gone or foreign workers."""
+    pool = make_pool(make_policy, n=3)
+    rows = [
+        member('w0', model.MemberState.LEAVING),
+        member('w1'),
+        member('w2'),
+        member('other', upstream='other'),
+    ]
+    pool.set_workers(rows, 0.0)
+    pool.set_leaving('w2')
+    assert set(start_all(pool, 0.0)) == {'w1'}
+    assert start(pool, 0.0, 'missing') is None
+    assert pool.has_upstream('other') and not pool.has_upstream('missing')
+    pool.set_workers([], 0.0)
+    assert start(pool, 1.0) is None
+
+
+@every_policy
+def test_same_seed_gives_same_choices(make_policy):
+    """Guards against choices that depend on hash or set order."""
+    first, second = (make_pool(make_policy, n=20) for _ in range(2))
+    assert start_all(first, 0.0) == start_all(second, 0.0)
+
+
+@every_policy
+def test_quarantined_worker_gets_one_trial_after_backoff(make_policy):
+    """F10. Guards against a failing worker that keeps its work."""
+    pool = make_pool(make_policy)
+    fail(pool, 'w0', 3, 0.0)
+    assert [n.worker_id for n in pool.take_notices()] == ['w0']
+    assert pool.take_notices() == []
+    assert 'w0' not in start_all(pool, 0.5)
+    for worker_id in [f'w{i}' for i in range(1, 6)] * SLOTS:
+        pool.finished(worker_id, 'kind', 100.0, 101.0, SLOTS, 1.0)
+    assert start_all(pool, 1.5).count('w0') == 1
+    pool.failed('w0', 'kind', 1.0, SLOTS, 1.6)
+    assert 'w0' not in start_all(pool, 2.9)
+
+
+def test_passed_trial_ends_quarantine():
+    """Guards against a recovered worker that stays unused."""
+    pool = make_pool(n=3)
+    pool.quarantine('w1', 0.0)
+    assert pool.take_notices() == []
+    assert start_all(pool, 4.0).count('w1') == 1
+    pool.finished('w1', 'kind', 100.0, 101.0, SLOTS, 4.1)
+    assert condition(pool, 'w1') == 'usable'
+
+
+def test_over_half_of_last_16_failed_quarantines():
+    """Guards against a worker that fails often but never in a row."""
+    pool = make_pool(n=3)
+    for failed in ([True, True, False] * 6)[:16]:
+        pool.started('w0', 'kind', 0.0)
+        if failed:
+            pool.failed('w0', 'kind', 1.0, SLOTS, 0.0)
+        else:
+            pool.finished('w0', 'kind', 100.0, 101.0, SLOTS, 0.0)
+    assert condition(pool, 'w0') == 'quarantined'
+
+
+def test_at_most_a_third_is_quarantined():
+    """Guards against bad tasks that take every worker out of use."""
+    pool = make_pool(n=6)
+    for i in range(6):
+        fail(pool, f'w{i}', 20, 0.0)
+    assert len(pool.take_notices()) == 2
+
+
+def test_total_failure_is_quarantined_beyond_a_third():
+    """Guards against failing workers kept in use by the limit."""
+    pool = make_pool(n=3)
+    fail(pool, 'w0', 3, 0.0)
+    pool.started('w2', 'kind', 0.0)
+    pool.finished('w2', 'kind', 100.0, 101.0, SLOTS, 0.0)
+    fail(pool, 'w1', 15, 0.0)
+    assert condition(pool, 'w1') == 'usable'
+    fail(pool, 'w1', 1, 0.0)
+    assert condition(pool, 'w1') == 'quarantined'
+
+
+def test_fast_failures_do_not_make_a_worker_look_fast():
+    """Guards against a failing worker that attracts work."""
+    pool = make_pool(n=3)
+    for worker_id, run_time_ms in (('w0', 400.0), ('w1', 100.0)) * 20:
+        pool.started(worker_id, 'kind', 0.0)
+        pool.finished(
+            worker_id, 'kind', run_time_ms, run_time_ms, SLOTS, 0.0, 200.0
+        )
+    rows = pool.state()['workers']
+    before = rows['w0']['relative_run_time']
+    fail(pool, 'w0', 2, 0.0)
+    assert pool.state()['workers']['w0']['relative_run_time'] == before
+    ratio = before / rows['w1']['relative_run_time']
+    assert ratio == pytest.approx(4.0, rel=0.1)
+    assert start(pool, 0.0) == 'w1'
+    fastest_ms = pool.fastest_run_time_ms('up', 'new', 200.0)
+    assert fastest_ms == pytest.approx(100.0, rel=0.2)
+
+
+def test_slow_slot_is_left_idle_only_while_waiting_ends_earlier():
+    """Guards against slow starts for a short queue, and idle ones."""
+    pool = make_pool(n=2)
+    for worker_id, run_time_ms in (('w0', 1000.0), ('w1', 100.0)) * 20:
+        pool.started(worker_id, 'kind', 0.0)
+        pool.finished(
+            worker_id, 'kind', run_time_ms, run_time_ms, SLOTS, 0.0, 300.0
+        )
+    assert [start(pool, 0.0) for _ in range(3)] == ['w1', 'w1', None]
+    assert pool.choose('up', 'kind', 300.0, 100, 0.0) == 'w0'
+
+
+@pytest.mark.parametrize('event', ['unknown', 'unreachable'])
+def test_worker_without_answer_is_avoided_until_a_trial(event):
+    """Guards against tasks sent to a dead worker."""
+    pool = make_pool(n=1)
+    assert len(start_all(pool, 0.0)) == SLOTS
+    for _ in range(SLOTS):
+        getattr(pool, event)('w0', 1.0)
+    assert start(pool, 1.1) is None
+    at_s = pool.next_change_at_s()
+    assert 1.75 <= at_s <= 2.25
+    assert start_all(pool, at_s) == ['w0']
+
+
+def test_rest_of_an_unreachable_rack_gets_one_task_at_a_time():
+    """Guards against a rack's failure that takes many tasks with it."""
+    pool = make_pool(n=4, rack='r')
+    for worker_id in ('w0', 'w1'):
+        pool.started(worker_id, 'kind', 0.0)
+        pool.unreachable(worker_id, 0.0)
+    assert sorted(start_all(pool, 0.1)) == ['w2', 'w3']
+    pool.finished('w2', 'kind', 100.0, 101.0, SLOTS, 0.2)
+    assert sorted(start_all(pool, 0.2)) == ['w2', 'w2', 'w3']
+
+
+def test_home_shares_cover_each_slot_once():
+    """Guards against slots that belong to no instance or to two."""
+    for slots, n_entries in ((8, 8), (8, 3), (2, 5)):
+        shares = [
+            placement.home_slots('w', slots, rank, n_entries)
+            for rank in range(n_entries)
+        ]
+        assert sum(shares) == slots
+    assert placement.home_slots('w', 8, None, 8) == 0
+
+
+def test_start_without_home_share_is_probed_and_then_borrows():
+    """Guards against an instance that never starts, or spins."""
+    pool = make_pool(n=2, slots=8)
+    pool.set_rank(None, 0)
+    assert start(pool, 0.0) is None
+    at_s = pool.next_change_at_s()
+    assert 0.0 < at_s < 0.1
+    worker_id = start(pool, at_s)
+    assert pool.next_change_at_s() > at_s
+    pool.finished(worker_id, 'kind', 100.0, 101.0, 5, 1.0)
+    # One of the five free slots is kept for its home instance.
+    assert start_all(pool, 1.0) == [worker_id] * 4
+
+
+events = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ['start', 'finished', 'failed', 'rejected', 'unknown', 'list']
+        ),
+        st.integers(0, 5),
+        st.integers(0, SLOTS),
+        st.floats(0.0, 0.5),
+    ),
+    max_size=60,
+)
+
+
+@every_policy
+@hypothesis.settings(max_examples=40, deadline=None)
+@hypothesis.given(events=events)
+def test_books_stay_consistent(make_policy, events):
+    """Guards against lost or doubled slots, and a timer in the past."""
+    pool = make_pool(make_policy)
+    now_s = 0.0
+    for name, number, free, step_s in events:
+        now_s += step_s
+        worker_id = f'w{number}'
+        match name:
+            case 'start':
+                chosen = start(pool, now_s)
+                if chosen is None:
+                    assert pool.next_change_at_s() > now_s
+            case 'finished':
+                pool.finished(worker_id, 'kind', 90.0, 91.0, free, now_s)
+            case 'failed':
+                pool.failed(worker_id, 'kind', 1.0, free, now_s)
+            case 'rejected':
+                pool.rejected(worker_id, 0, now_s)
+            case 'unknown':
+                pool.unknown(worker_id, now_s)
+            case 'list':
+                rows = [member(f'w{i}') for i in range(6) if i != number]
+                pool.set_workers(rows, now_s)
+        workers = pool.state()['workers'].values()
+        assert all(0 <= w['outstanding'] <= SLOTS for w in workers)
+    running = sum(w['outstanding'] for w in workers) if events else 0
+    blocked = any(w['condition'] != 'usable' for w in workers) if events else 0
+    if events and not running and not blocked:
+        assert start(pool, now_s) or pool.next_change_at_s() < math.inf
