Move the virtual-clock world into orioleloom_standins.virtual

Workers, data centres of the entry instances and the customers' contracts are parameters, and a submission names its customer and its declared run times. A cancel is audited like a copy of its submission. The fault tests are a package.

--- /dev/null
+++ b/src/orioleloom_standins/virtual/__init__.py
@@ -0,0 +1,41 @@
+"""Entry instances, platform and workers on one virtual clock.
+
+The engines are the product's own; table and workers are the stand-ins'
+own logic; links, pauses and deaths are timed calls.
+"""
+
+from orioleloom_standins.virtual._callers import Callers
+from orioleloom_standins.virtual._callers import Copy
+from orioleloom_standins.virtual._callers import is_decided
+from orioleloom_standins.virtual._clock import Clock
+from orioleloom_standins.virtual._network import Network
+from orioleloom_standins.virtual._platform import PlatformSide
+from orioleloom_standins.virtual._processes import Entry
+from orioleloom_standins.virtual._processes import Processes
+from orioleloom_standins.virtual._steps import STEPS
+from orioleloom_standins.virtual._workers import Workers
+from orioleloom_standins.virtual._workers import WorkerSpec
+from orioleloom_standins.virtual._world import CUSTOMER
+from orioleloom_standins.virtual._world import default_contract
+from orioleloom_standins.virtual._world import default_workers
+from orioleloom_standins.virtual._world import UPSTREAM
+from orioleloom_standins.virtual._world import World
+
+__all__ = [
+    'CUSTOMER',
+    'Callers',
+    'Clock',
+    'Copy',
+    'Entry',
+    'Network',
+    'PlatformSide',
+    'Processes',
+    'STEPS',
+    'UPSTREAM',
+    'WorkerSpec',
+    'Workers',
+    'World',
+    'default_contract',
+    'default_workers',
+    'is_decided',
+]
--- /dev/null
+++ b/src/orioleloom_standins/virtual/_callers.py
@@ -0,0 +1,276 @@
+import dataclasses
+import itertools
+import typing
+
+from orioleloom import codec
+from orioleloom import engine
+from orioleloom import model
+from orioleloom_standins import audit
+from orioleloom_standins.virtual._clock import Clock
+from orioleloom_standins.virtual._network import Network
+from orioleloom_standins.virtual._processes import Entry
+from orioleloom_standins.virtual._processes import Processes
+
+
+@dataclasses.dataclass
+class Copy:
+    """One request of a caller about a submission.
+
+    :param cancel: it cancels the submission; otherwise it is a copy of it
+    :param gave_up: the caller no longer waits
+    """
+
+    job_id: model.JobId
+    tasks: tuple[model.Task, ...]
+    entry_id: str
+    sent_at_s: float
+    cancel: bool = False
+    answer: model.Answer | None = None
+    answered_at_s: float | None = None
+    gave_up: bool = False
+    request: tuple[str, int, int] | None = None
+
+
+class Callers:
+    """Callers and operators, and what they were told."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        network: Network,
+        processes: Processes,
+        customer: str,
+        upstream: str,
+    ):
+        self.clock = clock
+        self.network = network
+        self.processes = processes
+        self.customer = customer
+        self.upstream = upstream
+        self.copies: list[Copy] = []
+        self.waiting: dict[tuple[str, int, int], Copy] = {}
+        self.operator_answers: dict[int, model.Answer] = {}
+        self._requests = itertools.count(1)
+
+    def submit(
+        self,
+        submission_id: str,
+        work_ms: typing.Sequence[float] = (50.0,),
+        *,
+        customer: str | None = None,
+        run_times_ms: typing.Sequence[float | None] | None = None,
+        entry_id: str = 'e0',
+        first: bool = False,
+        deadline_ms: float | None = None,
+        upstream: str | None = None,
+    ) -> Copy:
+        """Send one copy of a submission.
+
+        :param work_ms: run time of each task at speed 1
+        :param run_times_ms: declared run times; ``work_ms`` when not given
+        """
+        declared = work_ms if run_times_ms is None else run_times_ms
+        tasks = tuple(
+            model.Task(
+                'crew',
+                {'work_ms': ms, 'id': f'{submission_id}-{index}'},
+                upstream or self.upstream,
+                run_time_ms,
+            )
+            for index, (ms, run_time_ms) in enumerate(zip(work_ms, declared))
+        )
+        job_id = model.JobId(customer or self.customer, submission_id)
+        return self.send_copy(
+            job_id, tasks, entry_id, first=first, deadline_ms=deadline_ms
+        )
+
+    def send_copy(
+        self,
+        job_id: model.JobId,
+        tasks: tuple[model.Task, ...],
+        entry_id: str,
+        *,
+        first: bool = False,
+        deadline_ms: float | None = None,
+    ) -> Copy:
+        """Send a copy with given tasks."""
+        copy = Copy(job_id, tasks, entry_id, self.clock.now_s)
+        self.copies.append(copy)
+        request = model.JobRequest(tasks, deadline_ms, repr(tasks))
+        body = body_of(tasks)
+        self._send(
+            copy,
+            lambda request_id: engine.Submit(
+                request_id, job_id, request, first, True, body
+            ),
+            delay_s=self.network.link_s,
+        )
+        return copy
+
+    def cancel(
+        self,
+        submission_id: str,
+        *,
+        entry_id: str = 'e0',
+        customer: str | None = None,
+    ) -> Copy:
+        """Cancel a submission at an instance."""
+        job_id = model.JobId(customer or self.customer, submission_id)
+        sent = [c.tasks for c in self.copies if c.job_id == job_id]
+        copy = Copy(
+            job_id,
+            sent[0] if sent else (),
+            entry_id,
+            self.clock.now_s,
+            cancel=True,
+        )
+        self.copies.append(copy)
+        self._send(copy, lambda request_id: engine.Cancel(request_id, job_id))
+        return copy
+
+    def _send(
+        self,
+        copy: Copy,
+        event_of: typing.Callable[[int], engine.Event],
+        *,
+        delay_s: float = 0.0,
+    ) -> None:
+        entry = self.processes.by_id[copy.entry_id]
+        if not entry.alive or self.network.is_cut(entry.id, 'callers'):
+            self.clock.at(self.network.link_s, lambda: self._give_up(copy))
+            return
+        request_id = next(self._requests)
+        incarnation = entry.incarnation
+        copy.request = (entry.id, incarnation, request_id)
+        self.waiting[copy.request] = copy
+        event = event_of(request_id)
+        if delay_s:
+            self.clock.at(
+                delay_s,
+                lambda: self.processes.post(entry, incarnation, event),
+            )
+        else:
+            self.processes.post(entry, incarnation, event)
+
+    def disconnect(self, copy: Copy) -> None:
+        """Close the connection of a request."""
+        self._give_up(copy)
+        if copy.request in self.waiting:
+            entry_id, incarnation, request_id = copy.request
+            self.processes.post(
+                self.processes.by_id[entry_id],
+                incarnation,
+                engine.RequestGone(request_id),
+            )
+
+    def resubmit_all(self, *, exclude: str = '') -> None:
+        """Send another copy of every submission without an answer.
+
+        A caller closes the earlier copy's connection first, and it does
+        not resubmit what it was told did not run.
+        """
+        decided = {c.job_id for c in self.copies if is_decided(c.answer)}
+        first_copies = {c.job_id: c for c in reversed(self.copies)}
+        for job_id, copy in first_copies.items():
+            if job_id in decided or not copy.tasks:
+                continue
+            for earlier in self.copies:
+                if earlier.job_id == job_id and earlier.answer is None:
+                    earlier.gave_up = True
+            self.send_copy(job_id, copy.tasks, self.other_entry(exclude))
+
+    def other_entry(self, entry_id: str) -> str:
+        """Return a live entry other than the one named, if there is one."""
+        live = [e.id for e in self.processes.by_id.values() if e.alive]
+        return next((e for e in live if e != entry_id), entry_id)
+
+    def put_contract(
+        self,
+        entry_id: str,
+        expected_version: int,
+        *,
+        customer: str | None = None,
+        **changes: typing.Any,
+    ) -> int:
+        """Change a contract as an operator; returns a request id."""
+        entry = self.processes.by_id[entry_id]
+        request_id = next(self._requests)
+        known = entry.core.contract(customer or self.customer)
+        contract = known._replace(version=expected_version + 1, **changes)
+        event = engine.PutContract(request_id, contract, expected_version)
+        self.processes.post(entry, entry.incarnation, event)
+        return request_id
+
+    def respond(
+        self,
+        entry: Entry,
+        incarnation: int,
+        request_id: int,
+        answer: model.Answer,
+    ) -> None:
+        """Take the answer to a request."""
+        copy = self.waiting.pop((entry.id, incarnation, request_id), None)
+        if copy is None:
+            self.operator_answers[request_id] = answer
+            return
+        if self.network.is_cut(entry.id, 'callers'):
+            copy.gave_up = True
+        if not copy.gave_up:
+            copy.answer = answer
+            copy.answered_at_s = self.clock.now_s
+
+    def process_ended(self, entry: Entry) -> None:
+        """Break the connections to a process that ended."""
+        for key, copy in list(self.waiting.items()):
+            if key[:2] == (entry.id, entry.incarnation):
+                del self.waiting[key]
+                self.clock.at(
+                    self.network.link_s, lambda copy=copy: self._give_up(copy)
+                )
+
+    @staticmethod
+    def _give_up(copy: Copy) -> None:
+        if copy.answer is None:
+            copy.gave_up = True
+
+    def calls(self) -> list[audit.Call]:
+        """Return all requests for the audit."""
+        return [
+            audit.Call(
+                copy.job_id.customer,
+                copy.job_id.submission_id,
+                tuple(audit.SentTask(t.kind, t.payload) for t in copy.tasks),
+                accepted=copy.answer is not None
+                and 'tasks' in copy.answer.body,
+                answer=None if copy.answer is None else copy.answer.body,
+                pending=copy.answer is None,
+            )
+            for copy in self.copies
+            if copy.tasks
+        ]
+
+
+def is_decided(answer: model.Answer | None) -> bool:
+    """Whether a caller has no reason to send another copy."""
+    if answer is None:
+        return False
+    body = answer.body
+    return body['state'] == 'complete' or body['error'].get('run') == 'not_run'
+
+
+def body_of(tasks: typing.Sequence[model.Task]) -> bytes:
+    """Return the HTTP body of a job."""
+    return codec.encode_json(
+        {
+            'tasks': [
+                {
+                    'kind': task.kind,
+                    'payload': task.payload,
+                    'upstream': task.upstream,
+                    'run_time_ms': task.run_time_ms,
+                }
+                for task in tasks
+            ]
+        }
+    )
--- /dev/null
+++ b/src/orioleloom_standins/virtual/_platform.py
@@ -0,0 +1,148 @@
+import collections.abc
+import typing
+
+from orioleloom import contracts
+from orioleloom import engine
+from orioleloom import model
+from orioleloom_standins._table import Conflict
+from orioleloom_standins._table import Table
+from orioleloom_standins.virtual._clock import Clock
+from orioleloom_standins.virtual._network import Network
+
+TABLE_S = 0.004
+TABLE_TIMEOUT_S = 1.0
+LIST_LAG_S = 1.0
+
+Done: typing.TypeAlias = collections.abc.Callable[[model.TableOutcome], None]
+RowsDone: typing.TypeAlias = collections.abc.Callable[
+    [tuple[model.Row, ...] | None], None
+]
+
+
+class PlatformSide:
+    """Table and list of members, with their faults.
+
+    :param clock: virtual clock
+    :param network: links to the entry instances
+    :param table_s: time that a table request takes
+
+    ``lose_answers``, ``lose_writes`` and ``delay_writes`` count the
+    next transactions that the fault affects. ``slow_until_s`` ends a
+    time in which every request takes longer than its sender waits.
+    """
+
+    def __init__(
+        self, *, clock: Clock, network: Network, table_s: float = TABLE_S
+    ):
+        self.clock = clock
+        self.network = network
+        self.table_s = table_s
+        self.table = Table()
+        self.away_until_s = 0.0
+        self.slow_until_s = 0.0
+        self.lose_answers = 0
+        self.lose_writes = 0
+        self.delay_writes = 0
+        self.members: list[tuple[float, model.Member]] = []
+
+    def reachable(self, entry_id: str) -> bool:
+        """Whether a request of an entry instance reaches the platform."""
+        return (
+            self.clock.now_s >= self.away_until_s
+            and not self.network.is_cut(entry_id, 'platform')
+        )
+
+    def seed_contract(self, contract: model.Contract) -> None:
+        """Write a contract before any instance starts."""
+        value = contracts.to_value(contract)
+        key = contracts.contract_key(contract.customer)
+        self.table.transact(
+            'setup', [{'op': 'put', 'key': key, 'value': value}], 0.0
+        )
+
+    def list_member(self, member: model.Member, lag_s: float = 0.0) -> None:
+        """Change a row of the list; readers see it after the lag."""
+        self.members.append((self.clock.now_s + lag_s, member))
+
+    def members_after(self, revision: int) -> list[model.Member]:
+        """Return the rows after a revision that readers see now."""
+        return [
+            member
+            for at_s, member in self.members[revision:]
+            if at_s <= self.clock.now_s
+        ]
+
+    def listed(self) -> dict[str, model.Member]:
+        """Return the list as readers see it now."""
+        return {member.id: member for member in self.members_after(0)}
+
+    def _slow_s(self) -> float:
+        slow = self.clock.now_s < self.slow_until_s
+        return 2 * TABLE_TIMEOUT_S if slow else 0.0
+
+    def write(
+        self, entry_id: str, effect: engine.WriteTable, done: Done
+    ) -> None:
+        """Run a transaction; ``done`` takes its outcome."""
+
+        def answer(delay_s: float, outcome: model.TableOutcome) -> None:
+            self.clock.at(delay_s, lambda: done(outcome))
+
+        if not self.reachable(entry_id):
+            answer(self.network.link_s, model.WriteRefused())
+            return
+        if self.lose_writes:
+            self.lose_writes -= 1
+            answer(TABLE_TIMEOUT_S, model.WriteUnknown())
+            return
+        if self.delay_writes:
+            self.delay_writes -= 1
+            # The write takes effect long after its sender gave it up.
+            self.clock.at(3 * TABLE_TIMEOUT_S, lambda: self._commit(effect))
+            answer(TABLE_TIMEOUT_S, model.WriteUnknown())
+            return
+        slow_s = self._slow_s()
+
+        def commit() -> None:
+            outcome = self._commit(effect)
+            if slow_s:
+                return
+            if self.lose_answers:
+                self.lose_answers -= 1
+                answer(TABLE_TIMEOUT_S, model.WriteUnknown())
+            else:
+                answer(self.table_s / 2, outcome)
+
+        self.clock.at(self.table_s / 2 + slow_s, commit)
+        if slow_s:
+            answer(TABLE_TIMEOUT_S, model.WriteUnknown())
+
+    def _commit(self, effect: engine.WriteTable) -> model.TableOutcome:
+        ops = [op._asdict() for op in effect.ops]
+        try:
+            revision = self.table.transact(effect.token, ops, self.clock.now_s)
+        except Conflict as conflict:
+            return model.Conflicted(
+                tuple(model.Row(*row) for row in conflict.rows)
+            )
+        return model.Committed(revision)
+
+    def read(
+        self, entry_id: str, keys: tuple[str, ...], done: RowsDone
+    ) -> None:
+        """Read rows; ``done`` takes them, or ``None`` on a failure."""
+        rows = None
+        delay_s = self.table_s
+        if self._slow_s():
+            delay_s = TABLE_TIMEOUT_S
+        elif self.reachable(entry_id):
+            found = self.table.read(list(keys))
+            rows = tuple(model.Row(*row) for row in found)
+        self.clock.at(delay_s, lambda: done(rows))
+
+    def contracts_after(
+        self, revision: int
+    ) -> tuple[tuple[model.Row, ...], int]:
+        """Return contract rows written after a revision."""
+        rows, revision = self.table.scan('contract/', revision)
+        return tuple(model.Row(*row) for row in rows), revision
--- /dev/null
+++ b/src/orioleloom_standins/virtual/_processes.py
@@ -0,0 +1,223 @@
+import collections.abc
+import dataclasses
+import random
+import typing
+
+from orioleloom import engine
+from orioleloom import model
+from orioleloom_standins import audit
+from orioleloom_standins.virtual._clock import Clock
+from orioleloom_standins.virtual._platform import LIST_LAG_S
+from orioleloom_standins.virtual._platform import PlatformSide
+from orioleloom_standins.virtual._steps import step_of
+
+POLL_S = 2.0
+TICK_S = 0.05
+
+# An idle process ticks once in this many intervals.
+_IDLE_TICKS = 20
+
+
+@dataclasses.dataclass
+class Entry:
+    """One entry process.
+
+    :param clock_offset_s: difference of its clock from virtual time
+    """
+
+    id: str
+    data_centre: str
+    incarnation: int = 0
+    core: engine.Engine | None = None
+    alive: bool = False
+    paused: bool = False
+    backlog: list[collections.abc.Callable[[], None]] = dataclasses.field(
+        default_factory=list
+    )
+    clock_offset_s: float = 0.0
+    members_revision: int = 0
+    contracts_revision: int = 0
+
+    def member(
+        self, state: model.MemberState = model.MemberState.LIVE
+    ) -> model.Member:
+        """Return the row of the platform's list."""
+        return model.Member(
+            self.id,
+            model.Role.ENTRY,
+            state,
+            self.data_centre,
+            f'http://{self.id}',
+            peer=self.id,
+        )
+
+
+class Processes:
+    """Start, pause and end entry processes and feed their engines.
+
+    ``carry_out`` is set by the world: it executes an effect.
+    ``killed`` is told of each process that ended without warning.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        platform: PlatformSide,
+        engine_class: type[engine.Engine],
+        settings: engine.EngineSettings,
+        random_state: random.Random,
+    ):
+        self.clock = clock
+        self.platform = platform
+        self.engine_class = engine_class
+        self.settings = settings
+        self.random = random_state
+        self.by_id: dict[str, Entry] = {}
+        self.versions: list[audit.ContractObservation] = []
+        self._seen: dict[tuple[str, int, str], int] = {}
+        self.on_step: collections.abc.Callable[[str, Entry], None] | None
+        self.on_step = None
+        self.carry_out: collections.abc.Callable[
+            [Entry, int, engine.Effect], None
+        ]
+        self.killed: collections.abc.Callable[[Entry], None]
+
+    def start(self, entry: Entry) -> None:
+        """Start a process; a restart is a new incarnation."""
+        entry.incarnation += 1
+        entry.alive, entry.paused, entry.backlog = True, False, []
+        entry.members_revision = entry.contracts_revision = 0
+        entry.core = self.engine_class(
+            identity=f'{entry.id}/{entry.incarnation}',
+            instance_id=entry.id,
+            data_centre=entry.data_centre,
+            settings=self.settings._replace(
+                peer_address=entry.id,
+                seed_peers=tuple(e for e in self.by_id if e != entry.id),
+            ),
+            random_state=random.Random(self.random.getrandbits(32)),
+        )
+        incarnation = entry.incarnation
+        self._poll(entry, incarnation)
+        self._tick(entry, incarnation)
+
+    def kill(self, entry: Entry) -> None:
+        """End a process without warning."""
+        entry.alive = False
+        entry.backlog = []
+        self.killed(entry)
+
+    def unlist(self, entry: Entry) -> None:
+        """Take a dead instance off the list, after the list's lag."""
+        self.platform.list_member(
+            entry.member(model.MemberState.GONE), LIST_LAG_S
+        )
+
+    def pause(self, entry: Entry, duration_s: float) -> None:
+        """Stop a process and let it go on later."""
+        if not entry.alive or entry.paused:
+            return
+        entry.paused = True
+        incarnation = entry.incarnation
+
+        def wake() -> None:
+            if entry.incarnation != incarnation:
+                return
+            entry.paused = False
+            backlog, entry.backlog = entry.backlog, []
+            for call in backlog:
+                call()
+
+        self.clock.at(duration_s, wake)
+
+    def _in_process(
+        self,
+        entry: Entry,
+        incarnation: int,
+        call: collections.abc.Callable[[], None],
+    ) -> None:
+        """Run a call inside a process, later if it is paused."""
+        if not entry.alive or entry.incarnation != incarnation:
+            return
+        if entry.paused:
+            entry.backlog.append(
+                lambda: self._in_process(entry, incarnation, call)
+            )
+            return
+        call()
+
+    def post(
+        self, entry: Entry, incarnation: int, event: engine.Event
+    ) -> None:
+        """Give an event to the engine of a process."""
+
+        def handle() -> None:
+            self.step(event, entry)
+            if not entry.alive or entry.incarnation != incarnation:
+                return
+            if entry.paused:
+                entry.backlog.append(handle)
+                return
+            now_s = self.clock.now_s + entry.clock_offset_s
+            for effect in entry.core.handle(event, now_s):
+                self.step(effect, entry)
+                # A process may stop between a decision and its send.
+                self._in_process(
+                    entry,
+                    incarnation,
+                    lambda effect=effect: self.carry_out(
+                        entry, incarnation, effect
+                    ),
+                )
+            self._observe(entry)
+
+        self._in_process(entry, incarnation, handle)
+
+    def step(self, what: typing.Any, entry: Entry) -> None:
+        """Tell the observer of steps, if there is one."""
+        if self.on_step is not None:
+            self.on_step(step_of(what), entry)
+
+    def _observe(self, entry: Entry) -> None:
+        """Note each change of a contract version in force."""
+        for contract in entry.core.contracts():
+            observer = (entry.id, entry.incarnation, contract.customer)
+            if self._seen.get(observer) == contract.version:
+                continue
+            self._seen[observer] = contract.version
+            seen = audit.ContractObservation(
+                f'{entry.id}/{entry.incarnation}',
+                contract.customer,
+                contract.version,
+                self.clock.now_s,
+            )
+            self.versions.append(seen)
+
+    def _tick(self, entry: Entry, incarnation: int) -> None:
+        if not entry.alive or entry.incarnation != incarnation:
+            return
+        n_ticks = int(self.clock.now_s / TICK_S)
+        if entry.core.needs_tick() or n_ticks % _IDLE_TICKS == 0:
+            self.post(entry, incarnation, engine.Tick())
+        self.clock.at(TICK_S, lambda: self._tick(entry, incarnation))
+
+    def _poll(self, entry: Entry, incarnation: int) -> None:
+        if not entry.alive or entry.incarnation != incarnation:
+            return
+        if self.platform.reachable(entry.id):
+            self._poll_answered(entry, incarnation)
+        else:
+            self.post(entry, incarnation, engine.PlatformState(False))
+        self.clock.at(POLL_S, lambda: self._poll(entry, incarnation))
+
+    def _poll_answered(self, entry: Entry, incarnation: int) -> None:
+        self.post(entry, incarnation, engine.PlatformState(True))
+        new = self.platform.members_after(entry.members_revision)
+        entry.members_revision += len(new)
+        self.post(entry, incarnation, engine.MembersChanged(tuple(new)))
+        rows, revision = self.platform.contracts_after(
+            entry.contracts_revision
+        )
+        entry.contracts_revision = revision
+        self.post(entry, incarnation, engine.ContractsRead(rows))
--- /dev/null
+++ b/src/orioleloom_standins/virtual/_workers.py
@@ -0,0 +1,176 @@
+import collections.abc
+import typing
+
+from orioleloom import engine
+from orioleloom import model
+from orioleloom_standins._worker import LedgerEntry
+from orioleloom_standins._worker import Run
+from orioleloom_standins._worker import Worker
+from orioleloom_standins.virtual._clock import Clock
+from orioleloom_standins.virtual._network import Network
+
+# A repeated result line arrives this long after the first.
+REPEAT_S = 0.5
+
+Post: typing.TypeAlias = collections.abc.Callable[[engine.Event], None]
+OnLine: typing.TypeAlias = collections.abc.Callable[
+    [model.TaskLine | None, str], None
+]
+OnStep: typing.TypeAlias = collections.abc.Callable[[str], None]
+
+
+class WorkerSpec(typing.NamedTuple):
+    """A worker of the world."""
+
+    id: str
+    speed: float = 1.0
+    slots: int = 8
+    rack: str = 'r0'
+    data_centre: str = 'dc0'
+    upstream: str = 'crews'
+    connections: int = 64
+
+    def member(
+        self, state: model.MemberState = model.MemberState.LIVE
+    ) -> model.Member:
+        """Return the row of the platform's list."""
+        return model.Member(
+            self.id,
+            model.Role.WORKER,
+            state,
+            self.data_centre,
+            f'http://{self.id}',
+            upstream=self.upstream,
+            slots=self.slots,
+            connections=self.connections,
+            rack=self.rack,
+        )
+
+
+class Workers:
+    """The workers and the exchanges with them.
+
+    ``dead`` and ``stalled`` name workers under these faults: a dead one
+    refuses connections, a stalled one takes tasks and never starts or
+    answers them.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        network: Network,
+        specs: collections.abc.Iterable[WorkerSpec],
+    ):
+        self.clock = clock
+        self.network = network
+        self.specs = {spec.id: spec for spec in specs}
+        self.by_id = {
+            spec.id: Worker(
+                worker_id=spec.id, slots=spec.slots, speed=spec.speed
+            )
+            for spec in self.specs.values()
+        }
+        self.dead: set[str] = set()
+        self.stalled: set[str] = set()
+        self._lines: dict[tuple[str, int], OnLine] = {}
+
+    def ledger(self) -> list[LedgerEntry]:
+        """Return what all workers recorded."""
+        return [
+            entry
+            for worker in self.by_id.values()
+            for entry in worker.ledger.entries
+        ]
+
+    def kill(self, worker_id: str) -> None:
+        """End a worker and its tasks without warning."""
+        self.dead.add(worker_id)
+        self.by_id[worker_id].running.clear()
+
+    def offer(
+        self,
+        entry_id: str,
+        effect: engine.SendTasks,
+        post: Post,
+        on_step: OnStep,
+    ) -> None:
+        """Run one exchange.
+
+        :param post: gives an event to the process that sent the tasks
+        :param on_step: is told of each start and each half-run task
+        """
+        worker_id = effect.worker_id
+        link_s = self.network.delay_s(entry_id, worker_id)
+
+        def ended(may_have_started: bool) -> None:
+            event = engine.ExchangeEnded(
+                effect.exchange_id, may_have_started, 'fault'
+            )
+            self.clock.at(link_s, lambda: post(event))
+
+        if worker_id in self.dead or self.network.is_cut(entry_id, worker_id):
+            ended(False)
+            return
+        left = {task.key for task in effect.tasks}
+
+        def line(found: model.TaskLine | None, key: str) -> None:
+            lost = worker_id in self.dead or self.network.is_cut(
+                entry_id, worker_id
+            )
+            if found is None or lost:
+                return
+            left.discard(key)
+            event = engine.LineReceived(effect.exchange_id, found)
+            self.clock.at(link_s, lambda: post(event))
+            if self.network.repeats_line():
+                self.clock.at(REPEAT_S, lambda: post(event))
+            if not left:
+                ended(True)
+
+        def broken() -> None:
+            if left:
+                ended(True)
+
+        self.clock.at(effect.lease_s, broken)
+        for task in effect.tasks:
+            if worker_id not in self.stalled:
+                self._run(entry_id, worker_id, task, line, on_step)
+
+    def _run(
+        self,
+        entry_id: str,
+        worker_id: str,
+        task: engine.SentTask,
+        line: OnLine,
+        on_step: OnStep,
+    ) -> None:
+        on_step('start')
+        if worker_id in self.dead:
+            return
+        worker = self.by_id[worker_id]
+        run = worker.offer(
+            entry_id, task.key, task.kind, task.payload, self.clock.now_s
+        )
+        if isinstance(run, model.TaskLine):
+            line(run, task.key)
+            return
+        self._lines[worker_id, run.run_id] = line
+        delay_s = max(0.0, run.ends_s - self.clock.now_s)
+        self.clock.at(delay_s / 2, lambda: on_step('run'))
+        self.clock.at(delay_s, lambda: self._finish(worker, run))
+
+    def _finish(self, worker: Worker, run: Run) -> None:
+        line = self._lines.pop((worker.worker_id, run.run_id), None)
+        if line is not None:
+            line(worker.finish(run, self.clock.now_s), run.key)
+
+    def cancel(self, worker_id: str, keys: tuple[str, ...]) -> None:
+        """Stop tasks; their lines follow."""
+        if worker_id in self.dead or worker_id in self.stalled:
+            return
+        worker = self.by_id[worker_id]
+        for run in list(worker.running.values()):
+            if run.key in keys:
+                line = self._lines.pop((worker_id, run.run_id))
+                line(worker.stop(run, self.clock.now_s), run.key)
--- a/tests/faults/test_defects.py
+++ b/tests/faults/test_defects.py
@@ -2,17 +2,19 @@
 
 import typing
 
-import defects
-import injections
 import pytest
-import test_matrix
-import world as worlds
 
-Scenario = typing.Callable[[type], worlds.World]
+from orioleloom import engine
+from orioleloom_standins import virtual
+from tests.faults import defects
+from tests.faults import injections
+from tests.faults import test_matrix
+
+Scenario = typing.Callable[[type], virtual.World]
 
 
 def _cell(step: str, fault: str) -> Scenario:
-    def scenario(engine_class: type) -> worlds.World:
+    def scenario(engine_class: type) -> virtual.World:
         world, _ = test_matrix.run_with_faults(
             1, [(step, 1, fault)], engine_class=engine_class
         )
@@ -21,12 +23,12 @@
     return scenario
 
 
-def _not_run_then_killed(engine_class: type) -> worlds.World:
+def _not_run_then_killed(engine_class: type) -> virtual.World:
     """The holder dies between its "not run" and the record of it."""
-    world = worlds.World(seed=1, engine_class=engine_class)
+    world = virtual.World(seed=1, engine_class=engine_class)
     world.submit('busy', [1000.0] * 60)
     world.run_for(0.5)
-    world.on_step = lambda step, entry: (
+    world.processes.on_step = lambda step, entry: (
         injections.kill(world, entry)
         if step == 'record' and entry.id == 'e0'
         else None
@@ -38,9 +40,9 @@
     return world
 
 
-def _queued_then_killed(engine_class: type) -> worlds.World:
+def _queued_then_killed(engine_class: type) -> virtual.World:
     """The holder dies while it runs a job that had to wait for slots."""
-    world = worlds.World(seed=1, engine_class=engine_class)
+    world = virtual.World(seed=1, engine_class=engine_class)
     world.submit('busy', [300.0] * 40)
     world.run_for(0.2)
     world.submit('s1', [8000.0] * 4)
@@ -51,20 +53,20 @@
     return world
 
 
-def _two_copies_in_an_outage(engine_class: type) -> worlds.World:
+def _two_copies_in_an_outage(engine_class: type) -> virtual.World:
     """A claim is given up while another copy is claimed elsewhere."""
-    world = worlds.World(seed=1, engine_class=engine_class)
-    world.cut.add(frozenset(('e0', 'platform')))
+    world = virtual.World(seed=1, engine_class=engine_class)
+    world.network.cut.add(frozenset(('e0', 'platform')))
     world.submit('s1', [50.0] * 4)
     world.submit('s1', [50.0] * 4, entry_id='e1')
     world.run_for(10.0)
     return world
 
 
-def _late_contract(engine_class: type) -> worlds.World:
+def _late_contract(engine_class: type) -> virtual.World:
     """Messages with an old version arrive after the new one."""
-    world = worlds.World(seed=1, engine_class=engine_class)
-    world.peer_duplicates = 1.0
+    world = virtual.World(seed=1, engine_class=engine_class)
+    world.network.peer_duplicates = 1.0
     for version in (1, 2, 3):
         world.put_contract('e0', version, in_flight=10 * version)
         world.run_for(0.7)
@@ -96,4 +98,4 @@
     # out in turn, and the same history is sound with it.
     scenario = CAUGHT_BY[defect]
     assert scenario(defect).violations() != []
-    assert scenario(worlds.engine.Engine).violations() == []
+    assert scenario(engine.Engine).violations() == []
--- a/tests/faults/test_matrix.py
+++ b/tests/faults/test_matrix.py
@@ -2,9 +2,10 @@
 
 import random
 
-import injections
 import pytest
-import world as worlds
+
+from orioleloom_standins import virtual
+from tests.faults import injections
 
 STEPS = (
     'receive',
@@ -26,18 +27,18 @@
 
 def run_with_faults(
     seed: int, plan: list[tuple[str, int, str]], **options
-) -> tuple[worlds.World, int]:
+) -> tuple[virtual.World, int]:
     """Run jobs and inject each fault when its step happens.
 
     :param plan: ``(step, occurrence, fault)`` triples
     :returns: the world, and the number of faults injected
     """
-    world = worlds.World(seed=seed, **options)
+    world = virtual.World(seed=seed, **options)
     waiting = list(plan)
     seen: dict[str, int] = {}
     n_injected = 0
 
-    def on_step(step: str, entry: worlds.Entry) -> None:
+    def on_step(step: str, entry: virtual.Entry) -> None:
         nonlocal n_injected
         seen[step] = seen.get(step, 0) + 1
         for item in list(waiting):
@@ -46,34 +47,30 @@
                 n_injected += 1
                 injections.FAULTS[item[2]](world, entry)
 
-    world.on_step = on_step
+    world.processes.on_step = on_step
     world.submit('s1', WORK_MS, first=True)
     world.submit('s2', [50.0], entry_id='e1', first=True)
-    ticket_entry = world.entries['e0']
-    ticket = ticket_entry.core.mint_tickets(
-        worlds.CUSTOMER, 1, world.now_s + ticket_entry.clock_offset_s
-    )[0]
-    world.submit(ticket, WORK_MS)
+    world.submit(world.mint_ticket(), WORK_MS)
     for index in range(4):
         world.run_for(1.0)
         _change_contract(world, index)
     # Callers without an answer send a copy through the balancer.
-    world.resubmit_all(exclude='e0')
+    world.callers.resubmit_all(exclude='e0')
     world.run_for(16.0)
-    world.resubmit_all(exclude='e1')
+    world.callers.resubmit_all(exclude='e1')
     world.run_for(25.0)
     return world, n_injected
 
 
-def _change_contract(world: worlds.World, index: int) -> None:
+def _change_contract(world: virtual.World, index: int) -> None:
     """Change the contract at an instance that runs."""
     entry = world.entries[f'e{index % len(world.entries)}']
     if entry.alive and not entry.paused:
-        version = entry.core.contract(worlds.CUSTOMER).version
+        version = entry.core.contract(virtual.CUSTOMER).version
         world.put_contract(entry.id, version, in_flight=40 + index)
 
 
-def assert_sound(world: worlds.World) -> None:
+def assert_sound(world: virtual.World) -> None:
     assert world.violations() == []
     last = {}
     for copy in world.copies:
