Fit the runner to the engine and the clients as built

Cause: scans of the table come in pages of 1,000 rows, the clients are closed and forget gone workers, and the engine asks seed peers while the platform is unavailable at the start. Change: the runner reads all pages and forgets gone workers; settings peer_address, seed_peers and max_receiving_bytes; bodies being received are bounded in total. Requests that still wait once a stopping engine is drained are answered with progress.

--- a/benchmarks/submit_cost.py
+++ b/benchmarks/submit_cost.py
@@ -65,7 +65,10 @@
 
 
 class _NoPlatform:
-    async def scan(self, prefix, after_revision):
+    async def close(self):
+        pass
+
+    async def scan(self, prefix, after_revision, *, limit):
         return [], 0
 
     async def members(self, after_revision, data_centre):
@@ -160,7 +163,7 @@
                 lambda task_status: entry.serve(
                     settings,
                     build=lambda *_: entry.Parts(
-                        InstantEngine(), _NoPlatform(), None
+                        InstantEngine(), _NoPlatform(), _NoPlatform()
                     ),
                     task_status=task_status,
                 )
--- a/src/orioleloom/entry/_app.py
+++ b/src/orioleloom/entry/_app.py
@@ -78,7 +78,7 @@
     @app.get('/v1/contracts/<customer>/history')
     async def contract_history(customer: str) -> quart.Response:
         validation.check_customer(customer)
-        found = await runner.platform.scan(f'contract-history/{customer}/', 0)
+        found = await runner.scan_all(f'contract-history/{customer}/', 0)
         if found is None:
             raise errors.DispatchError(
                 errors.ErrorKind.PLATFORM_UNAVAILABLE,
--- a/src/orioleloom/entry/_daemon.py
+++ b/src/orioleloom/entry/_daemon.py
@@ -31,17 +31,24 @@
     workers: typing.Any
 
 
-def build_parts(settings: _settings.Settings, identity: str) -> Parts:
+def build_parts(
+    settings: _settings.Settings, identity: str, peer_address: str
+) -> Parts:
     """Build the engine and the clients of an instance."""
     from orioleloom import engine
     from orioleloom import platform_api
     from orioleloom import worker_api
 
+    values = {
+        **settings._asdict(),
+        'peer_address': peer_address,
+        'seed_peers': _settings.seed_peers(settings),
+    }
     engine_settings = engine.EngineSettings(
         **{
-            name: getattr(settings, name)
+            name: values[name]
             for name in engine.EngineSettings._fields
-            if name in settings._fields
+            if name in values
         }
     )
     return Parts(
@@ -53,7 +60,7 @@
             random_state=random.Random(),
         ),
         platform_api.PlatformClient(settings.platform_url),
-        worker_api.WorkerClient(),
+        worker_api.WorkerClient(settings.instance_id),
     )
 
 
@@ -98,7 +105,9 @@
 async def serve(
     settings: _settings.Settings,
     *,
-    build: typing.Callable[[_settings.Settings, str], Parts] = build_parts,
+    build: typing.Callable[
+        [_settings.Settings, str, str], Parts
+    ] = build_parts,
     task_status: trio.TaskStatus[
         tuple[str, _runner.EngineRunner]
     ] = trio.TASK_STATUS_IGNORED,
@@ -108,15 +117,17 @@
     SIGTERM, SIGINT and ``POST /v1/stop`` begin the stop.
 
     :param settings: checked settings
-    :param build: builds the engine and the clients from the settings
-        and the identity of the process
+    :param build: builds the engine and the clients from the settings,
+        the identity of the process and its peer address
     :param task_status: started with the base URL and the runner
     """
     # Never used twice, so that a restarted instance is another owner.
     identity = f'{settings.instance_id}/{secrets.token_hex(8)}'
     _log.start_logging()
-    parts = build(settings, identity)
     peer_socket = peer_api.PeerSocket(settings.peer_bind, identity)
+    parts = build(
+        settings, identity, settings.peer_address or peer_socket.address
+    )
     runner = _runner.EngineRunner(
         engine=parts.engine,
         identity=identity,
@@ -154,6 +165,9 @@
             await http_closed.wait()
             nursery.cancel_scope.cancel()
     finally:
+        with trio.move_on_after(1.0, shield=True):
+            await parts.workers.close()
+            await parts.platform.close()
         peer_socket.close()
         _log.stop_logging()
 
--- a/src/orioleloom/entry/_jobs.py
+++ b/src/orioleloom/entry/_jobs.py
@@ -53,6 +53,7 @@
     ):
         self.runner = runner
         self.application = application
+        self._receiving_bytes = 0
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -219,28 +220,43 @@
     ) -> bytes:
         if length is not None and int(length) > validation.MAX_BODY_BYTES:
             raise _too_large(int(length))
-        timeout_s = self.runner.settings.body_timeout_s
+        settings = self.runner.settings
         chunks = []
         n_bytes = 0
-        with trio.move_on_after(timeout_s):
-            while True:
-                message = await receive()
-                if message['type'] == 'http.disconnect':
-                    raise _Disconnected
-                chunk = message.get('body', b'')
-                if chunk:
-                    n_bytes += len(chunk)
-                    if n_bytes > validation.MAX_BODY_BYTES:
-                        raise _too_large(n_bytes)
-                    chunks.append(chunk)
-                if not message.get('more_body', False):
-                    return chunks[0] if len(chunks) == 1 else b''.join(chunks)
+        try:
+            with trio.move_on_after(settings.body_timeout_s):
+                while True:
+                    message = await receive()
+                    if message['type'] == 'http.disconnect':
+                        raise _Disconnected
+                    chunk = message.get('body', b'')
+                    if chunk:
+                        n_bytes += len(chunk)
+                        self._receiving_bytes += len(chunk)
+                        self._check_size(n_bytes)
+                        chunks.append(chunk)
+                    if not message.get('more_body', False):
+                        return b''.join(chunks)
+        finally:
+            self._receiving_bytes -= n_bytes
         raise errors.DispatchError(
             errors.ErrorKind.BAD_REQUEST,
-            f'body was not received within {timeout_s} s; {n_bytes} bytes '
-            'arrived',
+            f'body was not received within {settings.body_timeout_s} s; '
+            f'{n_bytes} bytes arrived',
         )
 
+    def _check_size(self, n_bytes: int) -> None:
+        if n_bytes > validation.MAX_BODY_BYTES:
+            raise _too_large(n_bytes)
+        accepted = self.runner.settings.max_receiving_bytes
+        if self._receiving_bytes > accepted:
+            raise errors.DispatchError(
+                errors.ErrorKind.OVERLOADED,
+                f'{self._receiving_bytes} bytes of incomplete bodies are '
+                f'held; accepted are {accepted}',
+                retry_after_ms=1_000,
+            )
+
     async def _fetch(
         self,
         scope: Scope,
--- a/src/orioleloom/entry/_runner.py
+++ b/src/orioleloom/entry/_runner.py
@@ -18,6 +18,8 @@
 # An engine answers an expired wait at once, or after one peer time-out.
 _EXPIRED_WAIT_TIMEOUT_S = 5.0
 
+_SCAN_PAGE_ROWS = 1_000
+
 # Added to the stop time-out for recording the answers of a cut-off drain.
 _STOP_MARGIN_S = 2.0
 
@@ -238,6 +240,12 @@
         except Exception:
             _log.log_internal_error('worker cancel')
 
+    async def _forget_worker(self, http: str) -> None:
+        try:
+            await self.workers.forget(http)
+        except Exception:
+            _log.log_internal_error('worker connections')
+
     async def _write_table(self, effect: effects.WriteTable) -> None:
         outcome: events.TableOutcome
         try:
@@ -325,7 +333,11 @@
         first = not self._members_read
         self._members_read = True
         for member in members:
-            if member.role is not model.Role.ENTRY or not member.peer:
+            if member.role is model.Role.WORKER:
+                if member.state is model.MemberState.GONE:
+                    self._start(self._forget_worker, member.http)
+                continue
+            if not member.peer:
                 continue
             if member.state is model.MemberState.GONE:
                 self._peer_addresses.pop(member.id, None)
@@ -337,7 +349,7 @@
             self.post(events.MembersChanged(tuple(members)))
 
     async def _read_contracts(self) -> None:
-        found = await self.platform.scan('contract/', self._contracts_revision)
+        found = await self.scan_all('contract/', self._contracts_revision)
         available = found is not None
         if available != self._platform_available:
             self._platform_available = available
@@ -354,6 +366,28 @@
         if rows or first:
             self.post(events.ContractsRead(tuple(rows)))
 
+    async def scan_all(
+        self, prefix: str, after_revision: int
+    ) -> tuple[list[model.Row], int] | None:
+        """Read all pages of a scan of the table.
+
+        :param prefix: prefix of the keys
+        :param after_revision: rows written later are read
+        :returns: rows in revision order and the revision to continue
+            from; ``None`` when a page could not be read
+        """
+        rows: list[model.Row] = []
+        while True:
+            found = await self.platform.scan(
+                prefix, after_revision, limit=_SCAN_PAGE_ROWS
+            )
+            if found is None:
+                return None
+            rows.extend(found[0])
+            after_revision = found[1]
+            if len(found[0]) < _SCAN_PAGE_ROWS:
+                return rows, after_revision
+
     # Life cycle
 
     async def run(
@@ -417,6 +451,10 @@
         bound_s = self.settings.stop_timeout_s + _STOP_MARGIN_S
         with trio.move_on_after(bound_s):
             while not self.engine.is_drained() or self._waiters:
+                if self.engine.is_drained():
+                    # What still waits asks for jobs of other instances.
+                    for request_id in [*self._waiters]:
+                        self.post(events.WaitExpired(request_id))
                 await trio.sleep(self.settings.busy_tick_interval_s)
             return True
         return False
--- a/src/orioleloom/entry/_settings.py
+++ b/src/orioleloom/entry/_settings.py
@@ -29,6 +29,8 @@
     http_bind_host: str = '127.0.0.1'
     http_bind_port: int = 8080
     peer_bind: str = 'tcp://127.0.0.1:8081'
+    peer_address: str = ''
+    seed_peers: str = ''
     members_poll_interval_s: float = 2.0
     contracts_poll_interval_s: float = 2.0
     busy_tick_interval_s: float = 0.05
@@ -46,6 +48,7 @@
     write_timeout_s: float = 30.0
     max_wait_s: float = 300.0
     max_open_requests: int = 20_000
+    max_receiving_bytes: int = 64 * 1024 * 1024
 
 
 _HELP = {
@@ -55,6 +58,10 @@
     'http_bind_host': 'IP number on which HTTP is served',
     'http_bind_port': 'port on which HTTP is served; 0 picks a free one',
     'peer_bind': 'tcp://IP:PORT for messages of other instances',
+    'peer_address': 'tcp://IP:PORT at which other instances reach this one, '
+    'when it differs from the bound one',
+    'seed_peers': 'comma-separated tcp://IP:PORT of instances to ask while '
+    'the platform is unavailable at the start',
     'members_poll_interval_s': 'seconds between reads of the member list',
     'contracts_poll_interval_s': 'seconds between reads of the contracts',
     'busy_tick_interval_s': 'seconds between checks while jobs are held',
@@ -74,6 +81,7 @@
     'its answer is disconnected',
     'max_wait_s': 'longest wait that a caller can ask for',
     'max_open_requests': 'bound on the requests waiting for an answer',
+    'max_receiving_bytes': 'bound on the bytes of bodies not yet complete',
 }
 
 
@@ -92,6 +100,9 @@
     'max_queued_tasks': validation.Interval(
         kind=int, low=validation.MAX_TASKS, high=10_000_000
     ),
+    'max_receiving_bytes': validation.Interval(
+        kind=int, low=validation.MAX_BODY_BYTES, high=64 * 1024**3
+    ),
     'max_queued_bytes': validation.Interval(
         kind=int, low=validation.MAX_BODY_BYTES, high=64 * 1024**3
     ),
@@ -139,9 +150,18 @@
     if url.scheme not in ('http', 'https') or not url.hostname:
         _refuse('platform_url', settings.platform_url, 'an http(s) URL')
     peer_api.check_peer_address(settings.peer_bind)
+    if settings.peer_address:
+        peer_api.check_peer_address(settings.peer_address)
+    for address in seed_peers(settings):
+        peer_api.check_peer_address(address)
     return settings
 
 
+def seed_peers(settings: Settings) -> tuple[str, ...]:
+    """Return the addresses of the setting ``seed_peers``."""
+    return tuple(filter(None, settings.seed_peers.split(',')))
+
+
 def add_arguments(
     parser: argparse.ArgumentParser,
     environment: collections.abc.Mapping[str, str] = os.environ,
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -90,7 +90,7 @@
     async def read(self, keys):
         return tuple(model.Row(key, None, 0) for key in keys)
 
-    async def scan(self, prefix, after_revision):
+    async def scan(self, prefix, after_revision, *, limit):
         if not self.available:
             return None
         return [row for row in self.rows if row.key.startswith(prefix)], 5
@@ -98,10 +98,14 @@
     async def members(self, after_revision, data_centre):
         return (self.member_rows, 5) if self.available else None
 
+    async def close(self):
+        pass
+
 
 class FakeWorkers:
     def __init__(self):
         self.cancelled = []
+        self.forgotten = []
 
     async def run_exchange(self, effect, on_line):
         for task in effect.tasks:
@@ -111,6 +115,12 @@
     async def cancel(self, effect):
         self.cancelled.append(effect)
 
+    async def forget(self, http):
+        self.forgotten.append(http)
+
+    async def close(self):
+        pass
+
 
 def make_settings(**changes):
     values = {
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -71,7 +71,7 @@
     async def serve(task_status):
         await entry.serve(
             fakes.make_settings(**changes),
-            build=lambda settings, identity: parts,
+            build=lambda *_: parts,
             task_status=task_status,
         )
         closed.set()
