--- a/src/orioleloom/codec/_peer.py
+++ b/src/orioleloom/codec/_peer.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from orioleloom import errors
+from orioleloom import model
 
 PROTOCOL_VERSION = 1
 
@@ -60,9 +61,23 @@
 
 
 class ContractPull(typing.NamedTuple):
-    """Ask for all contracts newer than the given versions."""
+    """Ask for the contracts newer than the given versions.
+
+    An instance that starts while the platform is away also asks for the
+    member list.
+
+    :param reply_to: peer address of the sender, which may not be listed
+    """
 
     versions: dict[str, int]
+    reply_to: str
+    with_members: bool = False
+
+
+class MembersPush(typing.NamedTuple):
+    """The sender's copy of the platform's list."""
+
+    members: list[model.Member]
 
 
 class ShareRequest(typing.NamedTuple):
@@ -72,16 +87,21 @@
     contract_version: int
     in_flight: int
     starts_per_s: float
+    burst: int = 0
 
 
 class ShareGrant(typing.NamedTuple):
-    """Lend share until ``ttl_ms`` after its receipt; may be zero."""
+    """Lend share until ``ttl_ms`` after the request was sent.
+
+    :param burst: bucket size lent, and start tokens handed over with it
+    """
 
     customer: str
     contract_version: int
     in_flight: int
     starts_per_s: float
     ttl_ms: int
+    burst: int = 0
 
 
 class WorkerNotice(typing.NamedTuple):
@@ -105,6 +125,7 @@
     | JobCancel
     | ContractPush
     | ContractPull
+    | MembersPush
     | ShareRequest
     | ShareGrant
     | WorkerNotice
--- a/src/orioleloom/entry/_daemon.py
+++ b/src/orioleloom/entry/_daemon.py
@@ -31,25 +31,19 @@
     workers: typing.Any
 
 
-def build_parts(
-    settings: _settings.Settings, identity: str, peer_address: str
-) -> Parts:
+def build_parts(settings: _settings.Settings, identity: str) -> Parts:
     """Build the engine and the clients of an instance."""
     from orioleloom import engine
     from orioleloom import platform_api
     from orioleloom import worker_api
 
-    values = {
-        **settings._asdict(),
-        'peer_address': peer_address,
-        'seed_peers': _settings.seed_peers(settings),
-    }
     engine_settings = engine.EngineSettings(
         **{
-            name: values[name]
+            name: getattr(settings, name)
             for name in engine.EngineSettings._fields
-            if name in values
-        }
+            if name in settings._fields and name != 'seed_peers'
+        },
+        seed_peers=_settings.seed_addresses(settings),
     )
     return Parts(
         engine.Engine(
@@ -105,9 +99,7 @@
 async def serve(
     settings: _settings.Settings,
     *,
-    build: typing.Callable[
-        [_settings.Settings, str, str], Parts
-    ] = build_parts,
+    build: typing.Callable[[_settings.Settings, str], Parts] = build_parts,
     task_status: trio.TaskStatus[
         tuple[str, _runner.EngineRunner]
     ] = trio.TASK_STATUS_IGNORED,
@@ -117,17 +109,19 @@
     SIGTERM, SIGINT and ``POST /v1/stop`` begin the stop.
 
     :param settings: checked settings
-    :param build: builds the engine and the clients from the settings,
-        the identity of the process and its peer address
+    :param build: builds the engine and the clients from the settings
+        and the identity of the process
     :param task_status: started with the base URL and the runner
     """
     # Never used twice, so that a restarted instance is another owner.
     identity = f'{settings.instance_id}/{secrets.token_hex(8)}'
     _log.start_logging()
     peer_socket = peer_api.PeerSocket(settings.peer_bind, identity)
-    parts = build(
-        settings, identity, settings.peer_address or peer_socket.address
+    # With port 0 the address is known only once it is bound.
+    settings = settings._replace(
+        peer_address=settings.peer_address or peer_socket.address
     )
+    parts = build(settings, identity)
     runner = _runner.EngineRunner(
         engine=parts.engine,
         identity=identity,
--- a/src/orioleloom/entry/_runner.py
+++ b/src/orioleloom/entry/_runner.py
@@ -225,14 +225,14 @@
         def on_line(line: model.TaskLine) -> None:
             self.post(events.LineReceived(exchange_id, line))
 
-        reason = ''
         try:
-            may_have_started = await self.workers.run_exchange(effect, on_line)
+            ended = await self.workers.run_exchange(effect, on_line)
         except Exception:
             reference = _log.log_internal_error('worker exchange')
-            may_have_started = True
-            reason = f'internal error; log reference {reference}'
-        self.post(events.ExchangeEnded(exchange_id, may_have_started, reason))
+            ended = events.ExchangeEnded(
+                exchange_id, True, f'internal error; log reference {reference}'
+            )
+        self.post(ended)
 
     async def _cancel_tasks(self, effect: effects.CancelTasks) -> None:
         try:
@@ -357,6 +357,9 @@
                 message_type='platform_state', available=available
             )
             self.post(events.PlatformState(available))
+        elif not available and not self.engine.is_ready():
+            # Asks the peers again for what the platform cannot give.
+            self.post(events.PlatformState(available))
         if found is None:
             self.counters['platform_failures'] += 1
             return
@@ -426,13 +429,9 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send work here."""
-        return (
-            not self.stopping
-            and self._members_read
-            # While the table is away, contracts come from peers.
-            and (self._contracts_read or bool(self.engine.contracts()))
-            and self.engine.is_ready()
-        )
+        # While the platform is away, contracts and members come from
+        # peers, so the engine decides alone.
+        return not self.stopping and self.engine.is_ready()
 
     def begin_stop(self) -> None:
         """Begin a planned stop; a second call has no effect."""
--- a/src/orioleloom/entry/_settings.py
+++ b/src/orioleloom/entry/_settings.py
@@ -60,8 +60,8 @@
     'peer_bind': 'tcp://IP:PORT for messages of other instances',
     'peer_address': 'tcp://IP:PORT at which other instances reach this one, '
     'when it differs from the bound one',
-    'seed_peers': 'comma-separated tcp://IP:PORT of instances to ask while '
-    'the platform is unavailable at the start',
+    'seed_peers': 'peer addresses, separated by commas, that are asked for '
+    'contracts when the platform is away at the start',
     'members_poll_interval_s': 'seconds between reads of the member list',
     'contracts_poll_interval_s': 'seconds between reads of the contracts',
     'busy_tick_interval_s': 'seconds between checks while jobs are held',
@@ -152,14 +152,14 @@
     peer_api.check_peer_address(settings.peer_bind)
     if settings.peer_address:
         peer_api.check_peer_address(settings.peer_address)
-    for address in seed_peers(settings):
+    for address in seed_addresses(settings):
         peer_api.check_peer_address(address)
     return settings
 
 
-def seed_peers(settings: Settings) -> tuple[str, ...]:
-    """Return the addresses of the setting ``seed_peers``."""
-    return tuple(filter(None, settings.seed_peers.split(',')))
+def seed_addresses(settings: Settings) -> tuple[str, ...]:
+    """Return the peer addresses to ask at the start."""
+    return tuple(a for a in settings.seed_peers.split(',') if a)
 
 
 def add_arguments(
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -24,6 +24,7 @@
         self.events = []
         self.effects = collections.defaultdict(list)
         self.busy = False
+        self.ready = True
         self.drained = True
 
     def handle(self, event, now_s):
@@ -67,7 +68,10 @@
         return {'jobs': len(self.seen(events.Submit))}
 
     def is_ready(self):
-        return True
+        known = self.seen(events.MembersChanged) and self.seen(
+            events.ContractsRead
+        )
+        return self.ready and bool(known)
 
     def is_drained(self):
         return self.drained
@@ -110,7 +114,7 @@
     async def run_exchange(self, effect, on_line):
         for task in effect.tasks:
             on_line(model.TaskLine(task.key, model.TaskOutcome.OK))
-        return True
+        return events.ExchangeEnded(effect.exchange_id, True)
 
     async def cancel(self, effect):
         self.cancelled.append(effect)
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -336,6 +336,7 @@
                     model.Answer(200, {'state': 'complete'}),
                 )
             ]
+            await until(lambda: responses)
             engine.drained = True
         assert responses[0].json() == {'state': 'complete'}
 
@@ -350,7 +351,7 @@
 async def test_not_ready_before_members_and_contracts_were_read():
     # Guards against work for an instance that knows no worker yet.
     async with running() as instance:
-        instance.runner._members_read = False
+        instance.engine.ready = False
         response = await instance.client.get('/readyz')
         assert response.status_code == 503
         assert response.json() == {'state': 'starting'}
