--- a/src/orioleloom/entry/_jobs.py
+++ b/src/orioleloom/entry/_jobs.py
@@ -26,6 +26,7 @@
 _PREFIX = '/v1/customers/'
 _WAIT = re.compile(r'wait=(\d{1,9}(?:\.\d{1,6})?)')
 _MAX_TICKETS = 10_000
+_DISCARD_TIMEOUT_S = 2.0
 
 _encoder = msgspec.json.Encoder()
 
@@ -52,6 +53,7 @@
     ):
         self.runner = runner
         self.application = application
+        self._receiving_bytes = 0
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -75,9 +77,11 @@
                 )
             )
         if answer is not None:
-            await self._answer(send, answer)
+            await self._answer(receive, send, answer)
 
-    async def _answer(self, send: Send, answer: model.Answer) -> None:
+    async def _answer(
+        self, receive: Receive, send: Send, answer: model.Answer
+    ) -> None:
         body = _encoder.encode(answer.body)
         headers = [
             (b'content-type', b'application/json'),
@@ -96,6 +100,16 @@
                 'headers': headers,
             }
         )
+        if answer.http_status == 413:
+            await send(
+                {
+                    'type': 'http.response.body',
+                    'body': body,
+                    'more_body': True,
+                }
+            )
+            await _discard_body(receive)
+            body = b''
         await send({'type': 'http.response.body', 'body': body})
 
     async def _dispatch(
@@ -206,28 +220,43 @@
     ) -> bytes:
         if length is not None and int(length) > validation.MAX_BODY_BYTES:
             raise _too_large(int(length))
-        timeout_s = self.runner.settings.body_timeout_s
+        settings = self.runner.settings
         chunks = []
         n_bytes = 0
-        with trio.move_on_after(timeout_s):
-            while True:
-                message = await receive()
-                if message['type'] == 'http.disconnect':
-                    raise _Disconnected
-                chunk = message.get('body', b'')
-                if chunk:
-                    n_bytes += len(chunk)
-                    if n_bytes > validation.MAX_BODY_BYTES:
-                        raise _too_large(n_bytes)
-                    chunks.append(chunk)
-                if not message.get('more_body', False):
-                    return chunks[0] if len(chunks) == 1 else b''.join(chunks)
+        try:
+            with trio.move_on_after(settings.body_timeout_s):
+                while True:
+                    message = await receive()
+                    if message['type'] == 'http.disconnect':
+                        raise _Disconnected
+                    chunk = message.get('body', b'')
+                    if chunk:
+                        n_bytes += len(chunk)
+                        self._receiving_bytes += len(chunk)
+                        self._check_size(n_bytes)
+                        chunks.append(chunk)
+                    if not message.get('more_body', False):
+                        return b''.join(chunks)
+        finally:
+            self._receiving_bytes -= n_bytes
         raise errors.DispatchError(
             errors.ErrorKind.BAD_REQUEST,
-            f'body was not received within {timeout_s} s; {n_bytes} bytes '
-            'arrived',
+            f'body was not received within {settings.body_timeout_s} s; '
+            f'{n_bytes} bytes arrived',
         )
 
+    def _check_size(self, n_bytes: int) -> None:
+        if n_bytes > validation.MAX_BODY_BYTES:
+            raise _too_large(n_bytes)
+        accepted = self.runner.settings.max_receiving_bytes
+        if self._receiving_bytes > accepted:
+            raise errors.DispatchError(
+                errors.ErrorKind.OVERLOADED,
+                f'{self._receiving_bytes} bytes of incomplete bodies are '
+                f'held; accepted are {accepted}',
+                retry_after_ms=1_000,
+            )
+
     async def _fetch(
         self,
         scope: Scope,
@@ -316,6 +345,21 @@
     return shielded_send
 
 
+async def _discard_body(receive: Receive) -> None:
+    """Read the rest of a refused body.
+
+    Closing a connection with unread bytes resets it, which can destroy
+    the answer on its way to the caller.
+    """
+    n_bytes = 0
+    with trio.move_on_after(_DISCARD_TIMEOUT_S):
+        while n_bytes < validation.MAX_BODY_BYTES:
+            message = await receive()
+            if not message.get('more_body', False):
+                return
+            n_bytes += len(message['body'])
+
+
 async def _wait_gone(receive: Receive) -> None:
     while True:
         message = await receive()
--- a/src/orioleloom/entry/_settings.py
+++ b/src/orioleloom/entry/_settings.py
@@ -29,6 +29,7 @@
     http_bind_host: str = '127.0.0.1'
     http_bind_port: int = 8080
     peer_bind: str = 'tcp://127.0.0.1:8081'
+    peer_address: str = ''
     seed_peers: str = ''
     members_poll_interval_s: float = 2.0
     contracts_poll_interval_s: float = 2.0
@@ -44,8 +45,10 @@
     readiness_grace_s: float = 2.0
     body_timeout_s: float = 10.0
     keep_alive_timeout_s: float = 75.0
+    write_timeout_s: float = 30.0
     max_wait_s: float = 300.0
     max_open_requests: int = 20_000
+    max_receiving_bytes: int = 64 * 1024 * 1024
 
 
 _HELP = {
@@ -55,6 +58,8 @@
     'http_bind_host': 'IP number on which HTTP is served',
     'http_bind_port': 'port on which HTTP is served; 0 picks a free one',
     'peer_bind': 'tcp://IP:PORT for messages of other instances',
+    'peer_address': 'tcp://IP:PORT at which other instances reach this one, '
+    'when it differs from the bound one',
     'seed_peers': 'peer addresses, separated by commas, that are asked for '
     'contracts when the platform is away at the start',
     'members_poll_interval_s': 'seconds between reads of the member list',
@@ -72,8 +77,11 @@
     'so that the load balancer sees that it is not ready',
     'body_timeout_s': 'seconds allowed for receiving a request body',
     'keep_alive_timeout_s': 'seconds an idle caller connection stays open',
+    'write_timeout_s': 'seconds after which a caller that reads nothing of '
+    'its answer is disconnected',
     'max_wait_s': 'longest wait that a caller can ask for',
     'max_open_requests': 'bound on the requests waiting for an answer',
+    'max_receiving_bytes': 'bound on the bytes of bodies not yet complete',
 }
 
 
@@ -92,6 +100,9 @@
     'max_queued_tasks': validation.Interval(
         kind=int, low=validation.MAX_TASKS, high=10_000_000
     ),
+    'max_receiving_bytes': validation.Interval(
+        kind=int, low=validation.MAX_BODY_BYTES, high=64 * 1024**3
+    ),
     'max_queued_bytes': validation.Interval(
         kind=int, low=validation.MAX_BODY_BYTES, high=64 * 1024**3
     ),
@@ -103,6 +114,7 @@
     'readiness_grace_s': _seconds(0, 60),
     'body_timeout_s': _seconds(0.05, 300),
     'keep_alive_timeout_s': _seconds(1, 3_600),
+    'write_timeout_s': _seconds(0.5, 600),
     'max_wait_s': _seconds(1, 3_600),
     'max_open_requests': validation.Interval(kind=int, low=1, high=1_000_000),
 }
@@ -138,6 +150,8 @@
     if url.scheme not in ('http', 'https') or not url.hostname:
         _refuse('platform_url', settings.platform_url, 'an http(s) URL')
     peer_api.check_peer_address(settings.peer_bind)
+    if settings.peer_address:
+        peer_api.check_peer_address(settings.peer_address)
     for address in seed_addresses(settings):
         peer_api.check_peer_address(address)
     return settings
