--- a/src/orioleloom/peer_api/_socket.py
+++ b/src/orioleloom/peer_api/_socket.py
@@ -83,21 +83,19 @@
         self.counters = PeerCounters()
         self._context = zmq.Context(io_threads=1)
         self._dealers: dict[str, zmq.Socket] = {}
-        self._router = self._new_socket(zmq.ROUTER)
-        self._router.bind(
-            bind_address.replace(':0', ':*')
-            if bind_address.endswith(':0')
-            else bind_address
-        )
+        self._router = self._new_socket(zmq.ROUTER, bind_address)
+        if bind_address.endswith(':0'):
+            bind_address = bind_address.removesuffix('0') + '*'
+        self._router.bind(bind_address)
         self.address = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
 
-    def _new_socket(self, kind: int) -> zmq.Socket:
+    def _new_socket(self, kind: int, address: str) -> zmq.Socket:
         socket = self._context.socket(kind)
+        socket.ipv6 = '[' in address
         socket.linger = 0
         socket.sndhwm = self.high_water_mark
         socket.rcvhwm = self.high_water_mark
         socket.setsockopt(zmq.MAXMSGSIZE, codec.MAX_PEER_MESSAGE_BYTES)
-        socket.setsockopt(zmq.IPV6, 1)
         # Reconnects back off, so that peers of a dead instance do not
         # try it ten times a second until the platform drops it.
         socket.setsockopt(zmq.RECONNECT_IVL, 100)
@@ -115,7 +113,7 @@
         dealer = self._dealers.get(peer_address)
         if dealer is None:
             check_peer_address(peer_address)
-            dealer = self._new_socket(zmq.DEALER)
+            dealer = self._new_socket(zmq.DEALER, peer_address)
             dealer.connect(peer_address)
             self._dealers[peer_address] = dealer
         try:
--- a/src/orioleloom/timers/_service.py
+++ b/src/orioleloom/timers/_service.py
@@ -1,6 +1,7 @@
 import heapq
 import itertools
 import random
+import traceback
 import typing
 
 import eliot
@@ -114,7 +115,11 @@
                 try:
                     timer.callback()
                 except Exception:
-                    eliot.write_traceback()
+                    eliot.log_message(
+                        message_type='timer_failed',
+                        timer=timer.name,
+                        traceback=traceback.format_exc(),
+                    )
                 if self._timers.get(timer.name) is timer:
                     self._schedule(timer, now_s)
             self._changed = trio.Event()
