Test the bound on incomplete bodies and the pages of a scan

Cause: both came after the first tests and had none. Change: a test that a submission over the total bound is refused as overloaded, and one that 2,500 contract rows arrive with one poll and that connections to a gone worker are dropped.

--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -1,6 +1,8 @@
 import collections
 import random
 
+import trio
+
 from orioleloom.engine import _effects as effects
 from orioleloom.engine import _events as events
 from orioleloom import entry
@@ -13,6 +15,11 @@
 CONTRACT = model.Contract('acme', 1, 8, 100.0, 10, ('pool',))
 
 
+async def until(condition):
+    while not condition():
+        await trio.sleep(0.002)
+
+
 class FakeEngine:
     """Records events and returns the effects that a test prepared.
 
@@ -97,7 +104,12 @@
     async def scan(self, prefix, after_revision, *, limit):
         if not self.available:
             return None
-        return [row for row in self.rows if row.key.startswith(prefix)], 5
+        rows = [
+            row
+            for row in self.rows
+            if row.key.startswith(prefix) and row.revision > after_revision
+        ][:limit]
+        return rows, rows[-1].revision if rows else after_revision
 
     async def members(self, after_revision, data_centre):
         return (self.member_rows, 5) if self.available else None
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -85,11 +85,6 @@
         nursery.cancel_scope.deadline = trio.current_time() + 5
 
 
-async def until(condition):
-    while not condition():
-        await trio.sleep(0.002)
-
-
 async def test_submit_is_answered_and_logged_once(capfd):
     # Guards the path of a submission, and against log lines per task.
     async with running() as instance:
@@ -181,6 +176,18 @@
     assert received.startswith(b'HTTP/1.1 413')
 
 
+async def test_incomplete_bodies_are_bounded_in_total():
+    # Guards R12: many slow bodies, each below its limit, must not fill
+    # the memory.
+    async with running() as instance:
+        runner = instance.runner
+        runner.settings = runner.settings._replace(max_receiving_bytes=10)
+        response = await instance.submit()
+    assert response.status_code == 503
+    assert response.json()['error']['code'] == 'overloaded'
+    assert response.headers['retry-after'] == '1'
+
+
 async def test_caller_that_stops_reading_is_disconnected():
     # Guards R7: hypercorn's writes cannot be cancelled, so such a caller
     # would hold up a planned stop for ever.
@@ -189,7 +196,7 @@
         stream = await trio.open_tcp_stream('127.0.0.1', instance.port)
         await stream.send_all(f'GET {JOBS}/s1?wait_s=9 HTTP/1.1\r\n'.encode())
         await stream.send_all(b'host: x\r\n\r\n')
-        await until(lambda: engine.seen(events.Fetch))
+        await fakes.until(lambda: engine.seen(events.Fetch))
         engine.effects[events.Tick] = [
             effects.Respond(1, model.Answer(200, {'results': 'x' * 2**24}))
         ]
@@ -217,9 +224,9 @@
         engine = instance.engine
         async with trio.open_nursery() as nursery:
             nursery.start_soon(instance.submit)
-            await until(lambda: engine.seen(events.Submit))
+            await fakes.until(lambda: engine.seen(events.Submit))
             nursery.cancel_scope.cancel()
-        await until(lambda: engine.seen(events.RequestGone))
+        await fakes.until(lambda: engine.seen(events.RequestGone))
 
         responses = {}
 
@@ -230,7 +237,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(fetch, 'a')
             nursery.start_soon(fetch, 'b')
-            await until(lambda: len(engine.seen(events.Fetch)) == 2)
+            await fakes.until(lambda: len(engine.seen(events.Fetch)) == 2)
             engine.effects[events.Tick] = [
                 effects.Respond(
                     event.request_id,
@@ -320,12 +327,12 @@
         engine.drained = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(submit)
-            await until(lambda: engine.seen(events.Submit))
+            await fakes.until(lambda: engine.seen(events.Submit))
             if way == 'signal':
                 os.kill(os.getpid(), signal.SIGTERM)
             else:
                 await instance.client.post('/v1/stop')
-            await until(lambda: engine.seen(events.StopRequested))
+            await fakes.until(lambda: engine.seen(events.StopRequested))
             ready = await instance.client.get('/readyz')
             assert ready.status_code == 503
             assert ready.headers['connection'] == 'close'
@@ -336,7 +343,7 @@
                     model.Answer(200, {'state': 'complete'}),
                 )
             ]
-            await until(lambda: responses)
+            await fakes.until(lambda: responses)
             engine.drained = True
         assert responses[0].json() == {'state': 'complete'}
 
--- a/tests/entry/test_runner.py
+++ b/tests/entry/test_runner.py
@@ -21,11 +21,6 @@
     runner.peer_socket.close()
 
 
-async def until(condition):
-    while not condition():
-        await trio.sleep(0.002)
-
-
 SEND = effects.SendTasks(
     3, 'w1', 'http://w1', (effects.SentTask('a/s/0', 'k', 1, 10),), 1.0
 )
@@ -46,9 +41,9 @@
             effects.SendPeer('e2', 'nonsense', 9, codec.LeavingNotice('e1')),
         ]
         runner.post(events.Tick())
-        await until(lambda: engine.seen(events.PeerReceived))
-        await until(lambda: engine.seen(events.ExchangeEnded))
-        await until(lambda: runner.workers.cancelled)
+        await fakes.until(lambda: engine.seen(events.PeerReceived))
+        await fakes.until(lambda: engine.seen(events.ExchangeEnded))
+        await fakes.until(lambda: runner.workers.cancelled)
         assert events.TableDone('t1', events.Committed(7)) in engine.events
         rows = (model.Row('k', None, 0),)
         assert events.RowsRead('t2', rows) in engine.events
@@ -75,8 +70,8 @@
             effects.ReadTable('t2', ()),
         ]
         runner.post(events.Tick())
-        await until(lambda: runner.engine.seen(events.RowsRead))
-        await until(lambda: runner.engine.seen(events.ExchangeEnded))
+        await fakes.until(lambda: runner.engine.seen(events.RowsRead))
+        await fakes.until(lambda: runner.engine.seen(events.ExchangeEnded))
         assert runner.engine.seen(events.ExchangeEnded)[0].may_have_started
         outcome = events.TableDone('t1', events.WriteUnknown())
         assert outcome in runner.engine.events
@@ -92,7 +87,7 @@
             socket.address,
             codec.encode_peer(1, 'e2/x', codec.LeavingNotice('e2')),
         )
-        await until(lambda: runner.engine.seen(events.PeerReceived))
+        await fakes.until(lambda: runner.engine.seen(events.PeerReceived))
         assert socket.counters.malformed_messages == 1
 
 
@@ -104,14 +99,14 @@
     ) as runner:
         engine = runner.engine
         platform = runner.platform
-        await until(runner.is_ready)
+        await fakes.until(runner.is_ready)
         await trio.sleep(0.2)
         assert engine.seen(events.MembersChanged) == [
             events.MembersChanged(())
         ]
         assert engine.seen(events.ContractsRead) == [events.ContractsRead(())]
         platform.available = False
-        await until(lambda: len(engine.seen(events.PlatformState)) == 2)
+        await fakes.until(lambda: len(engine.seen(events.PlatformState)) == 2)
         platform.available = True
         platform.member_rows = (
             model.Member(
@@ -123,8 +118,8 @@
                 'tcp://127.0.0.1:1',
             ),
         )
-        await until(lambda: len(engine.seen(events.MembersChanged)) > 1)
-        await until(lambda: len(engine.seen(events.PlatformState)) == 3)
+        await fakes.until(lambda: len(engine.seen(events.MembersChanged)) > 1)
+        await fakes.until(lambda: len(engine.seen(events.PlatformState)) == 3)
         assert [e.available for e in engine.seen(events.PlatformState)] == [
             True,
             False,
@@ -133,6 +128,24 @@
         assert runner.state()['peers'] == {'e2': 'tcp://127.0.0.1:1'}
 
 
+async def test_all_pages_are_read_and_gone_workers_forgotten():
+    # Guards R8: contracts beyond the first page of 1,000 rows must not
+    # wait for later polls; and against connections kept to gone workers.
+    async with running() as runner:
+        runner.platform.rows = [
+            model.Row(f'contract/c{n}', {}, n) for n in range(1, 2_501)
+        ]
+        gone = (model.Role.WORKER, model.MemberState.GONE)
+        runner.platform.member_rows = (
+            model.Member('w1', *gone, 'brandon', 'http://w1'),
+        )
+        await runner._read_contracts()
+        await runner._read_members()
+        await fakes.until(lambda: runner.workers.forgotten == ['http://w1'])
+        read = runner.engine.seen(events.ContractsRead)
+        assert sum(len(event.rows) for event in read) == 2_500
+
+
 @pytest.mark.parametrize(
     ('busy', 'low', 'high'), [(True, 6, 11), (False, 0, 1)]
 )
