Count the instances' polls in an embedded load

Cause: instances do not count their member and contract polls, so the wasted messages per task lacked them. Change: an embedded load takes both from the platform stand-in, which counts members and scan requests.

--- a/src/orioleloom/cli/_load.py
+++ b/src/orioleloom/cli/_load.py
@@ -233,7 +233,7 @@
             await cluster.wait_ready()
             await trio.sleep(_JOIN_S)
             base_urls = list(cluster.entry_urls.values())
-        before = await load.read_counters(base_urls)
+        before = await _read_counters(base_urls, cluster)
         results = await load.run_load(
             record,
             base_urls,
@@ -241,7 +241,7 @@
             use_tickets=arguments.use_tickets,
             random_state=arguments.seed,
         )
-        after = await load.read_counters(base_urls)
+        after = await _read_counters(base_urls, cluster)
         faults = []
         if cluster is not None:
             starts = await cluster.count_starts()
@@ -253,6 +253,16 @@
     return results, load.messages(before, after, record.n_tasks), faults
 
 
+async def _read_counters(
+    base_urls: typing.Sequence[str], cluster: _processes.Cluster | None
+) -> dict[str, float]:
+    """Read the instances' counters, and their polls from the platform."""
+    counters = await load.read_counters(base_urls)
+    if cluster is None:
+        return counters
+    return {**await cluster.count_polls(), **counters}
+
+
 def print_report(report: dict[str, typing.Any]) -> None:
     """Print a report for an operator."""
     print(
--- a/src/orioleloom/cli/_processes.py
+++ b/src/orioleloom/cli/_processes.py
@@ -276,6 +276,18 @@
             return
         raise ClusterError('contracts were not in force within 12 s')
 
+    async def count_polls(self) -> dict[str, float]:
+        """Return the instances' polls as the platform counted them."""
+        response = await self._http.get(
+            f'{self.platform_url}/v1/standin/counters'
+        )
+        response.raise_for_status()
+        counted = response.json()
+        return {
+            'member_polls': counted.get('members', 0),
+            'contract_polls': counted.get('scan', 0),
+        }
+
     async def count_starts(self) -> dict[str, int]:
         """Return the starts of each task from the workers' ledgers."""
         starts: collections.Counter[str] = collections.Counter()
