Do not blame workers for a kind of task that fails everywhere

Three failures of one faulty kind on each worker would have put a third of the workers in quarantine. A kind that failed on three workers since its last success no longer counts against them.

--- a/src/orioleloom/placement/_policies.py
+++ b/src/orioleloom/placement/_policies.py
@@ -52,8 +52,8 @@
     for a short time, since workers that fill up do so together.
 
     :param rejected_share: rejected exchanges allowed for each success
-    :param kept_slots: slots left free for their home instances when this
-        instance borrows
+    :param kept_share: share of a worker's slots left free for their home
+        instances when this instance borrows
     :param surge: certainty that a rejection adds for ``recover_s``
 
     >>> policy = ExpectedCompletion(rejected_share=0.02)
@@ -63,12 +63,12 @@
         self,
         *,
         rejected_share: float = 0.0125,
-        kept_slots: float = 1.0,
+        kept_share: float = 0.125,
         surge: float = 4.0,
         recover_s: float = 0.3,
     ) -> None:
         self.rejected_share = rejected_share
-        self.kept_slots = kept_slots
+        self.kept_share = kept_share
         self.surge = surge
         self.recover_s = recover_s
         self.certainty_ = _MAX_CERTAINTY
@@ -97,7 +97,8 @@
             return worker.free_score(now_s) >= wanted
         if now_s - worker.reported_at_s > worker.relax_s:
             return False
-        score = worker.free_score(now_s, self.kept_slots)
+        kept = self.kept_share * worker.slots
+        score = worker.free_score(now_s, kept)
         return score >= self.certainty_
 
     def free_again_at_s(self, worker: _worker.Worker, now_s: float) -> float:
--- a/src/orioleloom/placement/_pool.py
+++ b/src/orioleloom/placement/_pool.py
@@ -9,6 +9,7 @@
 from orioleloom import model
 from orioleloom.placement import _group
 from orioleloom.placement import _health
+from orioleloom.placement import _kinds
 from orioleloom.placement import _policies
 from orioleloom.placement import _racks
 from orioleloom.placement import _speed
@@ -63,6 +64,7 @@
         self._entries: dict[str, _Entry] = {}
         self._groups: dict[str, _group.Group] = {}
         self._racks = _racks.Racks()
+        self._failing_kinds = _kinds.FailingKinds()
         self._run_times = _speed.RunTimeModel()
         self._rank: int | None = None
         self._n_entries = 0
@@ -164,6 +166,7 @@
         self.policy.succeeded()
         entry.group.probe_wait_s = _group.FIRST_PROBE_WAIT_S
         entry.health.on_success()
+        self._failing_kinds.succeeded(kind)
         self._reachable(entry, now_s)
         self._refresh(entry, now_s)
 
@@ -180,7 +183,9 @@
         if not entry:
             return
         entry.worker.report(free_slots, now_s)
-        if entry.health.on_failure(now_s):
+        if self._failing_kinds.failed(kind, worker_id):
+            entry.health.on_answer()
+        elif entry.health.on_failure(now_s):
             self._quarantine(entry, now_s, told=False)
         self._reachable(entry, now_s)
         self._refresh(entry, now_s)
--- a/tests/placement/test_pool.py
+++ b/tests/placement/test_pool.py
@@ -150,6 +150,15 @@
     assert len(pool.take_notices()) == 2
 
 
+def test_kind_that_fails_everywhere_does_not_quarantine():
+    """Guards against one customer's faulty tasks that block workers."""
+    pool = make_pool(n=12)
+    for i in range(12):
+        fail(pool, f'w{i}', 1, 0.0)
+    fail(pool, 'w5', 20, 0.0)
+    assert pool.take_notices() == []
+
+
 def test_total_failure_is_quarantined_beyond_a_third():
     """Guards against failing workers kept in use by the limit."""
     pool = make_pool(n=3)
