Keep the cost of run time estimates independent of the worker count

The engine asks for an expected run time for each task, which scanned all workers of the upstream. The mean and the smallest factor are now summarised once for as many results as there are workers.

--- a/benchmarks/placement_cost.py
+++ b/benchmarks/placement_cost.py
@@ -41,8 +41,9 @@
 def cost_us(n_workers: int, n_tasks: int, seed: int) -> float:
     """Return processor time for each task placed.
 
-    About 60 % of the home share is in progress; reported free slots
-    vary, so that workers open and close.
+    Calls that keep a task queued count towards the placed tasks. About
+    60 % of the home share is in progress; reported free slots vary, so
+    that workers open and close.
     """
     rng = random.Random(seed)
     pool = make_pool(n_workers, seed)
--- a/src/orioleloom/placement/_group.py
+++ b/src/orioleloom/placement/_group.py
@@ -22,6 +22,9 @@
         self._classes: list[int] = []
         # Own tasks in progress per speed class, for finishing rates.
         self._running: dict[int, int] = {}
+        self._n_learnt = 0
+        self._typical = 0.0
+        self._fastest = math.inf
         self.n_open = 0
         self.n_running = 0
         self.probe_at_s = math.inf
@@ -87,14 +90,33 @@
             running[speed_class] = running.get(speed_class, 0) + change
             worker.counted_outstanding = worker.outstanding
 
+    def learnt(self) -> None:
+        """Count a result, which may have changed a factor."""
+        self._n_learnt += 1
+
+    def changed(self) -> None:
+        """Forget the summary of the factors after a change of the list."""
+        self._n_learnt = len(self.workers)
+
     def fastest_log_factor(self) -> float:
-        """Return the smallest factor of a live worker."""
-        return min(
-            (w.log_factor for w in self.workers.values() if w.live),
-            default=math.inf,
-        )
+        """Return the smallest factor of a live worker, or infinity."""
+        self._summarise()
+        return self._fastest
 
     def typical_log_factor(self) -> float:
         """Return the mean factor of the workers with results."""
-        factors = [w.log_factor for w in self.workers.values() if w.n_results]
-        return sum(factors) / len(factors) if factors else 0.0
+        self._summarise()
+        return self._typical
+
+    def _summarise(self) -> None:
+        # One pass for as many results as there are workers keeps the cost
+        # of a task independent of the number of workers.
+        if self._n_learnt < len(self.workers):
+            return
+        self._n_learnt = 0
+        workers = self.workers.values()
+        factors = [w.log_factor for w in workers if w.n_results]
+        self._typical = sum(factors) / len(factors) if factors else 0.0
+        self._fastest = min(
+            (w.log_factor for w in workers if w.live), default=math.inf
+        )
--- a/src/orioleloom/placement/_policies.py
+++ b/src/orioleloom/placement/_policies.py
@@ -7,8 +7,6 @@
 from orioleloom.placement import _group
 from orioleloom.placement import _worker
 
-# A baseline tries a full worker again after this time.
-BASELINE_RETRY_S = 0.01
 # With 4.5 here pools stopped using idle workers: response times were ten
 # times the ideal. The report of a slot that a task just left scores 5.
 _MAX_CERTAINTY = 2.2
@@ -152,7 +150,13 @@
 
 
 class _Baseline:
-    """Uses own outstanding tasks only; a full worker rejects."""
+    """Uses own outstanding tasks only; a full worker rejects.
+
+    :param retry_s: time after which a worker that rejected is tried again
+    """
+
+    def __init__(self, *, retry_s: float = 0.1) -> None:
+        self.retry_s = retry_s
 
     def succeeded(self) -> None:
         """Learn nothing."""
@@ -162,11 +166,11 @@
 
     def believes_free(self, worker: _worker.Worker, now_s: float) -> bool:
         """Skip a worker that rejected a task just now."""
-        return now_s >= worker.probe_at_s
+        return now_s >= worker.rejected_at_s + self.retry_s
 
     def free_again_at_s(self, worker: _worker.Worker, now_s: float) -> float:
         """Return when a worker that rejected may be tried again."""
-        return max(now_s, worker.probe_at_s)
+        return max(now_s, worker.rejected_at_s + self.retry_s)
 
 
 class Random(_Baseline):
@@ -187,7 +191,8 @@
 class RoundRobin(_Baseline):
     """Workers in turn."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, retry_s: float = 0.1) -> None:
+        super().__init__(retry_s=retry_s)
         self._last_id = ''
 
     def pick(
--- a/src/orioleloom/placement/_pool.py
+++ b/src/orioleloom/placement/_pool.py
@@ -84,8 +84,10 @@
             if member.role is model.Role.WORKER:
                 listed.add(member.id)
                 self._set_worker(member, now_s)
-        for worker_id in self._entries.keys() - listed:
+        for worker_id in sorted(self._entries.keys() - listed):
             self._remove(worker_id, now_s)
+        for group in self._groups.values():
+            group.changed()
 
     def set_rank(self, rank: int | None, n_entries: int) -> None:
         """Set the rank that determines the home share.
@@ -104,6 +106,7 @@
         if entry:
             entry.worker.live = False
             entry.group.place(entry.worker, False)
+            entry.group.changed()
 
     def choose(
         self,
@@ -167,6 +170,7 @@
         entry.group.probe_wait_s = _group.FIRST_PROBE_WAIT_S
         entry.health.on_success()
         self._failing_kinds.succeeded(kind)
+        entry.group.learnt()
         self._reachable(entry, now_s)
         self._refresh(entry, now_s)
 
@@ -199,17 +203,17 @@
         if worker.reject():
             self.policy.rejected(now_s)
         worker.report(free_slots, now_s)
-        worker.probe_at_s = now_s + _policies.BASELINE_RETRY_S
+        worker.rejected_at_s = now_s
         entry.health.on_answer()
         self._reachable(entry, now_s)
         self._refresh(entry, now_s)
 
     def unknown(self, worker_id: str, now_s: float) -> None:
-        """Record a broken exchange after the task was sent."""
+        """Record a task sent in an exchange that broke; one call a task."""
         self._no_answer(worker_id, now_s)
 
     def unreachable(self, worker_id: str, now_s: float) -> None:
-        """Record a refused connection."""
+        """Record a task whose connection was refused; one call a task."""
         self._no_answer(worker_id, now_s)
 
     def quarantine(self, worker_id: str, now_s: float) -> None:
--- a/src/orioleloom/placement/_worker.py
+++ b/src/orioleloom/placement/_worker.py
@@ -36,7 +36,7 @@
         self.others_mean = 0.0
         self.others_variance = 1.0
         self.relax_s = _INITIAL_RELAX_S
-        self.probe_at_s = -math.inf
+        self.rejected_at_s = -math.inf
         # Tasks sent together, and how many of them were rejected.
         self.batch_at_s = -math.inf
         self.n_in_batch = 0
--- a/tests/placement/test_pool.py
+++ b/tests/placement/test_pool.py
@@ -251,6 +251,47 @@
     assert start_all(pool, 1.0) == [worker_id] * 4
 
 
+def test_start_ends_the_wait_for_a_probe():
+    """Guards against a timer in the past, which made the caller spin."""
+    pool = make_pool(n=1)
+    pool.set_rank(None, 0)
+    assert start(pool, 0.0) is None
+    assert pool.next_change_at_s() < 0.1
+    pool.set_rank(0, 1)
+    assert len(start_all(pool, 0.01)) == SLOTS
+    assert start(pool, 1.0) is None
+    assert pool.next_change_at_s() > 1.0
+
+
+def test_probe_comes_after_a_worker_changed_its_speed_class():
+    """Guards against tasks counted as in progress for ever."""
+    pool = make_pool(n=1, slots=8)
+    pool.set_rank(None, 0)
+    for run_time_ms in (100.0, 4000.0) * 20:
+        for _ in range(3):
+            pool.started('w0', 'kind', 0.0)
+        for _ in range(3):
+            pool.finished('w0', 'kind', run_time_ms, 1.0, 0, 0.0, 100.0)
+    assert start(pool, 100.0) is None
+    assert pool.next_change_at_s() < 101.0
+
+
+def test_rejection_pauses_claims_that_rest_on_old_reports():
+    """F9. Guards against many wasted messages when workers fill up."""
+    pool = make_pool(n=4, slots=8)
+    pool.set_rank(0, 8)
+    for worker_id in ('w0', 'w1', 'w2', 'w3'):
+        for _ in range(12):
+            for free in (2, 6):
+                pool.started(worker_id, 'kind', 0.0)
+                pool.finished(worker_id, 'kind', 250.0, 251.0, free, 0.0)
+    worker_id = start(pool, 1.0)
+    assert worker_id is not None
+    pool.rejected(worker_id, 0, 1.002)
+    assert start(pool, 1.003) is None
+    assert start(pool, 3.0) is not None
+
+
 events = st.lists(
     st.tuples(
         st.sampled_from(
