--- a/src/orioleloom/placement/_pool.py
+++ b/src/orioleloom/placement/_pool.py
@@ -9,6 +9,7 @@
 from orioleloom import model
 from orioleloom.placement import _group
 from orioleloom.placement import _health
+from orioleloom.placement import _kinds
 from orioleloom.placement import _policies
 from orioleloom.placement import _racks
 from orioleloom.placement import _speed
@@ -63,6 +64,7 @@
         self._entries: dict[str, _Entry] = {}
         self._groups: dict[str, _group.Group] = {}
         self._racks = _racks.Racks()
+        self._failing_kinds = _kinds.FailingKinds()
         self._run_times = _speed.RunTimeModel()
         self._rank: int | None = None
         self._n_entries = 0
@@ -82,8 +84,10 @@
             if member.role is model.Role.WORKER:
                 listed.add(member.id)
                 self._set_worker(member, now_s)
-        for worker_id in self._entries.keys() - listed:
+        for worker_id in sorted(self._entries.keys() - listed):
             self._remove(worker_id, now_s)
+        for group in self._groups.values():
+            group.changed()
 
     def set_rank(self, rank: int | None, n_entries: int) -> None:
         """Set the rank that determines the home share.
@@ -102,6 +106,7 @@
         if entry:
             entry.worker.live = False
             entry.group.place(entry.worker, False)
+            entry.group.changed()
 
     def choose(
         self,
@@ -164,6 +169,8 @@
         self.policy.succeeded()
         entry.group.probe_wait_s = _group.FIRST_PROBE_WAIT_S
         entry.health.on_success()
+        self._failing_kinds.succeeded(kind)
+        entry.group.learnt()
         self._reachable(entry, now_s)
         self._refresh(entry, now_s)
 
@@ -180,7 +187,9 @@
         if not entry:
             return
         entry.worker.report(free_slots, now_s)
-        if entry.health.on_failure(now_s):
+        if self._failing_kinds.failed(kind, worker_id):
+            entry.health.on_answer()
+        elif entry.health.on_failure(now_s):
             self._quarantine(entry, now_s, told=False)
         self._reachable(entry, now_s)
         self._refresh(entry, now_s)
@@ -194,7 +203,7 @@
         if worker.reject():
             self.policy.rejected(now_s)
         worker.report(free_slots, now_s)
-        worker.probe_at_s = now_s + _policies.BASELINE_RETRY_S
+        worker.rejected_at_s = now_s
         entry.health.on_answer()
         self._reachable(entry, now_s)
         self._refresh(entry, now_s)
@@ -210,11 +219,11 @@
         self._refresh(entry, now_s)
 
     def unknown(self, worker_id: str, now_s: float) -> None:
-        """Record a broken exchange after the task was sent."""
+        """Record a task sent in an exchange that broke; one call a task."""
         self._no_answer(worker_id, now_s)
 
     def unreachable(self, worker_id: str, now_s: float) -> None:
-        """Record a refused connection."""
+        """Record a task whose connection was refused; one call a task."""
         self._no_answer(worker_id, now_s)
 
     def quarantine(self, worker_id: str, now_s: float) -> None:
