Widen the fault matrix to contract changes; keep engine time monotonic

A watch checks R6 and R8 during a run: starts on workers listed as leaving, and committed contracts that are not in force on an instance in touch with the platform. The world polls as the daemon's runner does.

Cause: waits are set as absolute times, so a clock that goes back by 100 s makes each of them 100 s longer. Before: a job accepted before the jump got no answer for that time. After: the engine absorbs the jump and goes on from where it was.

--- a/src/orioleloom/engine/_engine.py
+++ b/src/orioleloom/engine/_engine.py
@@ -102,6 +102,7 @@
         self._remote.take_over = self._claims.take_over
         self._remote.submit_forwarded = self._submissions.submit_forwarded
         self._members_known = False
+        self._clock_offset_s = 0.0
 
     def handle(
         self, event: events.Event, now_s: float
@@ -113,7 +114,7 @@
         :returns: what the caller must do now, in order
         """
         core = self.core
-        core.now_s = now_s
+        core.now_s = self._time(now_s)
         self._route(event)
         self.dispatcher.run()
         self._sharing.borrow(self.dispatcher.starved())
@@ -122,6 +123,17 @@
         done, core.pending = core.pending, []
         return done
 
+    def _time(self, now_s: float) -> float:
+        """Return the engine's time, which never goes back.
+
+        After a backward jump of the clock, waits set before it would
+        last longer by the jump; the engine goes on from where it was.
+        """
+        self._clock_offset_s = max(
+            self._clock_offset_s, self.core.now_s - now_s
+        )
+        return now_s + self._clock_offset_s
+
     def _route(self, event: events.Event) -> None:
         core = self.core
         match event:
@@ -303,7 +315,7 @@
             claims.mint_ticket(
                 core.instance_id,
                 core.incarnation,
-                now_s,
+                self._time(now_s),
                 core.random_state,
             )
             for _ in range(count)
@@ -362,7 +374,7 @@
     def state(self, now_s: float) -> dict[str, typing.Any]:
         """Return a dump of the state for operators."""
         core = self.core
-        rank, n_entries = core.members.rank_and_count(now_s)
+        rank, n_entries = core.members.rank_and_count(self._time(now_s))
         return {
             'identity': core.identity,
             'data_centre': self.data_centre,
--- a/src/orioleloom_standins/virtual/__init__.py
+++ b/src/orioleloom_standins/virtual/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from orioleloom_standins.virtual._callers import Callers
+from orioleloom_standins.virtual._callers import Change
 from orioleloom_standins.virtual._callers import Copy
 from orioleloom_standins.virtual._callers import is_decided
 from orioleloom_standins.virtual._clock import Clock
@@ -12,7 +13,9 @@
 from orioleloom_standins.virtual._platform import PlatformSide
 from orioleloom_standins.virtual._processes import Entry
 from orioleloom_standins.virtual._processes import Processes
+from orioleloom_standins.virtual._steps import CONTRACT_STEPS
 from orioleloom_standins.virtual._steps import STEPS
+from orioleloom_standins.virtual._watch import Watch
 from orioleloom_standins.virtual._workers import Workers
 from orioleloom_standins.virtual._workers import WorkerSpec
 from orioleloom_standins.virtual._world import CUSTOMER
@@ -22,8 +25,10 @@
 from orioleloom_standins.virtual._world import World
 
 __all__ = [
+    'CONTRACT_STEPS',
     'CUSTOMER',
     'Callers',
+    'Change',
     'Clock',
     'Copy',
     'Entry',
@@ -32,6 +37,7 @@
     'Processes',
     'STEPS',
     'UPSTREAM',
+    'Watch',
     'WorkerSpec',
     'Workers',
     'World',
--- a/src/orioleloom_standins/virtual/_callers.py
+++ b/src/orioleloom_standins/virtual/_callers.py
@@ -31,6 +31,17 @@
     request: tuple[str, int, int] | None = None
 
 
+@dataclasses.dataclass
+class Change:
+    """A contract change sent by an operator."""
+
+    customer: str
+    expected_version: int
+    entry_id: str
+    sent_at_s: float
+    answer: model.Answer | None = None
+
+
 class Callers:
     """Callers and operators, and what they were told."""
 
@@ -50,7 +61,7 @@
         self.upstream = upstream
         self.copies: list[Copy] = []
         self.waiting: dict[tuple[str, int, int], Copy] = {}
-        self.operator_answers: dict[int, model.Answer] = {}
+        self.changes: dict[int, Change] = {}
         self._requests = itertools.count(1)
 
     def submit(
@@ -192,15 +203,19 @@
         *,
         customer: str | None = None,
         **changes: typing.Any,
-    ) -> int:
-        """Change a contract as an operator; returns a request id."""
+    ) -> Change:
+        """Change a contract as an operator."""
         entry = self.processes.by_id[entry_id]
         request_id = next(self._requests)
         known = entry.core.contract(customer or self.customer)
         contract = known._replace(version=expected_version + 1, **changes)
+        change = Change(
+            known.customer, expected_version, entry_id, self.clock.now_s
+        )
+        self.changes[request_id] = change
         event = engine.PutContract(request_id, contract, expected_version)
         self.processes.post(entry, entry.incarnation, event)
-        return request_id
+        return change
 
     def respond(
         self,
@@ -212,7 +227,8 @@
         """Take the answer to a request."""
         copy = self.waiting.pop((entry.id, incarnation, request_id), None)
         if copy is None:
-            self.operator_answers[request_id] = answer
+            if request_id in self.changes:
+                self.changes[request_id].answer = answer
             return
         if self.network.is_cut(entry.id, 'callers'):
             copy.gave_up = True
--- a/src/orioleloom_standins/virtual/_effects.py
+++ b/src/orioleloom_standins/virtual/_effects.py
@@ -62,7 +62,7 @@
                         entry.id,
                         effect,
                         post,
-                        lambda step: self.processes.step(step, entry),
+                        lambda step: self.processes.step(entry, step),
                     )
 
                 self.clock.at(self.network.delay_s(entry.id, worker_id), offer)
--- a/src/orioleloom_standins/virtual/_platform.py
+++ b/src/orioleloom_standins/virtual/_platform.py
@@ -44,6 +44,7 @@
         self.lose_writes = 0
         self.delay_writes = 0
         self.members: list[tuple[float, model.Member]] = []
+        self.leaving_since_s: dict[str, float] = {}
 
     def reachable(self, entry_id: str) -> bool:
         """Whether a request of an entry instance reaches the platform."""
@@ -52,6 +53,10 @@
             and not self.network.is_cut(entry_id, 'platform')
         )
 
+    def answers(self, entry_id: str) -> bool:
+        """Whether a request is answered before its sender gives up."""
+        return self.reachable(entry_id) and not self._slow_s()
+
     def seed_contract(self, contract: model.Contract) -> None:
         """Write a contract before any instance starts."""
         value = contracts.to_value(contract)
@@ -62,7 +67,12 @@
 
     def list_member(self, member: model.Member, lag_s: float = 0.0) -> None:
         """Change a row of the list; readers see it after the lag."""
-        self.members.append((self.clock.now_s + lag_s, member))
+        at_s = self.clock.now_s + lag_s
+        self.members.append((at_s, member))
+        if member.state is model.MemberState.LIVE:
+            self.leaving_since_s.pop(member.id, None)
+        else:
+            self.leaving_since_s.setdefault(member.id, at_s)
 
     def members_after(self, revision: int) -> list[model.Member]:
         """Return the rows after a revision that readers see now."""
--- a/src/orioleloom_standins/virtual/_processes.py
+++ b/src/orioleloom_standins/virtual/_processes.py
@@ -9,9 +9,13 @@
 from orioleloom_standins.virtual._clock import Clock
 from orioleloom_standins.virtual._platform import LIST_LAG_S
 from orioleloom_standins.virtual._platform import PlatformSide
-from orioleloom_standins.virtual._steps import step_of
+from orioleloom_standins.virtual._steps import decided_steps
+from orioleloom_standins.virtual._steps import steps_of
 
 POLL_S = 2.0
+
+# The margin of the daemon's runner beyond the bound of a stop.
+STOP_MARGIN_S = 2.0
 TICK_S = 0.05
 
 # An idle process ticks once in this many intervals.
@@ -37,6 +41,9 @@
     clock_offset_s: float = 0.0
     members_revision: int = 0
     contracts_revision: int = 0
+    lists_read: bool = False
+    platform_available: bool | None = None
+    contract_tokens: set[str] = dataclasses.field(default_factory=set)
 
     def member(
         self, state: model.MemberState = model.MemberState.LIVE
@@ -76,6 +83,7 @@
         self.by_id: dict[str, Entry] = {}
         self.versions: list[audit.ContractObservation] = []
         self._seen: dict[tuple[str, int, str], int] = {}
+        self.n_cut_off = 0
         self.on_step: collections.abc.Callable[[str, Entry], None] | None
         self.on_step = None
         self.carry_out: collections.abc.Callable[
@@ -88,6 +96,7 @@
         entry.incarnation += 1
         entry.alive, entry.paused, entry.backlog = True, False, []
         entry.members_revision = entry.contracts_revision = 0
+        entry.lists_read, entry.platform_available = False, None
         entry.core = self.engine_class(
             identity=f'{entry.id}/{entry.incarnation}',
             instance_id=entry.id,
@@ -153,15 +162,17 @@
         """Give an event to the engine of a process."""
 
         def handle() -> None:
-            self.step(event, entry)
+            self.step(entry, *self._steps_of(event, entry))
             if not entry.alive or entry.incarnation != incarnation:
                 return
             if entry.paused:
                 entry.backlog.append(handle)
                 return
             now_s = self.clock.now_s + entry.clock_offset_s
-            for effect in entry.core.handle(event, now_s):
-                self.step(effect, entry)
+            effects = entry.core.handle(event, now_s)
+            self.step(entry, *decided_steps(event, effects))
+            for effect in effects:
+                self.step(entry, *self._steps_of(effect, entry))
                 # A process may stop between a decision and its send.
                 self._in_process(
                     entry,
@@ -174,10 +185,22 @@
 
         self._in_process(entry, incarnation, handle)
 
-    def step(self, what: typing.Any, entry: Entry) -> None:
+    def step(self, entry: Entry, *names: str) -> None:
         """Tell the observer of steps, if there is one."""
         if self.on_step is not None:
-            self.on_step(step_of(what), entry)
+            for name in names:
+                self.on_step(name, entry)
+
+    @staticmethod
+    def _steps_of(what: typing.Any, entry: Entry) -> tuple[str, ...]:
+        found = steps_of(what)
+        if 'contract_write' in found:
+            entry.contract_tokens.add(what.token)
+        if not isinstance(what, engine.TableDone):
+            return found
+        if what.token in entry.contract_tokens:
+            return ('contract_committed',)
+        return ('committed',)
 
     def _observe(self, entry: Entry) -> None:
         """Note each change of a contract version in force."""
@@ -186,6 +209,8 @@
             if self._seen.get(observer) == contract.version:
                 continue
             self._seen[observer] = contract.version
+            if contract.version > 1:
+                self.step(entry, 'contract_apply')
             seen = audit.ContractObservation(
                 f'{entry.id}/{entry.incarnation}',
                 contract.customer,
@@ -205,19 +230,63 @@
     def _poll(self, entry: Entry, incarnation: int) -> None:
         if not entry.alive or entry.incarnation != incarnation:
             return
-        if self.platform.reachable(entry.id):
-            self._poll_answered(entry, incarnation)
-        else:
-            self.post(entry, incarnation, engine.PlatformState(False))
+        self._in_process(
+            entry, incarnation, lambda: self._read_lists(entry, incarnation)
+        )
         self.clock.at(POLL_S, lambda: self._poll(entry, incarnation))
 
-    def _poll_answered(self, entry: Entry, incarnation: int) -> None:
-        self.post(entry, incarnation, engine.PlatformState(True))
+    def _read_lists(self, entry: Entry, incarnation: int) -> None:
+        """Do what the runner of the daemon does at each poll."""
+        available = self.platform.answers(entry.id)
+        if available != entry.platform_available:
+            entry.platform_available = available
+            self.post(entry, incarnation, engine.PlatformState(available))
+        elif not available and not entry.core.is_ready():
+            self.post(entry, incarnation, engine.PlatformState(available))
+        if not available:
+            return
+        first, entry.lists_read = not entry.lists_read, True
         new = self.platform.members_after(entry.members_revision)
         entry.members_revision += len(new)
-        self.post(entry, incarnation, engine.MembersChanged(tuple(new)))
+        if new or first:
+            self.post(entry, incarnation, engine.MembersChanged(tuple(new)))
         rows, revision = self.platform.contracts_after(
             entry.contracts_revision
         )
         entry.contracts_revision = revision
-        self.post(entry, incarnation, engine.ContractsRead(rows))
+        if rows or first:
+            self.post(entry, incarnation, engine.ContractsRead(rows))
+
+    def stop(
+        self,
+        entry: Entry,
+        ended: collections.abc.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Stop a process as planned.
+
+        It ends when its engine is drained, at the latest a margin after
+        the bound of the stop. ``cut_off`` counts requests open by then.
+
+        :param ended: called when the process has ended
+        """
+        incarnation = entry.incarnation
+        timeout_s = self.settings.stop_timeout_s
+        self.post(entry, incarnation, engine.StopRequested(timeout_s))
+        self.platform.list_member(
+            entry.member(model.MemberState.LEAVING), LIST_LAG_S
+        )
+        bound_s = self.clock.now_s + timeout_s + STOP_MARGIN_S
+
+        def check() -> None:
+            if not entry.alive or entry.incarnation != incarnation:
+                return
+            drained = entry.core.is_drained()
+            if not drained and self.clock.now_s < bound_s:
+                self.clock.at(TICK_S, check)
+                return
+            self.n_cut_off += len(entry.core.core.requests)
+            self.unlist(entry)
+            self.kill(entry)
+            ended()
+
+        self.clock.at(TICK_S, check)
--- a/src/orioleloom_standins/virtual/_steps.py
+++ b/src/orioleloom_standins/virtual/_steps.py
@@ -1,5 +1,6 @@
 import typing
 
+from orioleloom import codec
 from orioleloom import engine
 from orioleloom import model
 
@@ -30,39 +31,58 @@
 )
 
 
-def step_of(what: typing.Any) -> str:
-    """Name the step that an event or effect belongs to.
+def steps_of(what: typing.Any) -> tuple[str, ...]:
+    """Name the steps that an event or effect belongs to.
 
-    :param what: an event, an effect or the name of a step
+    :param what: an event or an effect
     """
     match what:
-        case str():
-            return what
         case engine.Submit():
-            return 'receive'
+            return ('receive',)
+        case engine.PutContract():
+            return ('contract_receive',)
         case engine.WriteTable(_, ops):
-            return _write_step(ops)
-        case engine.TableDone():
-            return 'committed'
+            return tuple(dict.fromkeys(map(_write_step, ops)))
         case engine.SendTasks():
-            return 'send'
+            return ('send',)
         case engine.LineReceived():
-            return 'answer'
+            return ('answer',)
         case engine.Respond():
-            return 'deliver'
-        case engine.ReadTable():
-            return 'read'
+            return ('deliver',)
+        case engine.ReadTable(_, keys):
+            contract = any(key.startswith('contract') for key in keys)
+            return ('contract_read',) if contract else ('read',)
         case engine.SendPeer():
-            return 'peer'
-    return ''
+            push = isinstance(what.message, codec.ContractPush)
+            return ('contract_push',) if push else ('peer',)
+    return ()
 
 
-def _write_step(ops: tuple[model.TableOp, ...]) -> str:
-    value = ops[0].value or {}
-    if ops[0].key.startswith('contract'):
+def decided_steps(
+    event: engine.Event, effects: typing.Sequence[engine.Effect]
+) -> tuple[str, ...]:
+    """Name the steps that a process took within one event.
+
+    They lie between the arrival of the event and its first effect.
+    """
+    found = []
+    if isinstance(event, engine.Submit):
+        found.append('check')
+    committed = isinstance(event, engine.TableDone) and isinstance(
+        event.outcome, model.Committed
+    )
+    if committed:
+        found.append('queue')
+    if any(isinstance(effect, engine.SendTasks) for effect in effects):
+        found.append('slot')
+    return tuple(found)
+
+
+def _write_step(op: model.TableOp) -> str:
+    if op.key.startswith('contract'):
         return 'contract_write'
-    if ops[0].op == 'delete':
+    if op.op == 'delete':
         return 'forget'
-    if value.get('state') != 'claimed':
+    if (op.value or {}).get('state') != 'claimed':
         return 'record'
-    return 'claim' if ops[0].if_revision == 0 else 'raise'
+    return 'claim' if op.if_revision == 0 else 'raise'
--- /dev/null
+++ b/src/orioleloom_standins/virtual/_watch.py
@@ -0,0 +1,179 @@
+import collections
+import re
+
+from orioleloom_standins import audit
+from orioleloom_standins.virtual._callers import Callers
+from orioleloom_standins.virtual._clock import Clock
+from orioleloom_standins.virtual._platform import PlatformSide
+from orioleloom_standins.virtual._processes import Entry
+from orioleloom_standins.virtual._processes import Processes
+from orioleloom_standins.virtual._workers import Workers
+
+# R8: a committed contract is in force on reachable instances by then.
+IN_FORCE_S = 5.0
+
+_SAMPLE_S = 0.25
+_VERSION = re.compile(r'version (\d+)')
+
+
+class Watch:
+    """Check during a run what the records do not show afterwards.
+
+    An instance is *in touch* while it runs, is not paused and the
+    platform answers it. R6 and R8 bind an instance that has been in
+    touch for the time that they name.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        platform: PlatformSide,
+        processes: Processes,
+        workers: Workers,
+        callers: Callers,
+    ):
+        self.clock = clock
+        self.platform = platform
+        self.processes = processes
+        self.workers = workers
+        self.callers = callers
+        self.found: list[audit.Violation] = []
+        self._in_touch_since: dict[str, tuple[int, float]] = {}
+        self._n_commits = 0
+        self._commits: list[tuple[float, str, int]] = []
+        workers.on_start = self._started
+        self._sample()
+
+    def _in_touch_s(self, entry: Entry) -> float:
+        """Return for how long an instance has been in touch."""
+        touched = (
+            entry.alive
+            and not entry.paused
+            and self.platform.answers(entry.id)
+        )
+        since = self._in_touch_since.get(entry.id)
+        if not touched:
+            self._in_touch_since.pop(entry.id, None)
+            return 0.0
+        if since is None or since[0] != entry.incarnation:
+            since = (entry.incarnation, self.clock.now_s)
+            self._in_touch_since[entry.id] = since
+        return self.clock.now_s - since[1]
+
+    def _sample(self) -> None:
+        self._read_commits()
+        for entry in self.processes.by_id.values():
+            if self._in_touch_s(entry) >= IN_FORCE_S:
+                self._check_in_force(entry)
+        self.clock.at(_SAMPLE_S, self._sample)
+
+    def _read_commits(self) -> None:
+        history = self.platform.table.history
+        for commit in history[self._n_commits :]:
+            for _, key, value in commit.ops:
+                if key.startswith('contract/') and value:
+                    self._commits.append(
+                        (commit.time_s, value['customer'], value['version'])
+                    )
+        self._n_commits = len(history)
+
+    def _check_in_force(self, entry: Entry) -> None:
+        due_s = self.clock.now_s - IN_FORCE_S
+        for time_s, customer, version in reversed(self._commits):
+            if time_s > due_s:
+                continue
+            known = entry.core.core.book.get(customer)
+            if known is None or known.version < version:
+                self.found.append(
+                    audit.Violation(
+                        'contract_late',
+                        f'{entry.id} {customer}',
+                        f'version {version} of {time_s:.3f} is not in '
+                        f'force at {self.clock.now_s:.3f}',
+                    )
+                )
+
+    def _started(self, entry_id: str, worker_id: str, key: str) -> None:
+        since_s = self.platform.leaving_since_s.get(worker_id)
+        if since_s is None:
+            return
+        late_s = self.clock.now_s - since_s - audit.LEAVING_GRACE_S
+        touch_s = self._in_touch_s(self.processes.by_id[entry_id])
+        if late_s > 0 and touch_s >= audit.LEAVING_GRACE_S:
+            self.found.append(
+                audit.Violation(
+                    'started_on_leaving_worker',
+                    key,
+                    f'on {worker_id} by {entry_id}, {late_s:.3f} s too late',
+                )
+            )
+
+    def process_ended(self, entry: Entry) -> None:
+        """Note the tasks that a process leaves behind."""
+        for worker in self.workers.by_id.values():
+            for run in worker.running.values():
+                if run.instance == entry.id:
+                    self.workers.orphaned.setdefault(run.key, self.clock.now_s)
+
+    def violations(self) -> list[audit.Violation]:
+        """Return what was found, and check the operators' answers."""
+        return self.found + self._check_changes()
+
+    def _check_changes(self) -> list[audit.Violation]:
+        found = []
+        winners: dict[tuple[str, int], int] = collections.Counter()
+        for change in self.callers.changes.values():
+            if change.answer is None:
+                continue
+            subject = f'{change.customer} {change.expected_version}'
+            error = change.answer.body.get('error')
+            if error is None:
+                winners[change.customer, change.expected_version] += 1
+            elif error['code'] == 'contract_conflict':
+                named = [int(v) for v in _VERSION.findall(error['message'])]
+                if (
+                    len(named) != 2
+                    or named[0] != change.expected_version
+                    or named[0] == named[1]
+                ):
+                    found.append(
+                        audit.Violation(
+                            'conflict_names_no_versions',
+                            subject,
+                            error['message'],
+                        )
+                    )
+        found += [
+            audit.Violation(
+                'two_winners', f'{customer} {version}', f'{n} accepted'
+            )
+            for (customer, version), n in winners.items()
+            if n > 1
+        ]
+        return found
+
+    def peak_in_flight(self) -> dict[str, int]:
+        """Return the most tasks that ran at once, by customer.
+
+        A task whose sender died, or took its outcome for unknown, counts
+        until then: the stated bound leaves out what runs on after that.
+        """
+        ledger = self.workers.ledger()
+        ended = {e.key for e in ledger if e.event != 'start'}
+        entries = [
+            entry._replace(
+                time_s=min(
+                    entry.time_s,
+                    self.workers.orphaned.get(entry.key, entry.time_s),
+                )
+            )
+            if entry.event != 'start'
+            else entry
+            for entry in ledger
+        ]
+        for entry in ledger:
+            at_s = self.workers.orphaned.get(entry.key)
+            if entry.event == 'start' and entry.key not in ended and at_s:
+                entries.append(entry._replace(event='stopped', time_s=at_s))
+        return audit.peak_in_flight(entries)
--- a/src/orioleloom_standins/virtual/_workers.py
+++ b/src/orioleloom_standins/virtual/_workers.py
@@ -52,7 +52,9 @@
 
     ``dead`` and ``stalled`` name workers under these faults: a dead one
     refuses connections, a stalled one takes tasks and never starts or
-    answers them.
+    answers them. ``orphaned`` holds the time at which the sender of a
+    task took its outcome for unknown; the task may run on. ``on_start``
+    is told the entry, the worker and the key of each start.
     """
 
     def __init__(
@@ -73,6 +75,9 @@
         }
         self.dead: set[str] = set()
         self.stalled: set[str] = set()
+        self.orphaned: dict[str, float] = {}
+        self.on_start: collections.abc.Callable[[str, str, str], None] | None
+        self.on_start = None
         self._lines: dict[tuple[str, int], OnLine] = {}
 
     def ledger(self) -> list[LedgerEntry]:
@@ -131,6 +136,8 @@
         def broken() -> None:
             if left:
                 ended(True)
+            for key in left:
+                self.orphaned.setdefault(key, self.clock.now_s)
 
         self.clock.at(effect.lease_s, broken)
         for task in effect.tasks:
@@ -155,6 +162,8 @@
         if isinstance(run, model.TaskLine):
             line(run, task.key)
             return
+        if self.on_start is not None:
+            self.on_start(entry_id, worker_id, task.key)
         self._lines[worker_id, run.run_id] = line
         delay_s = max(0.0, run.ends_s - self.clock.now_s)
         self.clock.at(delay_s / 2, lambda: on_step('run'))
--- a/src/orioleloom_standins/virtual/_world.py
+++ b/src/orioleloom_standins/virtual/_world.py
@@ -11,11 +11,13 @@
 from orioleloom_standins.virtual._effects import Effects
 from orioleloom_standins.virtual._network import LINK_S
 from orioleloom_standins.virtual._network import Network
+from orioleloom_standins.virtual._platform import LIST_LAG_S
 from orioleloom_standins.virtual._platform import PlatformSide
 from orioleloom_standins.virtual._platform import TABLE_S
 from orioleloom_standins.virtual._processes import Entry
 from orioleloom_standins.virtual._processes import POLL_S
 from orioleloom_standins.virtual._processes import Processes
+from orioleloom_standins.virtual._watch import Watch
 from orioleloom_standins.virtual._workers import Workers
 from orioleloom_standins.virtual._workers import WorkerSpec
 
@@ -123,7 +125,7 @@
             callers=self.callers,
         )
         self.processes.carry_out = effects.carry_out
-        self.processes.killed = self.callers.process_ended
+        self.processes.killed = self._process_ended
         self.entries = self.processes.by_id
         self.at = clock.at
         self.run_for = clock.run_for
@@ -144,9 +146,29 @@
             self.platform.list_member(entry.member())
         for entry in self.entries.values():
             self.start(entry)
+        self.watch = Watch(
+            clock=clock,
+            platform=self.platform,
+            processes=self.processes,
+            workers=self.workers,
+            callers=self.callers,
+        )
         # Past the hold of new instances, so that all have their shares.
         self.run_for(settings.join_hold_s + 2 * POLL_S)
 
+    def _process_ended(self, entry: Entry) -> None:
+        self.watch.process_ended(entry)
+        self.callers.process_ended(entry)
+
+    def add_entry(self, entry_id: str, data_centre: str) -> Entry:
+        """Start a new instance and list it."""
+        entry = Entry(entry_id, data_centre)
+        self.entries[entry_id] = entry
+        self.network.data_centres[entry_id] = data_centre
+        self.platform.list_member(entry.member(), LIST_LAG_S)
+        self.start(entry)
+        return entry
+
     @property
     def now_s(self) -> float:
         """Virtual time, in seconds."""
@@ -166,12 +188,15 @@
 
     def violations(self) -> list[audit.Violation]:
         """Audit the records of the run."""
-        return audit.audit(
-            self.workers.ledger(),
-            self.callers.calls(),
-            self.platform.table.history,
-            self.processes.versions,
-        )
+        return [
+            *audit.audit(
+                self.workers.ledger(),
+                self.callers.calls(),
+                self.platform.table.history,
+                self.processes.versions,
+            ),
+            *self.watch.violations(),
+        ]
 
     def n_starts(self) -> int:
         """Return the number of starts in all ledgers."""
--- a/tests/faults/injections.py
+++ b/tests/faults/injections.py
@@ -1,5 +1,6 @@
 """Faults of the matrix; each one heals by itself."""
 
+import math
 import typing
 
 from orioleloom import model
@@ -43,6 +44,10 @@
     world.platform.away_until_s = world.now_s + OUTAGE_S
 
 
+def platform_slow(world: virtual.World, entry: virtual.Entry) -> None:
+    world.platform.slow_until_s = world.now_s + OUTAGE_S
+
+
 def table_answer_lost(world: virtual.World, entry: virtual.Entry) -> None:
     world.platform.lose_answers += 2
 
@@ -75,6 +80,11 @@
     world.platform.list_member(spec.member(model.MemberState.LEAVING))
 
 
+def worker_says_leaving(world: virtual.World, entry: virtual.Entry) -> None:
+    worker = world.workers.by_id[_first_worker(world)]
+    worker.set_fault('leave', world.now_s, duration_s=math.inf)
+
+
 def worker_fails_all(world: virtual.World, entry: virtual.Entry) -> None:
     worker = world.workers.by_id[_first_worker(world)]
     worker.set_fault('fail_all', world.now_s, duration_s=OUTAGE_S)
@@ -90,6 +100,12 @@
         world.cancel(submission_id, entry_id=other)
 
 
+def caller_disconnects(world: virtual.World, entry: virtual.Entry) -> None:
+    for copy in list(world.copies):
+        if copy.answer is None:
+            world.callers.disconnect(copy)
+
+
 def operators_race(world: virtual.World, entry: virtual.Entry) -> None:
     for index, other in enumerate(world.entries.values()):
         if other.alive and not other.paused:
@@ -101,6 +117,10 @@
     entry.clock_offset_s += CLOCK_JUMP_S
 
 
+def clock_jumps_back(world: virtual.World, entry: virtual.Entry) -> None:
+    entry.clock_offset_s -= CLOCK_JUMP_S
+
+
 def peers_lossy(world: virtual.World, entry: virtual.Entry) -> None:
     world.network.peer_loss = 0.5
     world.network.peer_duplicates = 0.5
@@ -132,16 +152,20 @@
         ]
     ),
     'platform_down': platform_down,
+    'platform_slow': platform_slow,
     'table_answer_lost': table_answer_lost,
     'table_write_lost': table_write_lost,
     'table_write_late': table_write_late,
     'worker_dead': worker_dead,
     'worker_stalled': worker_stalled,
     'worker_leaving': worker_leaving,
+    'worker_says_leaving': worker_says_leaving,
     'worker_fails_all': worker_fails_all,
     'caller_resubmits': caller_resubmits,
     'caller_cancels': caller_cancels,
+    'caller_disconnects': caller_disconnects,
     'operators_race': operators_race,
     'clock_jumps': clock_jumps,
+    'clock_jumps_back': clock_jumps_back,
     'peers_lossy': peers_lossy,
 }
--- a/tests/faults/test_matrix.py
+++ b/tests/faults/test_matrix.py
@@ -1,24 +1,21 @@
-"""Every fault at every step of a job (R1 to R6, R8)."""
+"""Every fault at every step of a job and of a contract change.
+
+R1 to R6 and R8.
+"""
 
 import random
 
 import pytest
 
+from orioleloom import engine
 from orioleloom_standins import virtual
 from tests.faults import injections
 
-STEPS = (
-    'receive',
-    'claim',
-    'committed',
-    'raise',
-    'send',
-    'start',
-    'run',
-    'answer',
-    'record',
-    'deliver',
-)
+STEPS = virtual.STEPS + virtual.CONTRACT_STEPS
+
+# Rows are deleted within the run, long after the last resubmission: a
+# copy sent after the deletion would rightly run again.
+FORGETTING = engine.EngineSettings(retention_s=4.0, claim_retention_s=32.0)
 
 # Enough tasks that a job needs a raise of its watermark and waits for
 # slots, so that each step happens while others are under way.
@@ -33,6 +30,8 @@
     :param plan: ``(step, occurrence, fault)`` triples
     :returns: the world, and the number of faults injected
     """
+    if any(step == 'forget' for step, _, _ in plan):
+        options = {'settings': FORGETTING, **options}
     world = virtual.World(seed=seed, **options)
     waiting = list(plan)
     seen: dict[str, int] = {}
@@ -59,6 +58,8 @@
     world.run_for(16.0)
     world.callers.resubmit_all(exclude='e1')
     world.run_for(25.0)
+    if waiting:
+        world.run_for(20.0)
     return world, n_injected
 
 
@@ -72,9 +73,10 @@
 
 def assert_sound(world: virtual.World) -> None:
     assert world.violations() == []
+    assert_contract_in_force(world)
     last = {}
     for copy in world.copies:
-        if copy.tasks:
+        if not copy.cancel:
             last[copy.job_id] = copy
     for copy in last.values():
         # The last copy was sent after every fault had healed.
@@ -83,16 +85,43 @@
             assert copy.answer.body.get('state') in ('complete', 'failed')
 
 
+def assert_contract_in_force(world: virtual.World) -> None:
+    """Every instance that runs has the version that the table has."""
+    key = f'contract/{virtual.CUSTOMER}'
+    (_, value, _) = world.platform.table.read([key])[0]
+    for entry in world.entries.values():
+        if entry.alive:
+            contract = entry.core.contract(virtual.CUSTOMER)
+            assert contract.version == value['version'], entry.id
+
+
 @pytest.mark.parametrize('fault', injections.FAULTS)
 @pytest.mark.parametrize('step', STEPS)
 def test_fault_at_step(step, fault):
-    # Guards R1 to R6: whatever fails at whichever step, no task starts
-    # twice, answers are whole and "not run" is true.
+    # Guards R1 to R6 and R8: whatever fails at whichever step, no task
+    # starts twice, answers are whole, "not run" is true, a leaving
+    # worker gets no late start and contracts are in force in time.
     world, n_injected = run_with_faults(1, [(step, 1, fault)])
     assert n_injected == 1
     assert_sound(world)
 
 
+@pytest.mark.parametrize('step', STEPS)
+def test_race_of_operators_has_one_winner(step):
+    # Guards R8: without other faults, exactly one of several changes of
+    # one version is accepted and each loser is told both versions.
+    world, _ = run_with_faults(1, [(step, 1, 'operators_race')])
+    races: dict[int, list[virtual.Change]] = {}
+    for change in world.callers.changes.values():
+        races.setdefault(change.expected_version, []).append(change)
+    assert max(map(len, races.values())) >= len(world.entries)
+    for race in races.values():
+        codes = [c.answer.body.get('error', {}).get('code') for c in race]
+        losers = ['contract_conflict'] * (len(race) - 1)
+        assert sorted(codes, key=str) == sorted([None, *losers], key=str)
+    assert world.watch.violations() == []
+
+
 @pytest.mark.parametrize('seed', range(60))
 def test_random_pairs_of_faults(seed):
     # Guards R1 to R6 under two faults at once; the seed is the test id.
