Answer callers of other instances' jobs at the bound of a stop

Cause: the bound of a planned stop ended only the jobs that the instance held itself. Before: a caller that waited there for a job of another instance, or for a record during an outage, lost its connection when the process ended. After: it gets the job's progress at the bound, and an answer whose record cannot be written says "outcome unknown" one second later.

--- a/src/orioleloom/engine/_engine.py
+++ b/src/orioleloom/engine/_engine.py
@@ -96,7 +96,11 @@
         self._contracts = ContractFlow(core, self._reads)
         self._sharing = Sharing(core)
         self._expiry = Expiry(
-            core, self.dispatcher, self._completion, self._claims
+            core,
+            self.dispatcher,
+            self._completion,
+            self._claims,
+            self._remote,
         )
         self.dispatcher.request_raise = self._claims.request_raise
         self._remote.take_over = self._claims.take_over
--- a/src/orioleloom/engine/_expiry.py
+++ b/src/orioleloom/engine/_expiry.py
@@ -8,11 +8,17 @@
 from orioleloom.engine._dispatch import Dispatcher
 from orioleloom.engine._jobs import Job
 from orioleloom.engine._jobs import JobPhase
+from orioleloom.engine._remote import RemoteJobs
 from orioleloom.engine import _tags as tags
 from orioleloom import errors
 from orioleloom import model
 
 
+# Time after the bound of a stop for recording answers that say "not
+# run". It lies within the margin after which the process ends.
+_LAST_RECORD_S = 1.0
+
+
 class Expiry:
     """End jobs at their deadline and forget them after the retention.
 
@@ -26,11 +32,13 @@
         dispatcher: Dispatcher,
         completion: Completion,
         claim_flow: ClaimFlow,
+        remote: RemoteJobs,
     ):
         self.core = core
         self.dispatcher = dispatcher
         self.completion = completion
         self.claim_flow = claim_flow
+        self.remote = remote
         self._deletions: collections.deque[tuple[float, Job]] = (
             collections.deque()
         )
@@ -60,6 +68,12 @@
             if job.phase is JobPhase.RUNNING:
                 self.dispatcher.drop_queued(job)
                 self.completion.end_now(job, errors.ErrorKind.STOPPING)
+            elif core.now_s >= core.stop_at_s + _LAST_RECORD_S:
+                self.completion.record_given_up(job)
+        # Jobs of other instances go on; their callers fetch elsewhere.
+        for remote in core.remote.values():
+            if not remote.taking_over:
+                self.remote.answer_progress(remote)
 
     def _forget_old(self) -> None:
         core = self.core
--- a/src/orioleloom/engine/_remote.py
+++ b/src/orioleloom/engine/_remote.py
@@ -135,6 +135,12 @@
         """Return the progress of a job held elsewhere, as last heard."""
         return model.Answer(202, self._progress(remote))
 
+    def answer_progress(self, remote: RemoteJob) -> None:
+        """Answer the waiters of a job with its progress."""
+        for request_id in remote.waiters:
+            self.core.respond(request_id, self.progress(remote))
+        remote.waiters.clear()
+
     def _ask(self, remote: RemoteJob) -> None:
         core = self.core
         remote.next_try_at_s = core.now_s + _RETRY_S
--- a/src/orioleloom_standins/virtual/__init__.py
+++ b/src/orioleloom_standins/virtual/__init__.py
@@ -5,14 +5,14 @@
 """
 
 from orioleloom_standins.virtual._callers import Callers
-from orioleloom_standins.virtual._callers import Change
-from orioleloom_standins.virtual._callers import Copy
-from orioleloom_standins.virtual._callers import is_decided
 from orioleloom_standins.virtual._clock import Clock
+from orioleloom_standins.virtual._entry import Entry
 from orioleloom_standins.virtual._network import Network
 from orioleloom_standins.virtual._platform import PlatformSide
-from orioleloom_standins.virtual._processes import Entry
 from orioleloom_standins.virtual._processes import Processes
+from orioleloom_standins.virtual._requests import Change
+from orioleloom_standins.virtual._requests import Copy
+from orioleloom_standins.virtual._requests import is_decided
 from orioleloom_standins.virtual._steps import CONTRACT_STEPS
 from orioleloom_standins.virtual._steps import STEPS
 from orioleloom_standins.virtual._watch import Watch
--- a/src/orioleloom_standins/virtual/_callers.py
+++ b/src/orioleloom_standins/virtual/_callers.py
@@ -1,45 +1,17 @@
-import dataclasses
 import itertools
 import typing
 
-from orioleloom import codec
 from orioleloom import engine
 from orioleloom import model
 from orioleloom_standins import audit
 from orioleloom_standins.virtual._clock import Clock
+from orioleloom_standins.virtual._entry import Entry
 from orioleloom_standins.virtual._network import Network
-from orioleloom_standins.virtual._processes import Entry
 from orioleloom_standins.virtual._processes import Processes
-
-
-@dataclasses.dataclass
-class Copy:
-    """One request of a caller about a submission.
-
-    :param cancel: it cancels the submission; otherwise it is a copy of it
-    :param gave_up: the caller no longer waits
-    """
-
-    job_id: model.JobId
-    tasks: tuple[model.Task, ...]
-    entry_id: str
-    sent_at_s: float
-    cancel: bool = False
-    answer: model.Answer | None = None
-    answered_at_s: float | None = None
-    gave_up: bool = False
-    request: tuple[str, int, int] | None = None
-
-
-@dataclasses.dataclass
-class Change:
-    """A contract change sent by an operator."""
-
-    customer: str
-    expected_version: int
-    entry_id: str
-    sent_at_s: float
-    answer: model.Answer | None = None
+from orioleloom_standins.virtual._requests import body_of
+from orioleloom_standins.virtual._requests import Change
+from orioleloom_standins.virtual._requests import Copy
+from orioleloom_standins.virtual._requests import is_decided
 
 
 class Callers:
@@ -258,35 +230,13 @@
                 copy.job_id.submission_id,
                 tuple(audit.SentTask(t.kind, t.payload) for t in copy.tasks),
                 accepted=copy.answer is not None
-                and 'tasks' in copy.answer.body,
-                answer=None if copy.answer is None else copy.answer.body,
-                pending=copy.answer is None,
+                and (copy.is_progress or 'tasks' in copy.answer.body),
+                answer=None
+                if copy.answer is None or copy.is_progress
+                else copy.answer.body,
+                # After progress the caller would fetch the answer.
+                pending=copy.answer is None or copy.is_progress,
             )
             for copy in self.copies
             if copy.tasks
         ]
-
-
-def is_decided(answer: model.Answer | None) -> bool:
-    """Whether a caller has no reason to send another copy."""
-    if answer is None:
-        return False
-    body = answer.body
-    return body['state'] == 'complete' or body['error'].get('run') == 'not_run'
-
-
-def body_of(tasks: typing.Sequence[model.Task]) -> bytes:
-    """Return the HTTP body of a job."""
-    return codec.encode_json(
-        {
-            'tasks': [
-                {
-                    'kind': task.kind,
-                    'payload': task.payload,
-                    'upstream': task.upstream,
-                    'run_time_ms': task.run_time_ms,
-                }
-                for task in tasks
-            ]
-        }
-    )
--- a/src/orioleloom_standins/virtual/_processes.py
+++ b/src/orioleloom_standins/virtual/_processes.py
@@ -1,5 +1,4 @@
 import collections.abc
-import dataclasses
 import random
 import typing
 
@@ -7,6 +6,7 @@
 from orioleloom import model
 from orioleloom_standins import audit
 from orioleloom_standins.virtual._clock import Clock
+from orioleloom_standins.virtual._entry import Entry
 from orioleloom_standins.virtual._platform import LIST_LAG_S
 from orioleloom_standins.virtual._platform import PlatformSide
 from orioleloom_standins.virtual._steps import decided_steps
@@ -22,43 +22,6 @@
 _IDLE_TICKS = 20
 
 
-@dataclasses.dataclass
-class Entry:
-    """One entry process.
-
-    :param clock_offset_s: difference of its clock from virtual time
-    """
-
-    id: str
-    data_centre: str
-    incarnation: int = 0
-    core: engine.Engine | None = None
-    alive: bool = False
-    paused: bool = False
-    backlog: list[collections.abc.Callable[[], None]] = dataclasses.field(
-        default_factory=list
-    )
-    clock_offset_s: float = 0.0
-    members_revision: int = 0
-    contracts_revision: int = 0
-    lists_read: bool = False
-    platform_available: bool | None = None
-    contract_tokens: set[str] = dataclasses.field(default_factory=set)
-
-    def member(
-        self, state: model.MemberState = model.MemberState.LIVE
-    ) -> model.Member:
-        """Return the row of the platform's list."""
-        return model.Member(
-            self.id,
-            model.Role.ENTRY,
-            state,
-            self.data_centre,
-            f'http://{self.id}',
-            peer=self.id,
-        )
-
-
 class Processes:
     """Start, pause and end entry processes and feed their engines.
 
--- /dev/null
+++ b/src/orioleloom_standins/virtual/_requests.py
@@ -0,0 +1,65 @@
+import dataclasses
+import typing
+
+from orioleloom import codec
+from orioleloom import model
+
+
+@dataclasses.dataclass
+class Copy:
+    """One request of a caller about a submission.
+
+    :param cancel: it cancels the submission; otherwise it is a copy of it
+    :param gave_up: the caller no longer waits
+    """
+
+    job_id: model.JobId
+    tasks: tuple[model.Task, ...]
+    entry_id: str
+    sent_at_s: float
+    cancel: bool = False
+    answer: model.Answer | None = None
+    answered_at_s: float | None = None
+    gave_up: bool = False
+    request: tuple[str, int, int] | None = None
+
+    @property
+    def is_progress(self) -> bool:
+        """Whether the answer is progress and not the final one."""
+        return self.answer is not None and self.answer.http_status == 202
+
+
+@dataclasses.dataclass
+class Change:
+    """A contract change sent by an operator."""
+
+    customer: str
+    expected_version: int
+    entry_id: str
+    sent_at_s: float
+    answer: model.Answer | None = None
+
+
+def is_decided(answer: model.Answer | None) -> bool:
+    """Whether a caller has no reason to send another copy."""
+    if answer is None or answer.http_status == 202:
+        return False
+    body = answer.body
+    return body['state'] == 'complete' or body['error'].get('run') == 'not_run'
+
+
+def body_of(tasks: typing.Sequence[model.Task]) -> bytes:
+    """Return the HTTP body of a job."""
+    return codec.encode_json(
+        {
+            'tasks': [
+                {
+                    'kind': task.kind,
+                    'payload': task.payload,
+                    'upstream': task.upstream,
+                    'run_time_ms': task.run_time_ms,
+                }
+                for task in tasks
+            ]
+        }
+    )
--- a/src/orioleloom_standins/virtual/_watch.py
+++ b/src/orioleloom_standins/virtual/_watch.py
@@ -4,8 +4,8 @@
 from orioleloom_standins import audit
 from orioleloom_standins.virtual._callers import Callers
 from orioleloom_standins.virtual._clock import Clock
+from orioleloom_standins.virtual._entry import Entry
 from orioleloom_standins.virtual._platform import PlatformSide
-from orioleloom_standins.virtual._processes import Entry
 from orioleloom_standins.virtual._processes import Processes
 from orioleloom_standins.virtual._workers import Workers
 
