Keep a worker that says it is leaving out until the list agrees

Cause: each change of the list reapplied the rows of all workers. Before: a worker that had announced its leave got work again when another worker's row changed, as its own row still said "live". After: the announcement holds until the list has shown another state or a new address.

--- a/src/orioleloom/placement/_pool.py
+++ b/src/orioleloom/placement/_pool.py
@@ -99,6 +99,7 @@
         """Start nothing more on a worker."""
         entry = self._entries.get(worker_id)
         if entry:
+            entry.worker.said_leaving = True
             entry.worker.live = False
             entry.group.place(entry.worker, False)
 
@@ -289,8 +290,7 @@
         if entry is None:
             entry = self._add(member)
         worker = entry.worker
-        worker.slots = member.slots
-        worker.live = member.state is model.MemberState.LIVE
+        worker.set_listed(member)
         if worker.rack != member.rack:
             self._racks.move(worker, member.rack)
         self._set_home(worker)
@@ -312,7 +312,7 @@
 
     def _remove(self, worker_id: str, now_s: float) -> None:
         entry = self._entries[worker_id]
-        entry.worker.live = False
+        entry.worker.live = entry.worker.said_leaving = False
         entry.group.place(entry.worker, False)
         if entry.worker.outstanding == 0:
             self._racks.move(entry.worker, '')
--- a/src/orioleloom/placement/_worker.py
+++ b/src/orioleloom/placement/_worker.py
@@ -2,6 +2,8 @@
 
 import math
 
+from orioleloom import model
+
 _MIN_WEIGHT = 0.06
 _OTHERS_WEIGHT = 0.15
 _INITIAL_RELAX_S = 0.25
@@ -23,6 +25,9 @@
         self.slots = 0
         self.home = 0
         self.live = False
+        # What the list said last, and what the worker said itself.
+        self.listed: model.Member | None = None
+        self.said_leaving = False
         self.outstanding = 0
         self.log_factor = 0.0
         self.n_results = 0
@@ -39,6 +44,24 @@
         self.counted_class = 0
         self.wake_at_s = math.inf
 
+    def set_listed(self, member: model.Member) -> None:
+        """Take the worker's row of the platform's list.
+
+        A row that says "live" may be older than what the worker said of
+        itself. It counts again once the list has shown another state, or
+        the address of a restarted worker.
+        """
+        known, self.listed = self.listed, member
+        if known is not None and (
+            known.state is not model.MemberState.LIVE
+            or known.http != member.http
+        ):
+            self.said_leaving = False
+        self.slots = member.slots
+        self.live = (
+            member.state is model.MemberState.LIVE and not self.said_leaving
+        )
+
     def learn_factor(self, sample: float) -> None:
         """Move the factor towards a sample."""
         self.n_results += 1
--- /dev/null
+++ b/tests/faults/test_leaving.py
@@ -0,0 +1,69 @@
+"""Leaving workers get no new work (R6)."""
+
+import pytest
+
+from orioleloom import engine
+from orioleloom import model
+from orioleloom_standins import virtual
+
+
+def sends_to(world: virtual.World, worker_id: str) -> list[float]:
+    """Return a list that grows by the time of each send to a worker."""
+    times: list[float] = []
+    carry_out = world.processes.carry_out
+
+    def noting(entry, incarnation, effect):
+        if isinstance(effect, engine.SendTasks):
+            if effect.worker_id == worker_id:
+                times.append(world.now_s)
+        carry_out(entry, incarnation, effect)
+
+    world.processes.carry_out = noting
+    return times
+
+
+def submit_often(world: virtual.World, duration_s: float) -> None:
+    for index in range(int(duration_s / 0.1)):
+        world.at(
+            0.1 * index,
+            lambda index=index: world.submit(f's{index}', [50.0] * 4),
+        )
+
+
+@pytest.mark.parametrize('other', [None, 'gone', 'leaving', 'live'])
+def test_worker_that_says_leaving_gets_no_new_work(other):
+    # Guards R6: the list shows the worker as live for a while longer,
+    # and any other change of the list must not bring it back.
+    world = virtual.World()
+    submit_often(world, 10.0)
+    world.run_for(2.0)
+    said_s = world.now_s
+    world.workers.by_id['w0'].set_fault('leave', said_s, duration_s=1000.0)
+    sent = sends_to(world, 'w0')
+    if other is not None:
+        spec = world.workers.specs['w2']
+        state = model.MemberState(other)
+        row = spec.member(state)._replace(slots=2)
+        world.platform.list_member(row, 3.0)
+    world.run_for(20.0)
+    assert world.violations() == []
+    # Lines of tasks in progress and the next rejection tell of it.
+    assert [at_s for at_s in sent if at_s > said_s + 1.0] == []
+
+
+def test_worker_that_comes_back_gets_work_again():
+    # Guards against a worker that stays shut out after its restart.
+    world = virtual.World()
+    submit_often(world, 20.0)
+    world.run_for(2.0)
+    worker = world.workers.by_id['w0']
+    worker.set_fault('leave', world.now_s, duration_s=5.0)
+    spec = world.workers.specs['w0']
+    for lag_s, state in ((2.0, 'leaving'), (6.0, 'live')):
+        row = spec.member(model.MemberState(state))
+        world.platform.list_member(row, lag_s)
+    world.run_for(10.0)
+    sent = sends_to(world, 'w0')
+    world.run_for(10.0)
+    assert sent != []
+    assert world.violations() == []
