Keep a worker that says it leaves out of work over list changes

Cause: a change of any row of the list applied all listed workers again, and the row of the worker, still live, undid its own word.

--- a/src/orioleloom/engine/_core.py
+++ b/src/orioleloom/engine/_core.py
@@ -33,6 +33,7 @@
     :param active: those without a final answer
     :param ended: those with one, in order of their end
     :param deadlines: heap of the active ones by deadline
+    :param leaving_workers: those that said so before the list did
     """
 
     identity: str
@@ -63,6 +64,7 @@
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    leaving_workers: set[str] = dataclasses.field(default_factory=set)
     held_bytes: int = 0
     platform_available: bool = True
     stop_at_s: float | None = None
--- a/src/orioleloom/engine/_dispatch.py
+++ b/src/orioleloom/engine/_dispatch.py
@@ -263,6 +263,7 @@
         job, task = sent.job, sent.task
         worker_id = exchange.worker_id
         if line.leaving:
+            core.leaving_workers.add(worker_id)
             core.pool.set_leaving(worker_id)
         elapsed_ms = (core.now_s - sent.sent_at_s) * 1000
         job.n_in_flight = max(0, job.n_in_flight - 1)
--- a/src/orioleloom/engine/_sharing.py
+++ b/src/orioleloom/engine/_sharing.py
@@ -65,6 +65,7 @@
     def notice_received(self, notice: codec.WorkerNotice) -> None:
         """Take a peer's notice about a worker."""
         if notice.leaving:
+            self.core.leaving_workers.add(notice.worker_id)
             self.core.pool.set_leaving(notice.worker_id)
         if notice.quarantined:
             self.core.pool.quarantine(notice.worker_id, self.core.now_s)
@@ -73,8 +74,12 @@
         """Take changes of the platform's list."""
         core = self.core
         changed = core.members.apply(members, core.now_s)
+        # A new row of a worker replaces what the worker said itself.
+        core.leaving_workers.difference_update(m.id for m in members)
         if any(m.role is model.Role.WORKER for m in changed):
             core.pool.set_workers(core.members.workers(), core.now_s)
+            for worker_id in core.leaving_workers:
+                core.pool.set_leaving(worker_id)
         for member in changed:
             gone = member.state is model.MemberState.GONE
             if gone and member.role is model.Role.ENTRY:
--- a/src/orioleloom_standins/_platform_http.py
+++ b/src/orioleloom_standins/_platform_http.py
@@ -235,6 +235,35 @@
     ]
 
 
+class _CountedStream(trio.abc.Stream):
+    """A connection whose bytes are counted.
+
+    :param counters: counts under ``received_bytes`` and ``sent_bytes``
+    """
+
+    def __init__(self, stream: trio.abc.Stream, counters: dict[str, int]):
+        self._stream = stream
+        self._counters = counters
+
+    def _count(self, name: str, n_bytes: int) -> None:
+        self._counters[name] = self._counters.get(name, 0) + n_bytes
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        data = await self._stream.receive_some(max_bytes)
+        self._count('received_bytes', len(data))
+        return data
+
+    async def send_all(self, data: bytes) -> None:
+        self._count('sent_bytes', len(data))
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await self._stream.wait_send_all_might_not_block()
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+
 async def serve_platform(
     platform: _platform.Platform,
     *,
@@ -251,7 +280,9 @@
     async with trio.open_nursery() as nursery:
         task_status.started(_http.bound_port(listeners))
         await trio.serve_listeners(
-            lambda stream: _http.serve_connection(stream, server.handle),
+            lambda stream: _http.serve_connection(
+                _CountedStream(stream, platform.counters), server.handle
+            ),
             listeners,
             handler_nursery=nursery,
         )
--- a/src/orioleloom_standins/fleet.py
+++ b/src/orioleloom_standins/fleet.py
@@ -332,6 +332,15 @@
             'GET', f'{self.platform_url}/v1/standin/counters'
         )
 
+    async def worker_counters(self) -> dict[str, dict[str, int]]:
+        """Return the counters of each worker."""
+        counters: dict[str, dict[str, int]] = {}
+        for url in dict.fromkeys(self._control_urls.values()):
+            counters |= await self._request_json(
+                'GET', f'{url}/v1/standin/counters'
+            )
+        return counters
+
     async def state(self, entry_id: str) -> dict[str, typing.Any]:
         """Return the state dump of an instance."""
         return await self._request_json(
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -73,3 +73,15 @@
         random_state=random.Random(seed),
         **kwargs,
     )
+
+
+async def wait_workers(fleet, condition):
+    """Wait until what every instance knows of the workers is as asked."""
+    with trio.fail_after(5):
+        while True:
+            states = [await fleet.state(i) for i in fleet.entry_urls]
+            if all(
+                condition(state['engine']['workers']['workers'])
+                for state in states
+            ):
+                return
