--- /dev/null
+++ b/tests/processes/test_platform_faults.py
@@ -0,0 +1,186 @@
+import time
+
+import pytest
+import trio
+
+from orioleloom.cli import _processes
+from orioleloom import client
+from orioleloom_standins import audit
+from orioleloom_standins import fleet as fleets
+from tests.processes import support
+
+pytestmark = pytest.mark.processes
+
+# A claim waits 2 s for the table before its submission is refused.
+REFUSAL_BOUND_S = 4.0
+# F4: the table takes several hundred writes a second.
+WRITES_PER_S = 300
+
+
+async def wait_platform_state(fleet, available):
+    with trio.fail_after(5):
+        for entry_id in fleet.entry_urls:
+            while True:
+                state = await fleet.state(entry_id)
+                if state['platform_available'] is available:
+                    break
+                await trio.sleep(0.05)
+
+
+async def count_requests(fleet, n_windows):
+    """Count the table requests of successive seconds, by kind."""
+    windows = []
+    before = await fleet.platform_counters()
+    for _ in range(n_windows):
+        await trio.sleep(1.0)
+        after = await fleet.platform_counters()
+        windows.append(
+            {name: after[name] - before.get(name, 0) for name in after}
+        )
+        before = after
+    return windows
+
+
+def n_table_requests(window):
+    return window.get('transaction', 0) + window.get('read', 0)
+
+
+async def submit_once(fleet, entry_id, **kwargs):
+    """Submit one task to one instance without a retry."""
+    async with support.make_client(
+        fleet, [entry_id], max_attempts=1
+    ) as connection:
+        return await fleet.submit(
+            connection, [fleets.make_task(support.UPSTREAM, 20)], **kwargs
+        )
+
+
+async def test_an_outage_under_load(fleet):
+    # Guards R4, R12 and R14: without the table, tickets are served and
+    # other new submissions refused truthfully; when it comes back, the
+    # callers and instances do not all return at once.
+    async with (
+        support.make_client(fleet) as claims,
+        support.make_client(fleet, use_tickets=True) as tickets,
+        trio.open_nursery() as nursery,
+    ):
+        load = support.make_load(fleet, claims, rate_per_s=30)
+        await nursery.start(load.run)
+        before = await count_requests(fleet, 2)
+        await fleet.platform_fault('outage', 3600)
+        await wait_platform_state(fleet, False)
+        served = support.make_load(fleet, tickets, seed=2, rate_per_s=30)
+        async with trio.open_nursery() as during:
+            await during.start(served.run)
+            refused = await submit_once(fleet, support.SPECS[0].id)
+            repeated = await submit_once(
+                fleet, support.SPECS[1].id, submission_id='repeated'
+            )
+            await trio.sleep(1.5)
+            served.stop()
+        await fleet.platform_fault('outage', 0)
+        after = await count_requests(fleet, 4)
+        load.stop()
+    assert await fleet.audit() == []
+    assert [outcome.code for outcome in served.outcomes] == (
+        ['complete'] * len(served.outcomes)
+    )
+    assert refused.code == repeated.code == 'platform_unavailable'
+    assert isinstance(refused.answer, client.NotRunError)
+    assert isinstance(repeated.answer, client.OutcomeUnknownError)
+    assert refused.duration_s < REFUSAL_BOUND_S
+    for window in after:
+        assert window.get('transaction', 0) <= WRITES_PER_S
+        assert window.get('transaction_429', 0) == 0
+        assert window.get('read_429', 0) == 0
+    usual = max(map(n_table_requests, before))
+    assert max(map(n_table_requests, after)) <= 2 * usual
+    assert load.outcomes[-1].complete
+
+
+@pytest.mark.parametrize(
+    'kind, fields',
+    [
+        ('lost_answers', {'share': 0.5}),
+        ('slow', {'delay_ms': 700.0}),
+        ('slow', {'delay_ms': 700.0, 'after_effect': True}),
+        ('slow', {'delay_ms': 2500.0, 'share': 0.3, 'after_effect': True}),
+    ],
+)
+async def test_a_table_that_loses_or_delays_answers(fleet, kind, fields):
+    # Guards R1 and R4: a write whose answer is lost or late may have been
+    # committed, so it is read back and neither repeated nor reported as
+    # not done.
+    async with support.make_client(fleet) as connection:
+        async with trio.open_nursery() as nursery:
+            load = support.make_load(fleet, connection, rate_per_s=30)
+            await nursery.start(load.run)
+            await fleet.platform_fault(kind, 2.0, **fields)
+            await trio.sleep(2.5)
+            load.stop()
+    assert await fleet.audit() == []
+    codes = {outcome.code for outcome in load.outcomes}
+    assert codes <= {'complete', 'platform_unavailable', 'outcome_unknown'}
+    assert load.outcomes[-1].complete
+    n_complete = sum(outcome.complete for outcome in load.outcomes)
+    assert n_complete >= 0.8 * len(load.outcomes)
+
+
+async def test_an_instance_that_starts_during_an_outage(fleet):
+    # Guards R8 and R14: it serves the contracts that its peers know and
+    # does not go back to an older version when the platform returns.
+    first = support.SPECS[0].id
+    version = await fleet.contract_version(first, support.CUSTOMER)
+    answer = await fleet.put_contract(
+        first,
+        support.CUSTOMER,
+        {**support.CONTRACT, 'weight': 2.0},
+        expected_version=version,
+    )
+    assert answer.status_code == 200
+    version += 1
+    await fleet.wait_contract(support.CUSTOMER, version)
+    spec = _processes.EntrySpec('saskatoon-2', 'saskatoon')
+    peers = ','.join(fleet.peer_addresses.values())
+    await fleet.platform_fault('outage', 3600)
+    await wait_platform_state(fleet, False)
+    observations = []
+
+    async def observe():
+        while True:
+            found = await fleet.contract_version(spec.id, support.CUSTOMER)
+            observations.append(
+                audit.ContractObservation(
+                    spec.id, support.CUSTOMER, found, time.monotonic()
+                )
+            )
+            await trio.sleep(0.05)
+
+    await fleet.start_entry(spec, flags=[f'--seed-peers={peers}'])
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(observe)
+        await fleet.wait_serving(spec.id, timeout_s=10)
+        assert (
+            await fleet.contract_version(spec.id, support.CUSTOMER) == version
+        )
+        async with support.make_client(
+            fleet, [spec.id], use_tickets=True
+        ) as connection:
+            outcome = await fleet.submit(
+                connection,
+                [fleets.make_task(support.UPSTREAM, 50)],
+                deadline_ms=5_000,
+            )
+        await fleet.platform_fault('outage', 0)
+        await wait_platform_state(fleet, True)
+        answer = await fleet.put_contract(
+            first, support.CUSTOMER, support.CONTRACT, version
+        )
+        assert answer.status_code == 200
+        await fleet.wait_contract(support.CUSTOMER, version + 1)
+        nursery.cancel_scope.cancel()
+    assert outcome.code == 'complete'
+    assert await fleet.audit(observations) == []
+    fleet.processes[spec.id].kill()
+    await fleet.list_as(spec.id, 'gone')
+    del fleet.entry_urls[spec.id]
