--- a/src/orioleloom/entry/_jobs.py
+++ b/src/orioleloom/entry/_jobs.py
@@ -96,7 +96,12 @@
                 'headers': headers,
             }
         )
-        await send({'type': 'http.response.body', 'body': body})
+        try:
+            await send({'type': 'http.response.body', 'body': body})
+        except trio.BusyResourceError:
+            # The caller closed the connection on reading the answer, and
+            # hypercorn ends it while the end of the response is sent.
+            self.runner.counters['closed_in_response'] += 1
 
     async def _dispatch(
         self, scope: Scope, receive: Receive
--- a/src/orioleloom/entry/_runner.py
+++ b/src/orioleloom/entry/_runner.py
@@ -67,6 +67,7 @@
             'engine_errors': 0,
             'exchanges': 0,
             'platform_failures': 0,
+            'closed_in_response': 0,
         }
         self._waiters: dict[int, _Waiter] = {}
         self._request_ids = itertools.count(1)
