--- a/tests/entry/test_runner.py
+++ b/tests/entry/test_runner.py
@@ -132,6 +132,8 @@
     # Guards R8: contracts beyond the first page of 1,000 rows must not
     # wait for later polls; and against connections kept to gone workers.
     async with running() as runner:
+        # The polls at the start must not read these rows a second time.
+        await fakes.until(runner.is_ready)
         runner.platform.rows = [
             model.Row(f'contract/c{n}', {}, n) for n in range(1, 2_501)
         ]
