Count the deadline of a takeover from the receipt of its copy

Cause: a job that was taken over counted its deadline from the takeover. After: it ends with "deadline_exceeded" and nothing starts.

--- a/src/orioleloom/engine/_claim_flow.py
+++ b/src/orioleloom/engine/_claim_flow.py
@@ -307,7 +307,11 @@
         core = self.core
         core.remote.pop(remote.id)
         job = self.dispatcher.new_job(
-            remote.id, remote.request, remote.body, ticket=False
+            remote.id,
+            remote.request,
+            remote.body,
+            ticket=False,
+            deadline_at_s=remote.deadline_at_s,
         )
         job.waiters = remote.waiters
         self.insert(job, if_revision=remote.row.revision)
--- a/src/orioleloom/engine/_dispatch.py
+++ b/src/orioleloom/engine/_dispatch.py
@@ -62,19 +62,25 @@
         body: bytes,
         *,
         ticket: bool,
+        deadline_at_s: float | None = None,
     ) -> Job:
-        """Create a job that this instance holds."""
+        """Create a job that this instance holds.
+
+        :param deadline_at_s: set when the copy was received earlier
+        """
         core = self.core
         contract = core.book.get(job_id.customer)
         deadline_ms = request.deadline_ms
         if deadline_ms is None:
             deadline_ms = contract.deadline_ms if contract else 60_000.0
+        if deadline_at_s is None:
+            deadline_at_s = core.now_s + deadline_ms / 1000
         job = Job(
             job_id,
             request,
             ticket,
             core.now_s,
-            core.now_s + deadline_ms / 1000,
+            deadline_at_s,
             len(body),
         )
         core.jobs[job_id] = job
--- a/src/orioleloom/engine/_jobs.py
+++ b/src/orioleloom/engine/_jobs.py
@@ -152,7 +152,7 @@
     :param owner: ``<instance>/<incarnation>`` that holds it
     :param row: claim row, to take over from; ``None`` for a ticket
     :param request: content, when a caller sent a copy
-    :param deadline_at_s: when that copy expires, if known
+    :param deadline_at_s: when the last copy received expires, if known
     :param cancel: a caller asked to cancel it
     :param closing_answer: answer once the takeover is committed
     """
--- a/src/orioleloom/engine/_remote.py
+++ b/src/orioleloom/engine/_remote.py
@@ -48,11 +48,14 @@
         remote = core.remote.get(job_id)
         is_new = remote is None
         if remote is None:
-            remote = RemoteJob(job_id, owner, row, None, body, first_attempt)
+            remote = RemoteJob(
+                job_id, owner, row, request, body, first_attempt
+            )
             core.remote[job_id] = remote
         remote.row = row or remote.row
-        if request is not None and remote.request is None:
-            remote.request = request
+        remote.request = remote.request or request
+        if request is not None:
+            # Each copy has its time from its own receipt.
             remote.deadline_at_s = self._deadline_at_s(job_id, request)
         remote.body = remote.body or body
         remote.waiters |= waiting.final
--- a/tests/faults/test_deadlines.py
+++ b/tests/faults/test_deadlines.py
@@ -18,3 +18,21 @@
     world.run_for(20.0)
     assert world.violations() == []
     assert copy.answer.body['state'] == 'failed'
+
+
+def test_takeover_after_the_deadline_starts_nothing():
+    # Guards R12: the search for the owner takes longer than the deadline
+    # of the copy that takes over.
+    world = virtual.World()
+    world.submit('busy', [1000.0] * 200, first=True)
+    world.run_for(0.5)
+    world.submit('s1', [50.0], deadline_ms=800.0)
+    world.run_for(0.05)
+    world.kill(world.entries['e0'])
+    n_starts = world.n_starts()
+    copy = world.submit('s1', [50.0], entry_id='e1', deadline_ms=800.0)
+    world.run_for(20.0)
+    assert world.violations() == []
+    assert world.n_starts() == n_starts
+    error = copy.answer.body['error']
+    assert (error['code'], error['run']) == ('deadline_exceeded', 'not_run')
