--- a/src/orioleloom_standins/virtual/_callers.py
+++ b/src/orioleloom_standins/virtual/_callers.py
@@ -116,13 +116,13 @@
         """Cancel a submission at an instance."""
         job_id = model.JobId(customer or self.customer, submission_id)
         sent = [c.tasks for c in self.copies if c.job_id == job_id]
-        copy = Copy(
-            job_id,
-            sent[0] if sent else (),
-            entry_id,
-            self.clock.now_s,
-            cancel=True,
-        )
+        return self.cancel_job(job_id, sent[0] if sent else (), entry_id)
+
+    def cancel_job(
+        self, job_id: model.JobId, tasks: tuple[model.Task, ...], entry_id: str
+    ) -> Copy:
+        """Cancel a submission, of which no copy may have been sent yet."""
+        copy = Copy(job_id, tasks, entry_id, self.clock.now_s, cancel=True)
         self.copies.append(copy)
         self._send(copy, lambda request_id: engine.Cancel(request_id, job_id))
         return copy
--- a/tests/faults/defects.py
+++ b/tests/faults/defects.py
@@ -361,7 +361,7 @@
         def receive_each(lender, grant, now_s, *, message_id):
             known = shares._customers.get(grant.customer)
             held = known.grants.get(lender) if known else None
-            repeated = held is not None and held.message_id == message_id
+            repeated = held is not None and message_id <= held.message_id
             name = f'{lender} again' if repeated else lender
             receive(name, grant, now_s, message_id=message_id)
 
