Load every worker in the tests of worker faults

At light load an instance keeps to the few workers on which it learnt the shortest times, so a fault of another worker was not met: three runs of the tests failed while waiting for it.

--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -21,6 +21,10 @@
     _processes.EntrySpec('saskatoon-1', 'saskatoon'),
 )
 
+# With 40 jobs a second about 27 of the 32 slots are busy, so that every
+# instance uses every worker; at light load an instance keeps to a few.
+BUSY_WORK_MS = (200.0, 400.0)
+
 # Shorter than the defaults where the poll interval and the hold of a new
 # instance are not what is tested.
 QUICK_FLAGS = (
