Estimate waits from the mean run time and try faster workers

A trace of the worst jobs showed long tasks on slow workers: the wait for a faster slot was estimated as if the running tasks were as long as the task at hand. The rest came from the division of slots among instances. Ruled out: claims (the same with tickets), cold start (the same over 80 s), limits (1.74 with limits that do not bind). Change: the wait uses the mean run time of the upstream; a task may join an exchange, or be sent on its own if earlier packing paid for it, to a faster worker when the chance of a free slot makes it worth it. Two placement tests now name the policy without tries, whose pause they check; two tests bound the tries.

--- a/src/orioleloom/placement/_group.py
+++ b/src/orioleloom/placement/_group.py
@@ -2,11 +2,17 @@
 
 import bisect
 import math
+import random
 
 from orioleloom.placement import _worker
 
 FIRST_PROBE_WAIT_S = 0.02
 MAX_PROBE_WAIT_S = 0.32
+# Choices after which workers are ranked by speed again; ranking costs a
+# sort of all workers, and speeds drift slowly.
+RANK_INTERVAL = 100
+INITIAL_MEAN_MS = 300.0
+MEAN_WEIGHT = 0.02
 
 
 class Group:
@@ -27,6 +33,13 @@
         self._fastest = math.inf
         self.n_open = 0
         self.n_running = 0
+        # Workers to which an exchange is being put together now.
+        self._batch: list[_worker.Worker] = []
+        self._batch_at_s = -math.inf
+        self._ranked: list[_worker.Worker] = []
+        self._n_until_ranked = 0
+        # Mean run time on a worker of factor 0.
+        self.mean_ms = INITIAL_MEAN_MS
         self.probe_at_s = math.inf
         self.probe_wait_s = FIRST_PROBE_WAIT_S
 
@@ -46,6 +59,41 @@
         """Return every open worker."""
         return [w for c in self._classes for w in self._open[c]]
 
+    def join_batch(self, worker: _worker.Worker, now_s: float) -> None:
+        """Note that an exchange to a worker is being put together."""
+        if self._batch_at_s != now_s:
+            self._batch_at_s = now_s
+            self._batch = []
+        if worker.n_in_batch == 1:
+            self._batch.append(worker)
+
+    def learn_mean(self, run_time_ms: float) -> None:
+        """Learn the mean run time from one on a worker of factor 0."""
+        self.mean_ms += MEAN_WEIGHT * (run_time_ms - self.mean_ms)
+
+    def best_log_factor(self) -> float:
+        """Return the smallest factor at the last ranking."""
+        self._n_until_ranked -= 1
+        stale = len(self._ranked) != len(self.workers)
+        if stale or self._n_until_ranked <= 0:
+            self._n_until_ranked = RANK_INTERVAL
+            self._ranked = sorted(
+                self.workers.values(), key=lambda w: w.log_factor
+            )
+        return self._ranked[0].log_factor
+
+    def candidates(
+        self, n_workers: int, random_state: random.Random
+    ) -> list[_worker.Worker]:
+        """Return random ones of the faster half at the last ranking."""
+        n_top = max(2 * n_workers, len(self._ranked) // 2)
+        top = self._ranked[:n_top]
+        return random_state.sample(top, min(n_workers, len(top)))
+
+    def batch(self, now_s: float) -> list[_worker.Worker]:
+        """Return the workers to which an exchange leaves at this time."""
+        return self._batch if self._batch_at_s == now_s else []
+
     def place(self, worker: _worker.Worker, is_open: bool) -> None:
         """Enter a worker at its present class, or take it out."""
         speed_class = worker.speed_class()
--- a/src/orioleloom/placement/_policies.py
+++ b/src/orioleloom/placement/_policies.py
@@ -14,6 +14,12 @@
 _MAX_SURGES = 2.0
 # A report this many relaxation times old no longer changes.
 _LAST_LOOK = 20.0
+# Exchanges that each finished task pays for; what packing saves is left
+# for tries. The bound on what a burst may spend of earlier savings.
+_EXCHANGES_PER_TASK = 1.02
+_MAX_BALANCE = 50.0
+# Without any open worker, a try is compared with this completion time.
+_MAX_EXPECTED_MS = 10_000.0
 
 
 class Policy(typing.Protocol):
@@ -22,6 +28,9 @@
     def succeeded(self) -> None:
         """Learn that a start was accepted."""
 
+    def exchange_started(self) -> None:
+        """Learn that an exchange with a worker was begun."""
+
     def rejected(self, now_s: float) -> None:
         """Learn that a start was rejected."""
 
@@ -36,6 +45,7 @@
         group: _group.Group,
         log_ms: float,
         n_waiting: int,
+        now_s: float,
         random_state: random.Random,
     ) -> _worker.Worker | None:
         """Return an open worker, or ``None`` to wait."""
@@ -53,6 +63,13 @@
     :param kept_share: share of a worker's slots left free for their home
         instances when this instance borrows
     :param surge: certainty that a rejection adds for ``recover_s``
+    :param max_extra_tasks: tasks that may join an exchange on the chance
+        that the worker has more slots free
+    :param n_candidates: workers looked at for a try of its own
+    :param price_ms: time that a try of its own must save on average; a
+        lower price buys response time with messages
+    :param rejection_ms: cost of a rejection: a round trip and the
+        processor time at both ends
 
     >>> policy = ExpectedCompletion(rejected_share=0.02)
     """
@@ -64,7 +81,16 @@
         kept_share: float = 0.125,
         surge: float = 4.0,
         recover_s: float = 0.3,
+        max_extra_tasks: int = 3,
+        n_candidates: int = 6,
+        price_ms: float = 100.0,
+        rejection_ms: float = 10.0,
     ) -> None:
+        self.max_extra_tasks = max_extra_tasks
+        self.n_candidates = n_candidates
+        self.price_ms = price_ms
+        self.rejection_ms = rejection_ms
+        self.balance_ = 0.0
         self.rejected_share = rejected_share
         self.kept_share = kept_share
         self.surge = surge
@@ -74,10 +100,16 @@
         self.surge_at_s_ = 0.0
 
     def succeeded(self) -> None:
-        """Ask for a little less certainty."""
+        """Ask for a little less certainty and pay for an exchange."""
+        balance = self.balance_ + _EXCHANGES_PER_TASK
+        self.balance_ = min(_MAX_BALANCE, balance)
         lowered = self.certainty_ - _CERTAINTY_STEP * self.rejected_share
         self.certainty_ = max(0.0, lowered)
 
+    def exchange_started(self) -> None:
+        """Take an exchange off the balance of messages."""
+        self.balance_ -= 1.0
+
     def rejected(self, now_s: float) -> None:
         """Ask for more certainty, most of it for a short time."""
         raised = self.certainty_ + _CERTAINTY_STEP
@@ -117,36 +149,105 @@
         group: _group.Group,
         log_ms: float,
         n_waiting: int,
+        now_s: float,
         random_state: random.Random,
     ) -> _worker.Worker | None:
         """Return the fastest open worker unless waiting ends earlier."""
+        base = None
+        base_class = None
+        expected_ms = math.inf
         for speed_class in group.open_classes():
             members = group.open_in(speed_class)
             if members:
-                if self._waits(group, speed_class, log_ms, n_waiting):
-                    return None
-                return members[int(random_state.random() * len(members))]
-        return None
+                base = members[int(random_state.random() * len(members))]
+                base_class = speed_class
+                expected_ms = math.exp(
+                    log_ms + speed_class * _worker.CLASS_WIDTH
+                )
+                break
+        wait_ms = self._wait_ms(group, base_class, log_ms, n_waiting)
+        if wait_ms < expected_ms:
+            base = None
+            expected_ms = wait_ms
+        faster = self._attempt(group, log_ms, expected_ms, now_s, random_state)
+        return faster or base
+
+    def _attempt(
+        self,
+        group: _group.Group,
+        log_ms: float,
+        expected_ms: float,
+        now_s: float,
+        random_state: random.Random,
+    ) -> _worker.Worker | None:
+        """Return a faster worker that is worth a try, if there is one.
+
+        A task that travels with others costs no message when it is
+        rejected; an exchange of its own costs ``price_ms`` and needs a
+        balance of messages.
+        """
+        best = None
+        best_gain = 0.0
+        for worker in group.batch(now_s):
+            gain = self._gain(worker, log_ms, expected_ms, now_s)
+            if gain > best_gain and worker.n_in_batch <= self.max_extra_tasks:
+                best, best_gain = worker, gain
+        if best is not None or self.balance_ < 1.0:
+            return best
+        most_saved_ms = min(expected_ms, _MAX_EXPECTED_MS) - math.exp(
+            log_ms + group.best_log_factor()
+        )
+        if most_saved_ms <= self.price_ms:
+            return None
+        for worker in group.candidates(self.n_candidates, random_state):
+            gain = self._gain(worker, log_ms, expected_ms, now_s)
+            if gain > best_gain + self.price_ms:
+                best, best_gain = worker, gain
+        return best
 
-    def _waits(
+    def _gain(
+        self,
+        worker: _worker.Worker,
+        log_ms: float,
+        expected_ms: float,
+        now_s: float,
+    ) -> float:
+        """Return the time that a try is expected to save, in ms."""
+        if worker.outstanding >= worker.slots or not worker.usable:
+            return 0.0
+        fast_ms = math.exp(log_ms + worker.log_factor)
+        saved_ms = min(expected_ms, _MAX_EXPECTED_MS) - fast_ms
+        if saved_ms <= 0.0:
+            return 0.0
+        p = worker.free_probability(now_s)
+        return p * saved_ms - (1.0 - p) * self.rejection_ms
+
+    def _wait_ms(
         self,
         group: _group.Group,
-        open_class: int,
+        open_class: int | None,
         log_ms: float,
         n_waiting: int,
-    ) -> bool:
-        """Compare a start now with waiting for a faster class."""
-        slow_ms = math.exp(log_ms + open_class * _worker.CLASS_WIDTH)
+    ) -> float:
+        """Return the expected completion time when a faster slot is awaited.
+
+        Slots become free at the rate at which the running tasks end, so
+        the mean run time counts here and not that of the task at hand:
+        with the latter, long tasks went to slow workers and the mean
+        response time at 60 % load was 1.7 instead of 1.4 times the ideal.
+        """
         running = group.running()
-        rate = 0.0
+        ends_per_ms = 0.0
+        best_ms = math.inf
         for speed_class in sorted(running):
-            if speed_class >= open_class:
-                return False
-            fast_ms = math.exp(log_ms + speed_class * _worker.CLASS_WIDTH)
-            rate += running[speed_class] / fast_ms
-            if rate and fast_ms + max(n_waiting, 1) / rate < slow_ms:
-                return True
-        return False
+            if open_class is not None and speed_class >= open_class:
+                break
+            relative = math.exp(speed_class * _worker.CLASS_WIDTH)
+            ends_per_ms += running[speed_class] / (group.mean_ms * relative)
+            if ends_per_ms:
+                wait_ms = max(n_waiting, 1) / ends_per_ms
+                best_ms = min(best_ms, math.exp(log_ms) * relative + wait_ms)
+        return best_ms
 
 
 class _Baseline:
@@ -161,6 +262,9 @@
     def succeeded(self) -> None:
         """Learn nothing."""
 
+    def exchange_started(self) -> None:
+        """Learn nothing."""
+
     def rejected(self, now_s: float) -> None:
         """Learn nothing."""
 
@@ -181,6 +285,7 @@
         group: _group.Group,
         log_ms: float,
         n_waiting: int,
+        now_s: float,
         random_state: random.Random,
     ) -> _worker.Worker | None:
         """Return a random open worker."""
@@ -200,6 +305,7 @@
         group: _group.Group,
         log_ms: float,
         n_waiting: int,
+        now_s: float,
         random_state: random.Random,
     ) -> _worker.Worker | None:
         """Return the open worker that follows the last one by id."""
@@ -219,6 +325,7 @@
         group: _group.Group,
         log_ms: float,
         n_waiting: int,
+        now_s: float,
         random_state: random.Random,
     ) -> _worker.Worker | None:
         """Return the less occupied of two random open workers."""
@@ -237,6 +344,7 @@
         group: _group.Group,
         log_ms: float,
         n_waiting: int,
+        now_s: float,
         random_state: random.Random,
     ) -> _worker.Worker | None:
         """Return an open worker with the fewest own tasks."""
--- a/src/orioleloom/placement/_pool.py
+++ b/src/orioleloom/placement/_pool.py
@@ -129,12 +129,12 @@
         log_ms = self._run_times.log_ms(kind, declared_run_time_ms)
         while True:
             worker = self.policy.pick(
-                group, log_ms, n_waiting, self.random_state
+                group, log_ms, n_waiting, now_s, self.random_state
             )
             if worker is None:
                 return self._probe(group, now_s)
             entry = self._entries[worker.id]
-            if self._is_open(entry, now_s):
+            if worker.position < 0 or self._is_open(entry, now_s):
                 return worker.id
             self._refresh(entry, now_s)
 
@@ -143,6 +143,9 @@
         entry = self._entries.get(worker_id)
         if entry:
             entry.worker.start(now_s)
+            entry.group.join_batch(entry.worker, now_s)
+            if entry.worker.n_in_batch == 1:
+                self.policy.exchange_started()
             entry.group.probe_at_s = math.inf
             entry.health.on_started()
             self._refresh(entry, now_s)
@@ -165,6 +168,7 @@
         self._run_times.observe(
             worker, kind, declared_run_time_ms, run_time_ms
         )
+        entry.group.learn_mean(run_time_ms / math.exp(worker.log_factor))
         worker.learn_relaxation(elapsed_ms)
         worker.report(free_slots, now_s)
         self.policy.succeeded()
@@ -463,6 +467,7 @@
     def _refresh(self, entry: _Entry, now_s: float) -> None:
         """Bring the index up to date with what is known of a worker."""
         is_open = self._is_open(entry, now_s)
+        entry.worker.usable = self._is_usable(entry, now_s)
         entry.group.place(entry.worker, is_open)
         if not is_open and entry.worker.live:
             self._set_wakeup(entry, now_s)
--- a/src/orioleloom/placement/_worker.py
+++ b/src/orioleloom/placement/_worker.py
@@ -33,6 +33,7 @@
         # What the list said last, and what the worker said itself.
         self.listed: model.Member | None = None
         self.said_leaving = False
+        self.usable = False
         self.outstanding = 0
         self.log_factor = 0.0
         self.n_results = 0
@@ -114,6 +115,21 @@
         )
         self.reported_at_s = now_s
 
+    def mean_spare(self, now_s: float) -> float:
+        """Return the expected number of free slots."""
+        age_s = now_s - self.reported_at_s
+        decay = math.exp(-age_s / self.relax_s)
+        known = math.exp(-age_s / _FORGET_S)
+        mean = self.others_mean * known
+        others = mean + (self.others - mean) * decay
+        return self.slots - self.outstanding - others
+
+    def free_probability(self, now_s: float) -> float:
+        """Return the probability that a slot is free."""
+        if self.reported_at_s == -math.inf:
+            return 0.5
+        return 0.5 * math.erfc(-self.free_score(now_s) / math.sqrt(2.0))
+
     def free_score(self, now_s: float, kept: float = 0.0) -> float:
         """Return the certainty that a slot is free, in deviations.
 
--- a/tests/placement/test_pool.py
+++ b/tests/placement/test_pool.py
@@ -51,6 +51,11 @@
     return pool
 
 
+def without_tries():
+    """Return the default policy without tries on the chance of a slot."""
+    return placement.ExpectedCompletion(max_extra_tasks=0, price_ms=1e9)
+
+
 def start(pool, now_s, upstream='up'):
     worker_id = pool.choose(upstream, 'kind', None, 1, now_s)
     if worker_id is not None:
@@ -265,7 +270,7 @@
 
 def test_probe_comes_after_a_worker_changed_its_speed_class():
     """Guards against tasks counted as in progress for ever."""
-    pool = make_pool(n=1, slots=8)
+    pool = make_pool(without_tries, n=1, slots=8)
     pool.set_rank(None, 0)
     for run_time_ms in (100.0, 4000.0) * 20:
         for _ in range(3):
@@ -278,7 +283,7 @@
 
 def test_rejection_pauses_claims_that_rest_on_old_reports():
     """F9. Guards against many wasted messages when workers fill up."""
-    pool = make_pool(n=4, slots=8)
+    pool = make_pool(without_tries, n=4, slots=8)
     pool.set_rank(0, 8)
     for worker_id in ('w0', 'w1', 'w2', 'w3'):
         for _ in range(12):
@@ -292,6 +297,33 @@
     assert start(pool, 3.0) is not None
 
 
+def test_extra_tasks_travel_with_an_exchange_and_are_bounded():
+    """F9. Guards against one POST for each task of a burst."""
+    pool = make_pool(n=3, slots=8)
+    pool.set_rank(0, 8)
+    for worker_id in ('w0', 'w1', 'w2'):
+        for _ in range(12):
+            pool.started(worker_id, 'kind', 0.0)
+            pool.finished(worker_id, 'kind', 250.0, 251.0, 6, 0.0)
+    chosen = start_all(pool, 0.05)
+    per_worker = [chosen.count(w) for w in set(chosen)]
+    assert max(per_worker) > 1
+    # The home share of one slot, a borrowed one and three extra tasks.
+    assert max(per_worker) <= 8
+
+
+def test_tries_of_their_own_need_a_balance_of_messages():
+    """F9. Guards against tries that cost more than packing saved."""
+    policy = placement.ExpectedCompletion(price_ms=0.0)
+    pool = make_pool(lambda: policy, n=2, slots=8)
+    pool.set_rank(None, 0)
+    policy.balance_ = 0.0
+    assert start(pool, 1.0) is None
+    policy.balance_ = 5.0
+    assert start(pool, 1.1) is not None
+    assert policy.balance_ == 4.0
+
+
 events = st.lists(
     st.tuples(
         st.sampled_from(
