--- a/benchmarks/histories.py
+++ b/benchmarks/histories.py
@@ -15,25 +15,29 @@
 MAX_PROCESSES = 6
 
 
-def run_one(seed: int) -> tuple[int, int, list[str]]:
+def run_one(job: tuple[int, int]) -> tuple[int, int, list[str]]:
     """Run one history.
 
+    :param job: seed and the most steps of the history
     :returns: its seed, the tasks started, and what was found
     """
+    seed, n_steps = job
     try:
-        violations, history = virtual.random_history(seed)
+        violations, history = virtual.random_history(seed, n_steps=n_steps)
     except Exception:
         return seed, 0, [traceback.format_exc()]
     return seed, history.world.n_starts(), [str(v) for v in violations]
 
 
-def replay(seed: int) -> None:
+def replay(seed: int, n_steps: int) -> None:
     """Print the steps and the violations of one history."""
 
     def trace(now_s: float, name: str, numbers: list[int]) -> None:
         print(f'{now_s:9.3f} {name} {numbers}')
 
-    violations, history = virtual.random_history(seed, trace=trace)
+    violations, history = virtual.random_history(
+        seed, n_steps=n_steps, trace=trace
+    )
     for violation in violations:
         print(violation)
     print(f'{len(violations)} violations, {history.world.n_starts()} starts')
@@ -48,9 +52,12 @@
         '--processes', type=int, default=MAX_PROCESSES, help='1 to 6'
     )
     parser.add_argument('--replay', type=int, metavar='SEED')
+    parser.add_argument(
+        '--steps', type=int, default=30, help='most steps of a history'
+    )
     options = parser.parse_args()
     if options.replay is not None:
-        replay(options.replay)
+        replay(options.replay, options.steps)
         return 0
     if not 1 <= options.processes <= MAX_PROCESSES:
         parser.error(
@@ -61,13 +68,17 @@
     if seed is None:
         seed = random.SystemRandom().randrange(10**6)
     first = seed * 10**6
-    print(f'seed {seed}: histories {first} to {first + options.n - 1}')
+    print(
+        f'seed {seed}: histories {first} to {first + options.n - 1} of up to '
+        f'{options.steps} steps'
+    )
+    jobs = ((first + index, options.steps) for index in range(options.n))
     began_s = time.monotonic()
     n_starts = n_failed = 0
     rules: collections.Counter[str] = collections.Counter()
     with multiprocessing.Pool(options.processes) as pool:
         for done, starts, found in pool.imap_unordered(
-            run_one, range(first, first + options.n), chunksize=20
+            run_one, jobs, chunksize=20
         ):
             n_starts += starts
             n_failed += bool(found)
--- a/src/orioleloom_standins/virtual/_callers.py
+++ b/src/orioleloom_standins/virtual/_callers.py
@@ -4,7 +4,6 @@
 from orioleloom import engine
 from orioleloom import model
 from orioleloom import validation
-from orioleloom_standins import audit
 from orioleloom_standins.virtual._clock import Clock
 from orioleloom_standins.virtual._entry import Entry
 from orioleloom_standins.virtual._network import Network
@@ -252,22 +251,3 @@
     def _give_up(copy: Copy) -> None:
         if copy.answer is None:
             copy.gave_up = True
-
-    def calls(self) -> list[audit.Call]:
-        """Return all requests for the audit."""
-        return [
-            audit.Call(
-                copy.job_id.customer,
-                copy.job_id.submission_id,
-                tuple(audit.SentTask(t.kind, t.payload) for t in copy.tasks),
-                accepted=copy.answer is not None
-                and (copy.is_progress or 'tasks' in copy.answer.body),
-                answer=None
-                if copy.answer is None or copy.is_progress
-                else copy.answer.body,
-                # After progress the caller would fetch the answer.
-                pending=copy.answer is None or copy.is_progress,
-            )
-            for copy in self.copies
-            if copy.tasks
-        ]
--- /dev/null
+++ b/src/orioleloom_standins/virtual/_fault_steps.py
@@ -0,0 +1,137 @@
+from orioleloom import model
+from orioleloom_standins.virtual._entry import Entry
+from orioleloom_standins.virtual._world import World
+
+FAULTS_S = (0.3, 2.5, 7.0)
+CLOCK_JUMPS_S = (-100.0, -1.0, 1.0, 100.0)
+
+# Only these workers leave, so that the others can finish every job.
+_MAY_LEAVE = ('w0', 'w1')
+
+
+class FaultSteps:
+    """Steps of a history that make parts fail.
+
+    :param world: the world that they act on
+    """
+
+    def __init__(self, world: World):
+        self.world = world
+
+    def _entry(self, number: int) -> Entry:
+        entries = list(self.world.entries.values())
+        return entries[number % len(entries)]
+
+    def _loosen_limit(self) -> None:
+        """Leave out the check of shares.
+
+        From now on views of the list, clocks or contracts may differ,
+        under which the limit has only a loose bound.
+        """
+        self.world.watch.limits.clear()
+
+    # Processes
+
+    def kill(self, a: int, b: int, c: int) -> None:
+        """End a process; the list may drop it."""
+        entry = self._entry(a)
+        if entry.alive:
+            self._loosen_limit()
+            self.world.kill(entry)
+            if b % 2:
+                self.world.processes.unlist(entry)
+
+    def restart(self, a: int, b: int, c: int) -> None:
+        """Start a process that ended."""
+        entry = self._entry(a)
+        if not entry.alive:
+            self._restart(entry)
+
+    def _restart(self, entry: Entry) -> None:
+        self.world.platform.list_member(entry.member())
+        self.world.start(entry)
+
+    def pause(self, a: int, b: int, c: int) -> None:
+        """Stop a process for a while."""
+        self._loosen_limit()
+        self.world.processes.pause(self._entry(a), FAULTS_S[b % len(FAULTS_S)])
+
+    def stop(self, a: int, b: int, c: int) -> None:
+        """Begin a planned stop."""
+        entry = self._entry(a)
+        if entry.alive and not entry.paused and not entry.core.core.stopping:
+            self._loosen_limit()
+            self.world.processes.stop(entry)
+
+    def jump_clock(self, a: int, b: int, c: int) -> None:
+        """Move the clock of a process."""
+        self._loosen_limit()
+        jump_s = CLOCK_JUMPS_S[b % len(CLOCK_JUMPS_S)]
+        self._entry(a).clock_offset_s += jump_s
+
+    # Links, platform and workers
+
+    def cut(self, a: int, b: int, c: int) -> None:
+        """Cut an instance off from one kind of part."""
+        entry = self._entry(a)
+        world = self.world
+        others = [
+            ['callers'],
+            ['platform'],
+            [e for e in world.entries if e != entry.id],
+            [list(world.workers.by_id)[c % len(world.workers.by_id)]],
+            list(world.workers.by_id),
+        ][b % 5]
+        world.network.cut |= {frozenset((entry.id, o)) for o in others}
+
+    def heal(self, a: int, b: int, c: int) -> None:
+        """Heal all links."""
+        network = self.world.network
+        network.cut.clear()
+        network.peer_loss = network.peer_duplicates = 0.0
+        network.line_duplicates = 0.0
+
+    def lose_messages(self, a: int, b: int, c: int) -> None:
+        """Lose and repeat peer messages and result lines."""
+        network = self.world.network
+        network.peer_loss = (0.0, 0.3, 0.8)[a % 3]
+        network.peer_duplicates = (0.0, 0.5)[b % 2]
+        network.line_duplicates = (0.0, 0.5)[c % 2]
+
+    def outage(self, a: int, b: int, c: int) -> None:
+        """Take the platform away, or make it slow."""
+        until_s = self.world.now_s + FAULTS_S[a % len(FAULTS_S)]
+        if b % 2:
+            self.world.platform.away_until_s = until_s
+        else:
+            self.world.platform.slow_until_s = until_s
+
+    def fail_writes(self, a: int, b: int, c: int) -> None:
+        """Lose answers or writes, or delay writes."""
+        name = ('lose_answers', 'lose_writes', 'delay_writes')[a % 3]
+        setattr(self.world.platform, name, 1 + b % 2)
+
+    def fail_worker(self, a: int, b: int, c: int) -> None:
+        """Start or end a fault of a worker."""
+        workers = self.world.workers
+        worker_id = list(workers.by_id)[a % len(workers.by_id)]
+        worker = workers.by_id[worker_id]
+        duration_s = FAULTS_S[c % len(FAULTS_S)]
+        match b % 6:
+            case 0:
+                workers.kill(worker_id)
+            case 1:
+                workers.dead.discard(worker_id)
+            case 2:
+                workers.stalled.add(worker_id)
+            case 3:
+                worker.set_fault(
+                    'fail_all', self.world.now_s, duration_s=duration_s
+                )
+            case 4 if worker_id in _MAY_LEAVE:
+                spec = workers.specs[worker_id]
+                self.world.platform.list_member(
+                    spec.member(model.MemberState.LEAVING)
+                )
+            case 5 if worker_id in _MAY_LEAVE:
+                worker.set_fault('leave', self.world.now_s, duration_s=1e9)
--- a/src/orioleloom_standins/virtual/_history.py
+++ b/src/orioleloom_standins/virtual/_history.py
@@ -3,9 +3,11 @@
 import typing
 
 from orioleloom import engine
-from orioleloom import model
 from orioleloom_standins import audit
 from orioleloom_standins.virtual._entry import Entry
+from orioleloom_standins.virtual._fault_steps import FAULTS_S
+from orioleloom_standins.virtual._fault_steps import FaultSteps
+from orioleloom_standins.virtual._history_end import check_end
 from orioleloom_standins.virtual._requests import Copy
 from orioleloom_standins.virtual._world import CUSTOMER
 from orioleloom_standins.virtual._world import default_contract
@@ -16,21 +18,16 @@
 CUSTOMERS = (CUSTOMER, SECOND)
 IN_FLIGHT = 12
 ADVANCES_S = (0.0, 0.001, 0.005, 0.05, 0.3, 1.0, 3.0, 7.0)
-FAULTS_S = (0.3, 2.5, 7.0)
 WORK_MS = (5.0, 50.0, 300.0, 3000.0)
 N_TASKS = (1, 2, 8, 40)
 DEADLINES_MS = (None, None, None, 400.0, 3000.0)
 STOP_TIMEOUTS_S = (3.0, 30.0)
-CLOCK_JUMPS_S = (-100.0, -1.0, 1.0, 100.0)
 
 # The deadline of a job, the time for its record and a margin.
 _SETTLE_S = 20.0 + 30.0 + 10.0
 
-# Only these workers leave, so that the others can finish every job.
-_MAY_LEAVE = ('w0', 'w1')
 
-
-class History:
+class History(FaultSteps):
     """A world and the steps that a generated history consists of.
 
     Every step takes three numbers, which choose among what exists at
@@ -43,7 +40,7 @@
     def __init__(
         self, seed: int = 0, engine_class: type[engine.Engine] = engine.Engine
     ):
-        self.world = World(
+        world = World(
             seed=seed,
             workers=default_workers(4),
             contracts=[
@@ -55,13 +52,10 @@
                 stop_timeout_s=STOP_TIMEOUTS_S[seed % 2]
             ),
         )
+        super().__init__(world)
         self.n_submitted = 0
         self.world.watch.limits = dict.fromkeys(CUSTOMERS, IN_FLIGHT)
 
-    def _entry(self, number: int) -> Entry:
-        entries = list(self.world.entries.values())
-        return entries[number % len(entries)]
-
     def _serving(self, number: int) -> Entry | None:
         live = [e for e in self.world.entries.values() if e.alive]
         return live[number % len(live)] if live else None
@@ -71,14 +65,6 @@
         jobs = [c for c in first.values() if c.tasks]
         return jobs[number % len(jobs)] if jobs else None
 
-    def _loosen_limit(self) -> None:
-        """Leave out the check of shares.
-
-        From now on views of the list, clocks or contracts may differ,
-        under which the limit has only a loose bound.
-        """
-        self.world.watch.limits.clear()
-
     # Callers
 
     def submit(self, a: int, b: int, c: int) -> None:
@@ -171,116 +157,12 @@
             if b % 2:
                 break
 
-    # Time and processes
+    # Time
 
     def advance(self, a: int, b: int, c: int) -> None:
         """Let time pass."""
         self.world.run_for(ADVANCES_S[a % len(ADVANCES_S)])
 
-    def kill(self, a: int, b: int, c: int) -> None:
-        """End a process; the list may drop it."""
-        entry = self._entry(a)
-        if entry.alive:
-            self._loosen_limit()
-            self.world.kill(entry)
-            if b % 2:
-                self.world.processes.unlist(entry)
-
-    def restart(self, a: int, b: int, c: int) -> None:
-        """Start a process that ended."""
-        entry = self._entry(a)
-        if not entry.alive:
-            self._restart(entry)
-
-    def _restart(self, entry: Entry) -> None:
-        self.world.platform.list_member(entry.member())
-        self.world.start(entry)
-
-    def pause(self, a: int, b: int, c: int) -> None:
-        """Stop a process for a while."""
-        self._loosen_limit()
-        self.world.processes.pause(self._entry(a), FAULTS_S[b % len(FAULTS_S)])
-
-    def stop(self, a: int, b: int, c: int) -> None:
-        """Begin a planned stop."""
-        entry = self._entry(a)
-        if entry.alive and not entry.paused and not entry.core.core.stopping:
-            self._loosen_limit()
-            self.world.processes.stop(entry)
-
-    def jump_clock(self, a: int, b: int, c: int) -> None:
-        """Move the clock of a process."""
-        self._loosen_limit()
-        jump_s = CLOCK_JUMPS_S[b % len(CLOCK_JUMPS_S)]
-        self._entry(a).clock_offset_s += jump_s
-
-    # Links, platform and workers
-
-    def cut(self, a: int, b: int, c: int) -> None:
-        """Cut an instance off from one kind of part."""
-        entry = self._entry(a)
-        world = self.world
-        others = [
-            ['callers'],
-            ['platform'],
-            [e for e in world.entries if e != entry.id],
-            [list(world.workers.by_id)[c % len(world.workers.by_id)]],
-            list(world.workers.by_id),
-        ][b % 5]
-        world.network.cut |= {frozenset((entry.id, o)) for o in others}
-
-    def heal(self, a: int, b: int, c: int) -> None:
-        """Heal all links."""
-        network = self.world.network
-        network.cut.clear()
-        network.peer_loss = network.peer_duplicates = 0.0
-        network.line_duplicates = 0.0
-
-    def lose_messages(self, a: int, b: int, c: int) -> None:
-        """Lose and repeat peer messages and result lines."""
-        network = self.world.network
-        network.peer_loss = (0.0, 0.3, 0.8)[a % 3]
-        network.peer_duplicates = (0.0, 0.5)[b % 2]
-        network.line_duplicates = (0.0, 0.5)[c % 2]
-
-    def outage(self, a: int, b: int, c: int) -> None:
-        """Take the platform away, or make it slow."""
-        until_s = self.world.now_s + FAULTS_S[a % len(FAULTS_S)]
-        if b % 2:
-            self.world.platform.away_until_s = until_s
-        else:
-            self.world.platform.slow_until_s = until_s
-
-    def fail_writes(self, a: int, b: int, c: int) -> None:
-        """Lose answers or writes, or delay writes."""
-        name = ('lose_answers', 'lose_writes', 'delay_writes')[a % 3]
-        setattr(self.world.platform, name, 1 + b % 2)
-
-    def fail_worker(self, a: int, b: int, c: int) -> None:
-        """Start or end a fault of a worker."""
-        workers = self.world.workers
-        worker_id = list(workers.by_id)[a % len(workers.by_id)]
-        worker = workers.by_id[worker_id]
-        duration_s = FAULTS_S[c % len(FAULTS_S)]
-        match b % 6:
-            case 0:
-                workers.kill(worker_id)
-            case 1:
-                workers.dead.discard(worker_id)
-            case 2:
-                workers.stalled.add(worker_id)
-            case 3:
-                worker.set_fault(
-                    'fail_all', self.world.now_s, duration_s=duration_s
-                )
-            case 4 if worker_id in _MAY_LEAVE:
-                spec = workers.specs[worker_id]
-                self.world.platform.list_member(
-                    spec.member(model.MemberState.LEAVING)
-                )
-            case 5 if worker_id in _MAY_LEAVE:
-                worker.set_fault('leave', self.world.now_s, duration_s=1e9)
-
     # End
 
     def finish(self) -> list[audit.Violation]:
@@ -311,50 +193,10 @@
             if entry.alive and not entry.core.core.stopping
         ]
         world.run_for(15.0)
-        return [*world.violations(), *self._check_end(probes)]
-
-    def _check_end(
-        self, probes: list[Copy]
-    ) -> collections.abc.Iterator[audit.Violation]:
-        world = self.world
-        if world.processes.n_cut_off:
-            yield audit.Violation(
-                'cut_off', 'stop', f'{world.processes.n_cut_off} requests'
-            )
-        for copy in world.copies:
-            if copy.answer is None and not copy.gave_up:
-                yield audit.Violation(
-                    'hang', copy.job_id.submission_id, f'at {copy.entry_id}'
-                )
-        for probe in probes:
-            state = probe.answer and probe.answer.body['state']
-            if state != 'complete':
-                yield audit.Violation(
-                    'not_recovered', probe.entry_id, f'{probe.answer}'
-                )
-        for entry in world.entries.values():
-            if entry.alive:
-                yield from _check_idle(entry)
-
-
-def _check_idle(entry: Entry) -> collections.abc.Iterator[audit.Violation]:
-    """Yield what an instance without work still counts as in use."""
-    state = entry.core.state(0.0)
-    left = {
-        'active jobs': state['jobs']['active'],
-        'remote jobs': state['jobs']['remote'],
-        'queued tasks': state['queued_tasks'],
-        'exchanges': state['exchanges'],
-        'requests': len(entry.core.core.requests),
-        'running': sum(map(entry.core.core.limits.n_running, CUSTOMERS)),
-        'outstanding': sum(
-            worker['outstanding']
-            for worker in state['workers']['workers'].values()
-        ),
-    }
-    for name, number in left.items():
-        if number:
-            yield audit.Violation('left_over', entry.id, f'{number} {name}')
+        return [
+            *world.violations(),
+            *check_end(world, probes, CUSTOMERS),
+        ]
 
 
 def _refused_not_run(copy: Copy) -> bool:
--- a/src/orioleloom_standins/virtual/_requests.py
+++ b/src/orioleloom_standins/virtual/_requests.py
@@ -3,6 +3,7 @@
 
 from orioleloom import codec
 from orioleloom import model
+from orioleloom_standins import audit
 
 
 @dataclasses.dataclass
@@ -72,3 +73,23 @@
             ],
         }
     )
+
+
+def calls_of(copies: typing.Iterable[Copy]) -> list[audit.Call]:
+    """Return all requests for the audit."""
+    return [
+        audit.Call(
+            copy.job_id.customer,
+            copy.job_id.submission_id,
+            tuple(audit.SentTask(t.kind, t.payload) for t in copy.tasks),
+            accepted=copy.answer is not None
+            and (copy.is_progress or 'tasks' in copy.answer.body),
+            answer=None
+            if copy.answer is None or copy.is_progress
+            else copy.answer.body,
+            # After progress the caller would fetch the answer.
+            pending=copy.answer is None or copy.is_progress,
+        )
+        for copy in copies
+        if copy.tasks
+    ]
--- a/src/orioleloom_standins/virtual/_world.py
+++ b/src/orioleloom_standins/virtual/_world.py
@@ -16,6 +16,7 @@
 from orioleloom_standins.virtual._platform import TABLE_S
 from orioleloom_standins.virtual._processes import POLL_S
 from orioleloom_standins.virtual._processes import Processes
+from orioleloom_standins.virtual._requests import calls_of
 from orioleloom_standins.virtual._requests import Copy
 from orioleloom_standins.virtual._watch import Watch
 from orioleloom_standins.virtual._workers import Workers
@@ -192,7 +193,7 @@
         return [
             *audit.audit(
                 self.workers.ledger(),
-                self.callers.calls(),
+                calls_of(self.callers.copies),
                 self.platform.table.history,
                 self.processes.versions,
             ),
