--- a/src/orioleloom_standins/virtual/_effects.py
+++ b/src/orioleloom_standins/virtual/_effects.py
@@ -4,13 +4,11 @@
 from orioleloom_standins.virtual._clock import Clock
 from orioleloom_standins.virtual._entry import Entry
 from orioleloom_standins.virtual._network import Network
+from orioleloom_standins.virtual._network import REPEAT_S
 from orioleloom_standins.virtual._platform import PlatformSide
 from orioleloom_standins.virtual._processes import Processes
 from orioleloom_standins.virtual._workers import Workers
 
-# A repeated peer message arrives this long after the first.
-REPEAT_S = 3.0
-
 
 class Effects:
     """Carry out the effects of the engines."""
