Release a forgotten job before its claim row is deleted

Cause: the list of rows to delete held whole jobs for claim_retention_s, 6 hours by default, beyond the retention and outside max_queued_bytes. After: only id and revision of the row are kept.

--- a/src/orioleloom/engine/_expiry.py
+++ b/src/orioleloom/engine/_expiry.py
@@ -6,7 +6,6 @@
 from orioleloom.engine._completion import Completion
 from orioleloom.engine._core import Core
 from orioleloom.engine._dispatch import Dispatcher
-from orioleloom.engine._jobs import Job
 from orioleloom.engine._jobs import JobPhase
 from orioleloom.engine import _tags as tags
 from orioleloom import errors
@@ -31,7 +30,8 @@
         self.dispatcher = dispatcher
         self.completion = completion
         self.claim_flow = claim_flow
-        self._deletions: collections.deque[tuple[float, Job]] = (
+        # Claims outlive their jobs by hours, so the jobs are not kept.
+        self._deletions: collections.deque[tuple[float, model.JobId, int]] = (
             collections.deque()
         )
 
@@ -73,18 +73,16 @@
             self.claim_flow.forget(job)
             if not job.ticket:
                 due_at_s = core.now_s + core.settings.claim_retention_s
-                self._deletions.append((due_at_s, job))
+                self._deletions.append((due_at_s, job.id, job.revision))
 
     def _delete_old(self) -> None:
         core = self.core
         while self._deletions and self._deletions[0][0] <= core.now_s:
-            _, job = self._deletions.popleft()
-            op = model.TableOp(
-                'delete', job.id.claim_key(), None, job.revision
-            )
+            _, job_id, revision = self._deletions.popleft()
+            op = model.TableOp('delete', job_id.claim_key(), None, revision)
             core.writer.add(
                 claims.WriteGroup(
-                    tags.ClaimDelete(job.id),
+                    tags.ClaimDelete(job_id),
                     core.new_token(),
                     (op,),
                     core.now_s + core.settings.record_timeout_s,
