Refuse for now, not for ever, before the worker list was read

Cause: without a member list no upstream has a worker. Before: an instance that starts while the list is unavailable refused each job as not_runnable, which callers do not retry.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -10,6 +10,7 @@
 import argparse
 import collections
 import random
+import re
 import signal
 import statistics
 import sys
@@ -82,6 +83,7 @@
     writes_waiting: int
     active_jobs: int
     remote_jobs: int
+    held_jobs: int
 
 
 class Soak:
@@ -285,6 +287,7 @@
                 state['writes_waiting'],
                 state['jobs']['active'],
                 state['jobs']['remote'],
+                state['jobs']['held'],
             )
         )
 
@@ -297,6 +300,8 @@
             f'{sum(len(outcome.tasks) for outcome in outcomes)} tasks: '
             + ', '.join(f'{n} {code}' for code, n in codes.most_common())
         )
+        for text, number in count_messages(outcomes):
+            print(f'  {number} x {text}')
         print(f'longest wait of a caller {longest_s:.1f} s')
         print(f'faults: {dict(self.n_faults)}')
         faults = [
@@ -324,6 +329,18 @@
         return faults
 
 
+def count_messages(
+    outcomes: typing.Iterable[fleets.Outcome],
+) -> list[tuple[str, int]]:
+    """Count the error messages, with all digits alike."""
+    found = collections.Counter(
+        re.sub(r'[0-9a-f]{8,}|\d+', '#', str(outcome.answer))[:160]
+        for outcome in outcomes
+        if isinstance(outcome.answer, client.SubmissionError)
+    )
+    return found.most_common(12)
+
+
 def describe(samples: typing.Sequence[Sample]) -> str:
     """Describe memory and queues of one instance.
 
@@ -340,10 +357,15 @@
         )
         span_s = steady[-1].time_s - steady[0].time_s
         slope = f'slope {fit.slope * 60:+.3f} MiB/min over {span_s:.0f} s'
+    # Shows whether growth levels off.
+    step = max(1, len(last) // 6)
+    course = ' '.join(
+        f'{item.resident_bytes / 2**20:.1f}' for item in last[::step]
+    )
     return (
         f'{len({item.pid for item in samples})} processes, resident '
-        f'{last[0].resident_bytes / 2**20:.1f} to '
-        f'{last[-1].resident_bytes / 2**20:.1f} MiB, {slope}; most queued '
+        f'{course} MiB, {slope}; jobs held at the end '
+        f'{last[-1].held_jobs}; most queued '
         f'tasks {max(item.queued_tasks for item in samples)}, writes '
         f'waiting {max(item.writes_waiting for item in samples)}, active '
         f'jobs {max(item.active_jobs for item in samples)}, remote jobs '
--- a/src/orioleloom/engine/_submissions.py
+++ b/src/orioleloom/engine/_submissions.py
@@ -185,6 +185,12 @@
                 f'upstream {upstream!r} is not in the contract of customer '
                 f'{contract.customer!r}, which allows: {allowed}',
             )
+        if not self.core.members.entries():
+            raise errors.DispatchError(
+                errors.ErrorKind.PLATFORM_UNAVAILABLE,
+                'this instance has not read the list of workers yet',
+                retry_after_ms=self.core.retry_after_ms(),
+            )
         if not self.core.pool.has_upstream(upstream):
             raise errors.DispatchError(
                 errors.ErrorKind.NOT_RUNNABLE,
--- a/tests/processes/test_platform_faults.py
+++ b/tests/processes/test_platform_faults.py
@@ -225,3 +225,22 @@
         )
     assert await fleet.audit() == []
     assert outcome.code == 'complete'
+
+
+async def test_an_instance_without_a_member_list_refuses_for_now(fleet):
+    # Guards R13: "never runnable" is not said of a job only because the
+    # list of workers has not been read yet.
+    spec = _processes.EntrySpec('saskatoon-3', 'saskatoon')
+    await fleet.platform_fault('list_outage', 3600)
+    await fleet.start_entry(spec)
+    outcome = await submit_once(fleet, spec.id)
+    assert outcome.code == 'platform_unavailable'
+    assert outcome.answer.retry_after_ms > 0
+    assert isinstance(outcome.answer, client.NotRunError)
+    await fleet.platform_fault('list_outage', 0)
+    await fleet.wait_serving(spec.id, timeout_s=5)
+    assert (await submit_once(fleet, spec.id)).complete
+    assert await fleet.audit() == []
+    fleet.processes[spec.id].kill()
+    await fleet.list_as(spec.id, 'gone')
+    del fleet.entry_urls[spec.id], fleet.peer_addresses[spec.id]
