Catch a raise taken for done in a fixed scenario

Cause: the planted defect 'raise before commit' was caught by one drawn history, which another placement policy changes. Change: a scenario cuts the holder from the platform before its job gets slots, kills it and sends a copy elsewhere; the defect starts tasks twice there, the product none.

--- a/tests/engine/test_expiry.py
+++ b/tests/engine/test_expiry.py
@@ -35,7 +35,7 @@
     )
     added = []
     flow = types.SimpleNamespace(forget=lambda job: core.jobs.pop(job.id))
-    expiry = _expiry.Expiry(core, None, None, flow)
+    expiry = _expiry.Expiry(core, None, None, flow, None)
     del job
     expiry.tick()
     gc.collect()
--- a/tests/faults/test_defects.py
+++ b/tests/faults/test_defects.py
@@ -43,6 +43,21 @@
     return world.violations()
 
 
+def _cut_before_the_raise(engine_class: type) -> list[audit.Violation]:
+    """The holder is cut from the platform before a job gets its slots."""
+    world = virtual.World(seed=1, engine_class=engine_class)
+    world.submit('busy', [300.0] * 40)
+    world.run_for(0.2)
+    world.submit('s1', [8000.0] * 4)
+    world.run_for(0.05)
+    world.network.cut.add(frozenset(('e0', 'platform')))
+    world.run_for(4.0)
+    world.kill(world.entries['e0'])
+    world.submit('s1', [8000.0] * 4, entry_id='e1')
+    world.run_for(40.0)
+    return world.violations()
+
+
 def _queued_then_killed(engine_class: type) -> list[audit.Violation]:
     """The holder dies while it runs a job that had to wait for slots."""
     world = virtual.World(seed=1, engine_class=engine_class)
@@ -222,7 +237,7 @@
     defects.StaleContractAccepted: _late_contract,
     defects.TicketRunAnywhere: _cell('receive', 'pause'),
     defects.GivenUpClaimRuns: _two_copies_in_an_outage,
-    defects.RaiseBeforeCommit: _history(4),
+    defects.RaiseBeforeCommit: _cut_before_the_raise,
     defects.SupersededGoesOn: _woken_after_takeover,
     defects.CancelUnrecorded: _history(23),
     defects.CancelAnsweredEarly: _cancelled_while_running,
