--- /dev/null
+++ b/examples/change_contract.py
@@ -0,0 +1,54 @@
+"""Raise a customer's in-flight limit with compare-and-set.
+
+Run it against an instance that has a contract for the customer::
+
+    python examples/change_contract.py \
+        --url http://127.0.0.1:8080 --customer harrowgate --add 2
+
+The change names the version that it is based on. When another operator was
+faster, the instance answers 409 ``contract_conflict``; the program then
+reads the contract again and repeats its change on the new version.
+"""
+
+import argparse
+import sys
+
+import httpx
+
+MAX_TRIES = 5
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--url', default='http://127.0.0.1:8080')
+    parser.add_argument('--customer', default='harrowgate')
+    parser.add_argument('--add', type=int, default=1)
+    arguments = parser.parse_args()
+    url = f'{arguments.url}/v1/contracts/{arguments.customer}'
+    with httpx.Client(timeout=10, trust_env=False) as http:
+        for _ in range(MAX_TRIES):
+            response = http.get(url)
+            response.raise_for_status()
+            contract = response.json()
+            # The answer has two fields that a change does not take: the
+            # customer is in the path, the version is the one expected.
+            del contract['customer']
+            contract['expected_version'] = contract.pop('version')
+            contract['in_flight'] += arguments.add
+            response = http.put(url, json=contract)
+            if response.status_code == 200:
+                changed = response.json()
+                print(
+                    f'version {changed["version"]}: '
+                    f'in_flight {changed["in_flight"]}'
+                )
+                return 0
+            error = response.json()['error']
+            print(f'{error["code"]}: {error["message"]}', file=sys.stderr)
+            if error['code'] != 'contract_conflict':
+                return 7
+    return 5
+
+
+if __name__ == '__main__':
+    sys.exit(main())
