--- a/benchmarks/_slope_parts.py
+++ b/benchmarks/_slope_parts.py
@@ -29,6 +29,20 @@
             _slope.slope('placement', size, 'us a task', costs),
             _slope.slope('placement', size, 'bytes a worker', sizes),
         ]
+    for n_workers in (*WORKERS, 22_000):
+        pool = placement_cost.make_pool(n_workers, 1)
+        costs = [
+            _slope.processor_us(lambda: pool.free_slots('up', 0.0), 10)
+            for _ in range(5)
+        ]
+        found.append(
+            _slope.slope(
+                'placement',
+                f'{n_workers} workers',
+                'us a free_slots call',
+                costs,
+            )
+        )
     return found
 
 
