Count rejected exchanges and processor time a task in the load report

Cause: each rejected task counted as two wasted messages although most travel with accepted ones, and the cost of an instance was not reported. Change: the engine counts exchanges whose tasks were all rejected, the state dump has the processor time, the report has both figures and the sum of all messages.

--- a/src/orioleloom/cli/_load.py
+++ b/src/orioleloom/cli/_load.py
@@ -280,6 +280,11 @@
         f'wasted messages per task: {counted["wasted_per_task"]:.4f}, tasks '
         f'per request to a worker: {counted["tasks_per_exchange"]:.2f}'
     )
+    print(
+        f'all messages per task: {counted["messages_per_task"]:.4f}, '
+        'processor time of the instances per task: '
+        f'{counted["processor_ms_per_task"]:.3f} ms'
+    )
     if counted['missing_counters']:
         print(f'counters not found: {", ".join(counted["missing_counters"])}')
     for fault in report['faults']:
--- a/src/orioleloom/engine/_dispatch.py
+++ b/src/orioleloom/engine/_dispatch.py
@@ -38,6 +38,8 @@
 
     worker_id: str
     tasks: dict[str, InFlightTask]
+    n_tasks: int = 0
+    n_rejected: int = 0
 
 
 class Dispatcher:
@@ -232,6 +234,7 @@
                     key, task.kind, declared.payload, int(lease_s * 1000)
                 )
             )
+            exchange.n_tasks += 1
             exchange.tasks[key] = InFlightTask(job, task, core.now_s)
             job.states[task.index] = TaskState.SENT
             job.n_in_flight += 1
@@ -299,6 +302,11 @@
                 self._task_ended(job, task.index, TaskState.STOPPED)
             case model.TaskOutcome.REJECTED:
                 core.counters['task_rejections'] += 1
+                exchange.n_rejected += 1
+                if exchange.n_rejected == exchange.n_tasks:
+                    # Only these cost messages; other rejections travel
+                    # with accepted tasks.
+                    core.counters['exchanges_rejected'] += 1
                 core.pool.rejected(worker_id, line.free_slots, core.now_s)
                 self._not_started(job, task)
         self.completion.check(job)
--- a/src/orioleloom/engine/_engine.py
+++ b/src/orioleloom/engine/_engine.py
@@ -26,6 +26,18 @@
 
 MAX_TICKETS = 1000
 
+# Counters that a reader expects although nothing was counted yet.
+COUNTERS = (
+    'exchanges_rejected',
+    'peer_messages',
+    'table_reads',
+    'table_writes',
+    'task_rejections',
+    'task_sends',
+    'worker_cancels',
+    'worker_exchanges',
+)
+
 # Message ids start at a random number, so that a restarted instance
 # does not take a reply to its former life for one of its own.
 MESSAGE_ID_BITS = 48
@@ -373,7 +385,12 @@
     def counters(self) -> dict[str, int]:
         """Return counts since the start, for metrics."""
         core = self.core
-        return {**core.counters, 'table_rows': core.writer.n_rows_written}
+        never = dict.fromkeys(COUNTERS, 0)
+        return {
+            **never,
+            **core.counters,
+            'table_rows': core.writer.n_rows_written,
+        }
 
     def state(self, now_s: float) -> dict[str, typing.Any]:
         """Return a dump of the state for operators."""
--- a/src/orioleloom/entry/_runner.py
+++ b/src/orioleloom/entry/_runner.py
@@ -1,5 +1,6 @@
 import collections.abc
 import itertools
+import time
 import typing
 
 import eliot
@@ -467,6 +468,9 @@
             'ready': self.is_ready(),
             'stopping': self.stopping,
             'open_requests': len(self._waiters),
+            'process': {
+                'counters': {'processor_time_s': time.process_time()},
+            },
             'platform_available': self._platform_available,
             'members_revision': self._members_revision,
             'contracts_revision': self._contracts_revision,
--- a/src/orioleloom/load/_report.py
+++ b/src/orioleloom/load/_report.py
@@ -49,9 +49,10 @@
 
     ``wasted_per_task`` counts each message beyond one request and one
     answer per task: table, list and contract requests with their answers,
-    peer messages, and two messages for each rejected task. A rejected
-    task that travelled with accepted ones cost no message, so this is an
-    upper bound. Tasks that share a request are not set off against it.
+    peer messages, and two messages for each request to a worker whose
+    tasks were all rejected. A rejected task that travelled with accepted
+    ones cost no message. Tasks that share a request are not set off
+    against it; ``messages_per_task`` counts every message instead.
 
     :param before: sums of the counters before the load
     :param after: sums of the counters after it
@@ -63,11 +64,19 @@
         name: 2 * used.get(name, 0) for name in _ROUND_TRIPS
     }
     parts['peer_messages'] = used.get('peer_messages', 0)
-    parts['task_rejections'] = 2 * used.get('task_rejections', 0)
-    known = {*_ROUND_TRIPS, 'peer_messages', 'task_rejections'}
+    control = sum(parts.values())
+    parts['exchanges_rejected'] = 2 * used.get('exchanges_rejected', 0)
+    known = {*_ROUND_TRIPS, 'peer_messages', 'exchanges_rejected'}
+    n_exchanges = used.get('worker_exchanges', 0)
     return {
         'wasted_per_task': round(sum(parts.values()) / max(1, n_tasks), 6),
         'wasted': parts,
+        'messages_per_task': round(
+            (control + 2 * n_exchanges) / max(1, n_tasks), 6
+        ),
+        'processor_ms_per_task': round(
+            1000 * used.get('processor_time_s', 0) / max(1, n_tasks), 3
+        ),
         'tasks_per_exchange': round(
             used.get('task_sends', 0)
             / max(1, used.get('worker_exchanges', 0)),
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -196,13 +196,19 @@
         'table_writes': 20.0,
         'peer_messages': 5.0,
         'task_sends': 103.0,
-        'task_rejections': 3.0,
+        'task_rejections': 30.0,
+        'exchanges_rejected': 3.0,
         'worker_exchanges': 50.0,
+        'processor_time_s': 0.2,
     }
     counted = load.messages(before, after, 100)
     assert counted['wasted_per_task'] == pytest.approx(
         (2 * 10 + 5 + 2 * 3) / 100
     )
+    assert counted['messages_per_task'] == pytest.approx(
+        (2 * 10 + 5 + 2 * 50) / 100
+    )
+    assert counted['processor_ms_per_task'] == pytest.approx(2.0)
     assert counted['tasks_per_exchange'] == pytest.approx(2.06)
     assert counted['missing_counters'] == [
         'contract_polls',
