--- a/tests/docs/test_operators.py
+++ b/tests/docs/test_operators.py
@@ -49,7 +49,7 @@
         for template in re.findall(r"counters\[\s*f'([^']+)'\s*\]", text):
             for name in COMPUTED[template]:
                 names.add(f'orioleloom_engine_{name}_total')
-        added = re.search(r'\{\*\*core\.counters, (.*?)\}', text)
+        added = re.search(r'\*\*core\.counters,(.*?)\}', text, re.S)
         if added:
             for name in re.findall(r"'(\w+)':", added[1]):
                 names.add(f'orioleloom_engine_{name}_total')
