Keep a floor of lent share and recall the rest

A lender keeps an eighth of its own share. When it is short it sends ShareRecall; the borrower takes free share out of use, then tells the lender with ShareReturn what it still holds. The engine's tick looks every 0.5 s at customers whose tasks run, so that loans under long tasks are renewed with an empty queue.

A grant returned in part under a low limit grew with the next version.

_shares.py is split into state, lending and borrowing.

--- a/benchmarks/limits_exchange.py
+++ b/benchmarks/limits_exchange.py
@@ -9,6 +9,7 @@
 import statistics
 import time
 
+from orioleloom import codec
 from orioleloom import limits
 from orioleloom import model
 
@@ -58,10 +59,17 @@
         arrived, on_the_way = on_the_way, []
         for sender, receiver, number, payload in arrived:
             target = by_name[receiver]
-            if hasattr(payload, 'ttl_ms'):
-                target.shares.receive(
-                    sender, payload, now_s, message_id=number
-                )
+            match payload:
+                case codec.ShareGrant():
+                    take = target.shares.receive
+                case codec.ShareRecall():
+                    take = target.shares.recalled
+                case codec.ShareReturn():
+                    take = target.shares.returned
+                case _:
+                    take = None
+            if take is not None:
+                take(sender, payload, now_s, message_id=number)
                 continue
             grant = target.shares.lend(
                 sender, payload, target.n_waiting, now_s, message_id=number
@@ -85,6 +93,13 @@
                     now_s + rng.uniform(0.5, 1.5) * run_time_s
                 )
             instance.n_waiting -= n_starts
+            if shares.allowance(CUSTOMER, now_s) < 1 <= instance.n_waiting:
+                for peer, number, recall in shares.recalls(
+                    CUSTOMER, instance.n_waiting, now_s
+                ):
+                    on_the_way.append((instance.name, peer, number, recall))
+            for peer, number, answer in shares.returns(now_s):
+                on_the_way.append((instance.name, peer, number, answer))
             message_id += 1
             request = shares.shortage(
                 CUSTOMER, instance.n_waiting, now_s, message_id=message_id
--- a/src/orioleloom/codec/__init__.py
+++ b/src/orioleloom/codec/__init__.py
@@ -18,7 +18,9 @@
 from orioleloom.codec._peer import MembersPush
 from orioleloom.codec._peer import PeerMessage
 from orioleloom.codec._peer import ShareGrant
+from orioleloom.codec._peer import ShareRecall
 from orioleloom.codec._peer import ShareRequest
+from orioleloom.codec._peer import ShareReturn
 from orioleloom.codec._peer import WorkerNotice
 
 __all__ = [
@@ -34,7 +36,9 @@
     'MembersPush',
     'PeerMessage',
     'ShareGrant',
+    'ShareRecall',
     'ShareRequest',
+    'ShareReturn',
     'WorkerNotice',
     'decode_json',
     'decode_peer',
--- a/src/orioleloom/codec/_peer.py
+++ b/src/orioleloom/codec/_peer.py
@@ -104,6 +104,34 @@
     burst: int = 0
 
 
+class ShareRecall(typing.NamedTuple):
+    """Ask a borrower to give up share before its grant ends.
+
+    The amounts are what it may keep of the grant whose message id the
+    envelope carries.
+    """
+
+    customer: str
+    in_flight: int
+    starts_per_s: float
+    burst: int
+
+
+class ShareReturn(typing.NamedTuple):
+    """Tell a lender what the sender still holds of a recalled grant.
+
+    The envelope carries the message id of the grant.
+
+    :param n_tokens: start tokens given back so far under that grant
+    """
+
+    customer: str
+    in_flight: int
+    starts_per_s: float
+    burst: int
+    n_tokens: int = 0
+
+
 class WorkerNotice(typing.NamedTuple):
     """Tell peers that a worker fails tasks or says that it is leaving."""
 
@@ -128,6 +156,8 @@
     | MembersPush
     | ShareRequest
     | ShareGrant
+    | ShareRecall
+    | ShareReturn
     | WorkerNotice
     | LeavingNotice
 )
--- a/src/orioleloom/engine/_engine.py
+++ b/src/orioleloom/engine/_engine.py
@@ -122,6 +122,7 @@
         self._route(event)
         self.dispatcher.run()
         self._sharing.borrow(self.dispatcher.starved())
+        self._sharing.give_back()
         self._sharing.notices()
         self._write()
         done, core.pending = core.pending, []
@@ -261,6 +262,10 @@
                 self._sharing.request_received(message_id, sender, message)
             case codec.ShareGrant():
                 self._sharing.grant_received(message_id, sender, message)
+            case codec.ShareRecall():
+                self._sharing.recall_received(message_id, sender, message)
+            case codec.ShareReturn():
+                self._sharing.return_received(message_id, sender, message)
             case codec.WorkerNotice():
                 self._sharing.notice_received(message)
             case codec.LeavingNotice(instance_id):
@@ -284,6 +289,7 @@
         self._groups_done(core.writer.drop_expired(core.now_s))
         self._sharing.update_rank()
         core.limits.expire(core.now_s)
+        self._sharing.tick()
         self._remote.tick()
         self._expiry.tick()
 
--- a/src/orioleloom/engine/_sharing.py
+++ b/src/orioleloom/engine/_sharing.py
@@ -4,17 +4,49 @@
 from orioleloom import model
 
 
+# Time between looks at the share of customers whose tasks run, so that
+# loans are renewed although no task waits.
+CHECK_INTERVAL_S = 0.5
+
+
 class Sharing:
     """Lend and borrow limit shares; pass on notices about workers."""
 
     def __init__(self, core: Core):
         self.core = core
         self._rank_and_count: membership.RankAndCount | None = None
+        self._next_check_at_s = 0.0
 
     def borrow(self, starved: dict[str, int]) -> None:
-        """Ask peers for share of customers whose limits hold tasks back."""
+        """Get share for customers whose limits hold tasks back.
+
+        Lent share is recalled, and peers are asked for theirs.
+        """
         core = self.core
         for customer, n_waiting in starved.items():
+            for borrower, loan_id, recall in core.limits.recalls(
+                customer, n_waiting, core.now_s
+            ):
+                core.counters['share_recalls'] += 1
+                core.send_peer(borrower, recall, loan_id)
+        self._ask(starved)
+
+    def tick(self) -> None:
+        """Renew the loans of customers whose tasks run."""
+        core = self.core
+        if core.now_s < self._next_check_at_s:
+            return
+        self._next_check_at_s = core.now_s + CHECK_INTERVAL_S
+        self._ask(
+            {
+                customer: core.queue.n_tasks(customer)
+                for customer in core.limits.running()
+            }
+        )
+
+    def _ask(self, waiting: dict[str, int]) -> None:
+        core = self.core
+        for customer, n_waiting in waiting.items():
             message_id = core.new_message_id()
             request = core.limits.shortage(
                 customer, n_waiting, core.now_s, message_id=message_id
@@ -56,6 +88,37 @@
             message_id=message_id,
         )
 
+    def recall_received(
+        self, message_id: int, sender: str, recall: codec.ShareRecall
+    ) -> None:
+        """Stop starts on share that its lender needs."""
+        core = self.core
+        core.limits.recalled(
+            sender.partition('/')[0],
+            recall,
+            core.now_s,
+            message_id=message_id,
+        )
+
+    def return_received(
+        self, message_id: int, sender: str, answer: codec.ShareReturn
+    ) -> None:
+        """Take share back that a borrower no longer holds."""
+        core = self.core
+        core.limits.returned(
+            sender.partition('/')[0],
+            answer,
+            core.now_s,
+            message_id=message_id,
+        )
+
+    def give_back(self) -> None:
+        """Tell lenders what is free of the share that they recalled."""
+        core = self.core
+        for lender, loan_id, answer in core.limits.returns(core.now_s):
+            core.counters['share_returns'] += 1
+            core.send_peer(lender, answer, loan_id)
+
     def notices(self) -> None:
         """Tell peers about workers that were just quarantined."""
         for notice in self.core.pool.take_notices():
--- a/src/orioleloom/limits/_records.py
+++ b/src/orioleloom/limits/_records.py
@@ -5,10 +5,22 @@
 
 from orioleloom import model
 
+GRANT_TTL_S = 5.0
+
+# Covers the difference in clock rate of two machines over a grant.
+LENDER_MARGIN_S = 1.0
+
 # Recent demand is the largest value of the current and the last slot.
 _SLOT_S = 1.0
 
 
+def integer_share(total: int, rank: int | None, n_entries: int) -> int:
+    """Return the share of ``total`` for one rank; shares sum to it."""
+    if rank is None or n_entries < 1:
+        return 0
+    return total // n_entries + (1 if rank < total % n_entries else 0)
+
+
 class Amounts(typing.NamedTuple):
     """Parts of the three limits of a contract."""
 
@@ -49,12 +61,19 @@
     :param message_id: id of the request that it answers
     :param version: contract version of the lender
     :param ends_at_s: the share counts before this time only
+    :param keep: what may be kept of it after a recall
+    :param n_tokens_returned: start tokens given back so far
+    :param is_return_due: the lender was not told of the last change
     """
 
     message_id: int
     version: int
     amounts: Amounts
     ends_at_s: float
+    keep: Amounts | None = None
+    n_tokens_returned: int = 0
+    is_return_due: bool = False
+    next_return_at_s: float = -math.inf
 
 
 class Loan(typing.NamedTuple):
@@ -62,12 +81,16 @@
 
     :param version: contract version under which it was lent; a repeated
         answer must carry it although a newer one is in force by then
+    :param n_tokens_returned: start tokens that came back so far
+    :param n_tokens: start tokens handed over
     """
 
     message_id: int
     version: int
     amounts: Amounts
     ends_at_s: float
+    n_tokens: int = 0
+    n_tokens_returned: int = 0
 
 
 class Want(typing.NamedTuple):
@@ -152,6 +175,9 @@
     wants_in_flight: bool = False
     ask_factor: int = 0
     n_empty: int = 0
+    next_recall_at_s: float = -math.inf
+    # Whether a grant was recalled.
+    recalled: bool = False
 
     def unlent(self) -> Amounts:
         """Return the own share that is not lent."""
--- a/src/orioleloom/limits/_shares.py
+++ b/src/orioleloom/limits/_shares.py
@@ -4,60 +4,24 @@
 import typing
 
 from orioleloom import codec
+from orioleloom.limits import _borrowing
+from orioleloom.limits import _lending
 from orioleloom.limits import _records
+from orioleloom.limits import _state
 from orioleloom import model
 
-GRANT_TTL_S = 5.0
-
-# Covers the difference in clock rate of two machines over a grant.
-LENDER_MARGIN_S = 1.0
-
-# Half of a grant's life, so that a loan is renewed before it ends.
-REQUEST_INTERVAL_S = 2.5
-
-_MAX_REQUEST_INTERVAL_S = 5.0
-
-# A lender keeps a part for a peer that was short this recently. It is
-# longer than any repetition, jitter and the engine's timer included; with
-# 6 s, one of two short peers got everything.
-_WANT_MEMORY_S = 7.0
-
-# When every peer is left out for now, the request is tried again soon.
-_NO_PEER_RETRY_S = 0.5
-
-# Instances that ran out together must not ask at the same moments.
-_INTERVAL_JITTER = 0.1
-
 # Bounds the messages of one exchange in a fleet of any size.
 MAX_PEERS_ASKED = 16
 
-# Asking for more than is missing covers peers that lend less.
-_FIRST_ASK_FACTOR = 2
-_MAX_ASK_FACTOR = 16
-
-# Peers asked after an exchange that brought nothing. Asking all of them
-# cost 0.095 messages a task at three times the contract's load.
-_N_PROBES = 2
-
-# Exchanges that bring nothing before the interval grows. 0 left a share
-# of the limit unused while half of the instances were short.
-_N_QUICK_REPEATS = 4
-
 _MAX_VERSIONS_KEPT = 8
 
 
-def integer_share(total: int, rank: int | None, n_entries: int) -> int:
-    """Return the share of ``total`` for one rank; shares sum to it."""
-    if rank is None or n_entries < 1:
-        return 0
-    return total // n_entries + (1 if rank < total % n_entries else 0)
-
-
 class LimitShares:
     """This instance's part of every customer's limits.
 
     The in-flight limit, the start rate and the burst of a contract are
-    split evenly by rank. Unused share is lent to peers for 5 s.
+    split evenly by rank. Unused share is lent to peers for 5 s, except
+    an eighth of the own share. A lender that is short recalls its loans.
 
     *Safety.* A grant counts at the borrower until 5 s after its request
     was sent, and at the lender until 6 s after the request arrived, so
@@ -66,7 +30,11 @@
     message id; the lender subtracts the largest of the grants that the
     borrower may hold. So lost, repeated, reordered or late messages
     never make the sum of all shares exceed the limit while instances
-    know the same contract and the same list.
+    know the same contract and the same list. After a recall the borrower
+    takes free share out of use first and then tells the lender what it
+    still holds of the grant, by message id. That amount only falls, so
+    the lender may apply such messages in any order and more than once; a
+    lost one leaves the loan to its end.
 
     *Bound.* When lists differ, the sum exceeds the limit by at most the
     shares of the instances that one list has and another has not, for
@@ -99,6 +67,8 @@
     def __init__(self, *, random_state: random.Random):
         self.random_state = random_state
         self._customers: dict[str, _records.CustomerShare] = {}
+        # Customers with a recalled grant.
+        self._recalled: set[str] = set()
         self._rank: int | None = None
         self._n_entries = 0
 
@@ -110,7 +80,7 @@
             self._customers[contract.customer] = known
         elif contract.version < known.contract.version:
             return
-        self._advance(known, now_s)
+        _state.advance(known, now_s)
         known.contract = contract
         known.limits[contract.version] = _records.Amounts(
             contract.in_flight,
@@ -129,7 +99,7 @@
         if (rank, n_entries) == (self._rank, self._n_entries):
             return
         for customer in self._customers.values():
-            self._advance(customer, now_s)
+            _state.advance(customer, now_s)
         self._rank = rank
         self._n_entries = n_entries
         for customer in self._customers.values():
@@ -140,7 +110,7 @@
         known = self._customers.get(customer)
         if known is None:
             return 0
-        self._advance(known, now_s)
+        _state.advance(known, now_s)
         return max(
             0, min(known.usable.in_flight - known.n_running, int(known.tokens))
         )
@@ -148,7 +118,7 @@
     def start(self, customer: str, now_s: float) -> None:
         """Count the start of a task."""
         known = self._customers[customer]
-        self._advance(known, now_s)
+        _state.advance(known, now_s)
         known.n_running += 1
         known.tokens -= 1
         known.demand.note(known.n_running, 1, now_s)
@@ -161,7 +131,7 @@
     def refund(self, customer: str, now_s: float) -> None:
         """Take back the start of a task that a worker rejected."""
         known = self._customers[customer]
-        self._advance(known, now_s)
+        _state.advance(known, now_s)
         known.n_running = max(0, known.n_running - 1)
         known.tokens = min(known.bucket_size(), known.tokens + 1)
         known.demand.note(known.n_running, -1, now_s)
@@ -175,7 +145,7 @@
         known = self._customers.get(customer)
         if known is None:
             return None
-        self._advance(known, now_s)
+        _state.advance(known, now_s)
         if known.usable.in_flight <= known.n_running:
             # The end of a loan gives share back without an event.
             return known.next_end_s if known.lent.in_flight else None
@@ -208,16 +178,23 @@
         known = self._customers.get(customer)
         if known is None:
             return None
-        self._advance(known, now_s)
+        _state.advance(known, now_s)
         known.demand.note(known.n_running + n_waiting, 0, now_s)
         n_peers = self._n_entries - (0 if self._rank is None else 1)
-        want = self._missing(known, n_waiting, now_s)
+        want = _borrowing.missing(known, n_waiting, now_s)
         if n_peers < 1 or want == _records.NOTHING:
             known.ask_factor = 0
             return None
         if now_s < known.next_request_at_s:
             return None
-        n_to_ask = self._plan_request(known, want, n_waiting, now_s)
+        n_to_ask = _borrowing.plan_request(
+            known,
+            want,
+            n_waiting,
+            now_s,
+            n_entries=self._n_entries,
+            random_state=self.random_state,
+        )
         known.n_to_ask = min(n_to_ask, n_peers, MAX_PEERS_ASKED)
         known.wants_in_flight = want.in_flight > 0
         part = known.ask_factor / known.n_to_ask
@@ -244,31 +221,14 @@
 
         :param peer_ids: the other listed entry instances, sorted by id
         """
-        known = self._customers[customer]
-        lenders = []
-        others = []
-        for index, peer_id in enumerate(peer_ids):
-            grant = known.grants.get(peer_id)
-            if grant is not None:
-                if grant.amounts != _records.NOTHING:
-                    lenders.append(peer_id)
-                continue
-            rank = index
-            if self._rank is not None and index >= self._rank:
-                rank += 1
-            if known.wants_in_flight and not integer_share(
-                known.contract.in_flight, rank, self._n_entries
-            ):
-                continue
-            want = known.wants.get(peer_id)
-            if want is not None and now_s - want.asked_at_s < GRANT_TTL_S:
-                continue
-            others.append(peer_id)
-        self.random_state.shuffle(others)
-        chosen = (lenders + others)[: known.n_to_ask]
-        if not chosen:
-            known.next_request_at_s = now_s + _NO_PEER_RETRY_S
-        return chosen
+        return _borrowing.peers_to_ask(
+            self._customers[customer],
+            peer_ids,
+            now_s,
+            rank=self._rank,
+            n_entries=self._n_entries,
+            random_state=self.random_state,
+        )
 
     def lend(
         self,
@@ -281,7 +241,8 @@
     ) -> codec.ShareGrant:
         """Answer a peer's request with what this instance can spare.
 
-        Kept back is the peak of the last 1 to 2 s. When several peers
+        Kept back is the peak of the last 1 to 2 s, at least an eighth of
+        the own share. When several peers
         are short, each may have an equal part, and what one leaves is
         open to the others.
 
@@ -291,15 +252,15 @@
         known = self._customers.get(request.customer)
         if known is None:
             return codec.ShareGrant(request.customer, 0, 0, 0.0, 0)
-        self._advance(known, now_s)
+        _state.advance(known, now_s)
         known.demand.note(known.n_running + n_waiting, 0, now_s)
-        loan = self._loan(known, borrower, request, now_s, message_id)
+        loan = _lending.loan(known, borrower, request, now_s, message_id)
         return codec.ShareGrant(
             request.customer,
             loan.version,
             loan.amounts.in_flight,
             loan.amounts.starts_per_s,
-            int(GRANT_TTL_S * 1000),
+            int(_records.GRANT_TTL_S * 1000),
             loan.amounts.burst,
         )
 
@@ -321,24 +282,88 @@
         known = self._customers.get(grant.customer)
         if known is None:
             return
-        self._advance(known, now_s)
-        sent = known.sent.get(message_id)
-        held = known.grants.get(lender)
-        if sent is None or (held and message_id <= held.message_id):
+        _state.advance(known, now_s)
+        _borrowing.receive(known, lender, grant, now_s, message_id)
+
+    def recalls(
+        self, customer: str, n_waiting: int, now_s: float
+    ) -> list[tuple[str, int, codec.ShareRecall]]:
+        """Return recalls of lent share that this instance needs.
+
+        Call it when a pass over the queue leaves tasks waiting on this
+        customer's limits. Each borrower is told at most every 0.25 s.
+
+        :param n_waiting: tasks queued here for the customer
+        :returns: borrower, message id to send with, and the recall
+        """
+        known = self._customers.get(customer)
+        if known is None:
+            return []
+        _state.advance(known, now_s)
+        return _lending.recalls(known, n_waiting, now_s)
+
+    def recalled(
+        self,
+        lender: str,
+        recall: codec.ShareRecall,
+        now_s: float,
+        *,
+        message_id: int,
+    ) -> None:
+        """Take a lender's recall in.
+
+        From now on nothing starts on the recalled share; what is free
+        goes back with the next :meth:`returns`, the rest as tasks end.
+
+        :param message_id: envelope id, equal to that of the grant
+        """
+        known = self._customers.get(recall.customer)
+        if known is None:
             return
-        ends_at_s = sent.sent_at_s + min(grant.ttl_ms / 1000, GRANT_TTL_S)
-        if ends_at_s <= now_s:
+        _state.advance(known, now_s)
+        _borrowing.recalled(known, lender, recall, now_s, message_id)
+        if known.recalled:
+            self._recalled.add(recall.customer)
+
+    def returns(
+        self, now_s: float
+    ) -> list[tuple[str, int, codec.ShareReturn]]:
+        """Return what lenders must be told after recalls.
+
+        :returns: lender, message id to send with, and the message
+        """
+        told = []
+        for customer in list(self._recalled):
+            known = self._customers[customer]
+            _state.advance(known, now_s)
+            told += _borrowing.returns(known, now_s)
+            if not known.recalled:
+                self._recalled.remove(customer)
+        return told
+
+    def returned(
+        self,
+        borrower: str,
+        answer: codec.ShareReturn,
+        now_s: float,
+        *,
+        message_id: int,
+    ) -> None:
+        """Add back share that a borrower no longer holds.
+
+        :param message_id: envelope id, equal to that of the grant
+        """
+        known = self._customers.get(answer.customer)
+        if known is None:
             return
-        amounts = _records.Amounts(
-            grant.in_flight, grant.starts_per_s, grant.burst
-        ).capped(sent.amounts)
-        accepted = _records.Grant(
-            message_id, grant.contract_version, amounts, ends_at_s
-        )
-        known.grants[lender] = accepted
-        # The lender took these tokens out of its bucket.
-        known.tokens += self._scaled(known, accepted).burst
-        self._resum(known)
+        _state.advance(known, now_s)
+        _lending.returned(known, borrower, answer, message_id)
+
+    def running(self) -> list[str]:
+        """Return the customers whose tasks run here."""
+        return [
+            name for name, known in self._customers.items() if known.n_running
+        ]
 
     def expire(self, now_s: float) -> None:
         """Drop ended grants and loans of all customers.
@@ -346,7 +371,7 @@
         Every other method does so for its own customer.
         """
         for customer in self._customers.values():
-            self._advance(customer, now_s)
+            _state.advance(customer, now_s)
 
     def forget_peer(self, peer: str, now_s: float) -> None:
         """Drop the grants of a peer that the list no longer has.
@@ -356,16 +381,16 @@
         it may still run.
         """
         for known in self._customers.values():
-            self._advance(known, now_s)
+            _state.advance(known, now_s)
             if known.last_message_id >= 0:
                 # Keeps out grants of the peer that are still on the way.
                 known.grants[peer] = _records.Grant(
                     known.last_message_id,
                     0,
                     _records.NOTHING,
-                    now_s + GRANT_TTL_S,
+                    now_s + _records.GRANT_TTL_S,
                 )
-            self._resum(known)
+            _state.resum(known)
 
     def n_running(self, customer: str) -> int:
         """Return the started tasks that have not ended."""
@@ -388,79 +413,6 @@
             for name, known in self._customers.items()
         }
 
-    def _advance(self, known: _records.CustomerShare, now_s: float) -> None:
-        while known.next_end_s <= now_s:
-            self._fill(known, known.next_end_s)
-            self._drop_ended(known)
-        self._fill(known, now_s)
-
-    def _fill(self, known: _records.CustomerShare, now_s: float) -> None:
-        if now_s <= known.now_s:
-            return
-        elapsed_s = now_s - known.now_s
-        known.now_s = now_s
-        known.tokens = min(
-            known.bucket_size(),
-            known.tokens + elapsed_s * known.usable.starts_per_s,
-        )
-
-    def _drop_ended(self, known: _records.CustomerShare) -> None:
-        now_s = known.now_s
-        known.grants = {
-            lender: grant
-            for lender, grant in known.grants.items()
-            if grant.ends_at_s > now_s
-        }
-        known.loans = {
-            borrower: live
-            for borrower, loans in known.loans.items()
-            if (live := [loan for loan in loans if loan.ends_at_s > now_s])
-        }
-        self._resum(known)
-
-    def _resum(self, known: _records.CustomerShare) -> None:
-        if not known.grants and not known.loans:
-            # The usual case, taken for every customer on a list change.
-            known.borrowed = known.lent = _records.NOTHING
-            known.usable = known.own
-            known.tokens = min(known.tokens, known.bucket_size())
-            known.next_end_s = math.inf
-            return
-        known.borrowed = _records.total(
-            self._scaled(known, grant) for grant in known.grants.values()
-        )
-        known.lent = _records.total(
-            _records.largest(loan.amounts for loan in loans)
-            for loans in known.loans.values()
-        )
-        known.usable = _records.total([known.unlent(), known.borrowed])
-        known.tokens = min(known.tokens, known.bucket_size())
-        ends = [grant.ends_at_s for grant in known.grants.values()]
-        for loans in known.loans.values():
-            ends.extend(loan.ends_at_s for loan in loans)
-        known.next_end_s = min(ends, default=math.inf)
-
-    @staticmethod
-    def _scaled(
-        known: _records.CustomerShare, grant: _records.Grant
-    ) -> _records.Amounts:
-        # A grant of an older version shrinks with the limit.
-        version = known.contract.version
-        if grant.version >= version:
-            return grant.amounts
-        new = known.limits[version]
-        old = known.limits.get(grant.version)
-        if old is None:
-            # It came before this instance knew the lender's contract, and
-            # that version was skipped: nothing says how far to scale.
-            return _records.NOTHING
-        return _records.Amounts(
-            grant.amounts.in_flight * new.in_flight // max(1, old.in_flight),
-            grant.amounts.starts_per_s
-            * (new.starts_per_s / old.starts_per_s if old.starts_per_s else 0),
-            grant.amounts.burst * new.burst // max(1, old.burst),
-        ).capped(grant.amounts)
-
     def _resize(self, known: _records.CustomerShare) -> None:
         contract = known.contract
         n_entries = self._n_entries
@@ -468,149 +420,11 @@
         if self._rank is not None and n_entries:
             rate = contract.starts_per_s / n_entries
         known.own = _records.Amounts(
-            integer_share(contract.in_flight, self._rank, n_entries),
+            _records.integer_share(contract.in_flight, self._rank, n_entries),
             rate,
-            integer_share(contract.burst, self._rank, n_entries),
+            _records.integer_share(contract.burst, self._rank, n_entries),
         )
-        self._resum(known)
+        _state.resum(known)
         if not known.bucket_filled_once and rate > 0:
             known.bucket_filled_once = True
             known.tokens = known.bucket_size()
-
-    def _missing(
-        self, known: _records.CustomerShare, n_waiting: int, now_s: float
-    ) -> _records.Amounts:
-        """Return what the unlent own share lacks for the demand."""
-        contract = known.contract
-        unlent = known.unlent()
-        in_flight = (
-            min(known.n_running + n_waiting, contract.in_flight)
-            - unlent.in_flight
-        )
-        rate = 0.0
-        burst = 0
-        n_startable = min(n_waiting, contract.in_flight)
-        if known.tokens < max(1, n_startable, known.bucket_size() / 2):
-            n_late = max(0, n_startable - max(0, int(known.tokens)))
-            rate = known.demand.starts_per_s(now_s) + n_late
-            rate = min(rate, contract.starts_per_s) - unlent.starts_per_s
-            burst = min(n_late, contract.burst - unlent.burst)
-        return _records.Amounts(
-            max(0, in_flight), max(0.0, rate), max(0, burst)
-        )
-
-    def _plan_request(
-        self,
-        known: _records.CustomerShare,
-        want: _records.Amounts,
-        n_waiting: int,
-        now_s: float,
-    ) -> int:
-        """Return how many peers to ask, and set the next time to ask."""
-        first = known.ask_factor == 0
-        n_lenders = sum(
-            grant.amounts != _records.NOTHING
-            for grant in known.grants.values()
-        )
-        short = (
-            known.n_running + n_waiting > known.usable.in_flight
-            or known.tokens < 1
-        )
-        interval_s = REQUEST_INTERVAL_S
-        if first:
-            known.ask_factor = _FIRST_ASK_FACTOR
-        elif short:
-            known.ask_factor = min(_MAX_ASK_FACTOR, 2 * known.ask_factor)
-        n_to_ask = 1
-        for amount, limit in zip(want, known.limits[known.contract.version]):
-            if amount > 0:
-                even = max(1.0, limit / self._n_entries)
-                n_to_ask = max(
-                    n_to_ask, math.ceil(known.ask_factor * amount / even)
-                )
-        if not first and n_lenders == 0:
-            known.n_empty += 1
-            n_to_ask = min(n_to_ask, _N_PROBES)
-            if known.n_empty > _N_QUICK_REPEATS:
-                interval_s = _MAX_REQUEST_INTERVAL_S
-        else:
-            known.n_empty = 0
-            if n_lenders and not short:
-                # The loans suffice and only have to be renewed.
-                n_to_ask = n_lenders
-        jitter = 1 + _INTERVAL_JITTER * self.random_state.random()
-        known.next_request_at_s = now_s + interval_s * jitter
-        known.sent = {
-            message_id: sent
-            for message_id, sent in known.sent.items()
-            if now_s - sent.sent_at_s < GRANT_TTL_S
-        }
-        return n_to_ask
-
-    def _loan(
-        self,
-        known: _records.CustomerShare,
-        borrower: str,
-        request: codec.ShareRequest,
-        now_s: float,
-        message_id: int,
-    ) -> _records.Loan:
-        version = known.contract.version
-        lifetime_s = GRANT_TTL_S + LENDER_MARGIN_S
-        known.wants = {
-            name: want
-            for name, want in known.wants.items()
-            if now_s - want.asked_at_s < _WANT_MEMORY_S
-        }
-        loans = known.loans.get(borrower, [])
-        last = known.wants.get(borrower)
-        if last is not None and message_id <= last.message_id:
-            for loan in loans:
-                if loan.message_id == message_id:
-                    return loan
-            return _records.Loan(message_id, version, _records.NOTHING, now_s)
-        wanted = _records.Amounts(
-            request.in_flight, request.starts_per_s, request.burst
-        ).capped(known.limits[known.contract.version])
-        known.wants[borrower] = _records.Want(message_id, wanted, now_s)
-        amounts = self._spare(known, borrower, now_s).capped(wanted)
-        loan = _records.Loan(message_id, version, amounts, now_s + lifetime_s)
-        if amounts == _records.NOTHING:
-            return loan
-        # The borrower may not get this grant and hold an older one on.
-        known.loans[borrower] = [
-            old for old in loans if old.amounts.capped(amounts) != old.amounts
-        ] + [loan]
-        known.tokens -= amounts.burst
-        self._resum(known)
-        return loan
-
-    @staticmethod
-    def _spare(
-        known: _records.CustomerShare, borrower: str, now_s: float
-    ) -> _records.Amounts:
-        """Return what may be lent to one of the peers that are short."""
-        starts = known.demand.starts_per_s(now_s)
-        pool = _records.Amounts(
-            known.own.in_flight - known.demand.peak(now_s),
-            known.own.starts_per_s - starts,
-            math.floor(known.tokens - starts),
-        )
-        wanted = _records.total(
-            want.amounts
-            for name, want in known.wants.items()
-            if name != borrower
-        )
-        held = _records.total(
-            _records.largest(loan.amounts for loan in loans)
-            for name, loans in known.loans.items()
-            if name != borrower
-        )
-        # Tokens handed over are out of the bucket already.
-        held = held._replace(burst=0)
-        n_short = len(known.wants)
-        in_flight, rate, burst = (
-            min(max(part / n_short, part - others), part - taken)
-            for part, others, taken in zip(pool, wanted, held)
-        )
-        return _records.Amounts(math.floor(in_flight), rate, math.floor(burst))
--- a/tests/limits/limits_fleet.py
+++ b/tests/limits/limits_fleet.py
@@ -2,6 +2,7 @@
 
 import random
 
+from orioleloom import codec
 from orioleloom import limits
 from orioleloom import model
 
@@ -67,8 +68,9 @@
     def advance(self, seconds):
         self.now_s += seconds
         self.sync()
-        for shares in self.shares.values():
+        for name, shares in self.shares.items():
             shares.expire(self.now_s)
+            self.give_back(name)
 
     def join(self, name):
         if name not in self.shares:
@@ -81,6 +83,20 @@
             shares.forget_peer(name, self.now_s)
         self.sync()
 
+    def recall(self, name, n_waiting):
+        """Send the recalls of a lender that is short."""
+        for peer, message_id, recall in self.shares[name].recalls(
+            CUSTOMER, n_waiting, self.now_s
+        ):
+            self.messages.append((name, peer, message_id, recall))
+            self.n_sent += 1
+
+    def give_back(self, name):
+        """Send what an instance has to tell lenders after recalls."""
+        for peer, message_id, answer in self.shares[name].returns(self.now_s):
+            self.messages.append((name, peer, message_id, answer))
+            self.n_sent += 1
+
     def ask(self, name, n_waiting):
         self.next_id += 1
         request = self.shares[name].shortage(
@@ -101,8 +117,18 @@
         shares = self.shares.get(receiver)
         if shares is None:
             return
-        if hasattr(payload, 'ttl_ms'):
-            shares.receive(sender, payload, self.now_s, message_id=message_id)
+        match payload:
+            case codec.ShareGrant():
+                take = shares.receive
+            case codec.ShareRecall():
+                take = shares.recalled
+            case codec.ShareReturn():
+                take = shares.returned
+            case _:
+                take = None
+        if take is not None:
+            take(sender, payload, self.now_s, message_id=message_id)
+            self.give_back(receiver)
             return
         grant = shares.lend(
             sender, payload, n_waiting, self.now_s, message_id=message_id
--- /dev/null
+++ b/tests/limits/test_recall.py
@@ -0,0 +1,236 @@
+"""Recalls over two shares, and over engines on a virtual clock."""
+
+import random
+
+import pytest
+
+from orioleloom import limits
+from orioleloom import model
+from orioleloom_standins import virtual
+
+N_ENTRIES = 8
+IN_FLIGHT = 192
+WORK_MS = 175.0
+CUSTOMER = 'acme'
+
+
+def busy_world(seed, n_busy, *, busy_s=6.0, slots=8):
+    """Return a world whose first instances have a backlog for a time."""
+    world = virtual.World(
+        seed=seed,
+        data_centres=['dc0'] * N_ENTRIES,
+        workers=[
+            virtual.WorkerSpec(f'w{i:02d}', slots=slots, rack=f'r{i % 4}')
+            for i in range(24)
+        ],
+        contracts=[virtual.default_contract(in_flight=IN_FLIGHT)],
+    )
+    world.watch.limits[virtual.CUSTOMER] = IN_FLIGHT
+    end_s = world.now_s + busy_s
+
+    def submit(n_jobs=0):
+        for index in range(n_busy):
+            world.submit(
+                f'b{n_jobs}-{index}',
+                [WORK_MS] * (400 // n_busy),
+                entry_id=f'e{index}',
+                deadline_ms=60_000.0,
+            )
+        if world.now_s < end_s:
+            world.at(0.5, lambda: submit(n_jobs + 1))
+
+    submit()
+    return world
+
+
+def wait_s(copy):
+    return copy.answered_at_s - copy.sent_at_s
+
+
+@pytest.mark.parametrize('n_busy', [1, 7])
+def test_small_job_at_a_lender_starts_at_once(n_busy):
+    # Guards R11: a lender whose whole share was lent kept a job of one
+    # task waiting until the grants ended.
+    world = busy_world(0, n_busy)
+    world.run_for(3.0)
+    probes = []
+    for index in range(6):
+        probes.append(world.submit(f'p{index}', [WORK_MS], entry_id='e7'))
+        world.run_for(0.5)
+    world.run_for(2.0)
+    waits_s = [wait_s(probe) for probe in probes]
+    assert max(waits_s) <= 2 * WORK_MS / 1000, waits_s
+    assert world.violations() == []
+
+
+def test_job_of_a_lenders_whole_share_gets_it_by_recall():
+    # Guards R11: the share above the floor must come back as tasks end,
+    # not when the grant does.
+    world = busy_world(0, 7)
+    world.run_for(3.0)
+    probe = world.submit(
+        'p', [WORK_MS] * 24, entry_id='e7', deadline_ms=60_000.0
+    )
+    world.run_for(5.0)
+    # All slots of the workers are in use, so a task may also wait for
+    # a slot.
+    assert wait_s(probe) <= 6 * WORK_MS / 1000
+    assert world.entries['e7'].core.counters()['share_recalls'] > 0
+    assert world.violations() == []
+
+
+def pair(in_flight=100, starts_per_s=1000.0, burst=200):
+    """Return a lender and a borrower of one customer."""
+    shares = [
+        limits.LimitShares(random_state=random.Random(n)) for n in (1, 2)
+    ]
+    for rank, one in enumerate(shares):
+        one.set_rank(rank, 2, 0.0)
+        one.set_contract(
+            model.Contract(
+                CUSTOMER, 1, in_flight, starts_per_s, burst, ('gpu',)
+            ),
+            0.0,
+        )
+    return shares
+
+
+def lend(lender, borrower, *, now_s=0.0, message_id=7):
+    request = borrower.shortage(CUSTOMER, 500, now_s, message_id=message_id)
+    grant = lender.lend('b', request, 0, now_s, message_id=message_id)
+    borrower.receive('a', grant, now_s, message_id=message_id)
+    return grant
+
+
+def held(shares):
+    use = shares.usage()[CUSTOMER]
+    return max(0, use['own'] - use['lent']) + use['borrowed']
+
+
+def start(shares, n_tasks, now_s):
+    for _ in range(n_tasks):
+        shares.start(CUSTOMER, now_s)
+
+
+@pytest.mark.parametrize(
+    ('in_flight', 'kept'), [(2, 0), (4, 1), (16, 1), (100, 7), (400, 25)]
+)
+def test_a_floor_is_never_lent(in_flight, kept):
+    # Guards R11: an idle lender must keep an eighth of its own share
+    # (half of the limit here), at least one of two or more.
+    lender, borrower = pair(in_flight=in_flight, burst=2000)
+    grant = lend(lender, borrower)
+    assert grant.in_flight == in_flight // 2 - kept
+    assert lender.allowance(CUSTOMER, 0.0) == kept
+    assert grant.starts_per_s <= 0.875 * 500.0
+    assert grant.burst <= 0.875 * 1000
+
+
+def test_recalled_share_returns_as_tasks_end():
+    # Guards R11: no start on recalled share although its tasks end, and
+    # each end gives one back to the lender.
+    lender, borrower = pair()
+    assert lend(lender, borrower).in_flight == 43
+    assert borrower.allowance(CUSTOMER, 0.0) == 93
+    start(borrower, 80, 0.0)
+    [(name, loan_id, recall)] = lender.recalls(CUSTOMER, 60, 0.1)
+    assert (name, loan_id, recall.in_flight) == ('b', 7, 0)
+    borrower.recalled('a', recall, 0.1, message_id=loan_id)
+    assert borrower.allowance(CUSTOMER, 0.1) == 0
+    [(_, _, answer)] = borrower.returns(0.1)
+    assert answer.in_flight == 30
+    lender.returned('b', answer, 0.1, message_id=loan_id)
+    assert lender.allowance(CUSTOMER, 0.1) == 20
+    for _ in range(20):
+        borrower.finish(CUSTOMER, 0.2)
+    assert borrower.allowance(CUSTOMER, 0.2) == 0
+    [(_, _, answer)] = borrower.returns(0.2)
+    lender.returned('b', answer, 0.2, message_id=loan_id)
+    assert lender.allowance(CUSTOMER, 0.2) == 40
+    for _ in range(10):
+        borrower.finish(CUSTOMER, 0.3)
+    [(_, _, answer)] = borrower.returns(0.3)
+    lender.returned('b', answer, 0.3, message_id=loan_id)
+    assert (held(lender), held(borrower)) == (50, 50)
+    borrower.finish(CUSTOMER, 0.4)
+    # The own share is not recalled.
+    assert borrower.allowance(CUSTOMER, 0.4) == 1
+
+
+def test_repeated_and_late_returns_change_nothing():
+    # Guards against share or tokens that are added back twice, and
+    # against an older return that undoes a newer one.
+    lender, borrower = pair()
+    lend(lender, borrower)
+    start(borrower, 80, 0.0)
+    [(_, loan_id, recall)] = lender.recalls(CUSTOMER, 100, 0.1)
+    answers = []
+    for now_s in (0.1, 0.2, 0.3):
+        borrower.recalled('a', recall, now_s, message_id=loan_id)
+        answers += [answer for _, _, answer in borrower.returns(now_s)]
+        for _ in range(10):
+            borrower.finish(CUSTOMER, now_s)
+    assert [answer.in_flight for answer in answers] == [30, 20, 10]
+    for answer in (answers[2], answers[0], answers[1], answers[2]):
+        lender.returned('b', answer, 0.3, message_id=loan_id)
+        assert lender.usage()[CUSTOMER]['lent'] == 10
+        assert held(lender) + held(borrower) <= 100
+    lender.returned('b', answers[2], 0.3, message_id=loan_id + 1)
+    lender.returned('c', answers[2], 0.3, message_id=loan_id)
+    assert lender.usage()[CUSTOMER]['lent'] == 10
+
+
+def test_a_recall_before_its_grant_keeps_the_grant_out():
+    # Guards against a grant that arrives after the borrower said that
+    # it holds nothing of it.
+    lender, borrower = pair()
+    request = borrower.shortage(CUSTOMER, 500, 0.0, message_id=7)
+    grant = lender.lend('b', request, 0, 0.0, message_id=7)
+    [(_, loan_id, recall)] = lender.recalls(CUSTOMER, 60, 0.1)
+    borrower.recalled('a', recall, 0.1, message_id=loan_id)
+    [(_, _, answer)] = borrower.returns(0.1)
+    lender.returned('b', answer, 0.1, message_id=loan_id)
+    borrower.receive('a', grant, 0.2, message_id=7)
+    assert (held(lender), held(borrower)) == (50, 50)
+
+
+def test_a_lost_return_leaves_the_loan_to_its_end():
+    # Guards the bound: what the lender was not told of stays lent.
+    lender, borrower = pair()
+    lend(lender, borrower)
+    [(_, loan_id, recall)] = lender.recalls(CUSTOMER, 60, 0.1)
+    borrower.recalled('a', recall, 0.1, message_id=loan_id)
+    assert len(borrower.returns(0.1)) == 1
+    assert lender.allowance(CUSTOMER, 5.9) == 7
+    # The next recall gets the return once more.
+    [(_, loan_id, recall)] = lender.recalls(CUSTOMER, 60, 0.4)
+    borrower.recalled('a', recall, 0.4, message_id=loan_id)
+    [(_, _, answer)] = borrower.returns(0.4)
+    lender.returned('b', answer, 0.4, message_id=loan_id)
+    assert held(lender) == 50
+
+
+def test_recalls_are_few():
+    # Guards F9: a lender that stays short asks each borrower at most
+    # once in 0.25 s.
+    lender, borrower = pair()
+    lend(lender, borrower)
+    n_recalls = sum(
+        len(lender.recalls(CUSTOMER, 90, 0.1 + step / 100))
+        for step in range(100)
+    )
+    assert 1 <= n_recalls <= 1.0 / limits.RECALL_INTERVAL_S
+
+
+def test_loans_are_renewed_while_tasks_run():
+    # Guards R10: with an empty queue and long tasks, the loan under
+    # which they run must not end before they do.
+    world = busy_world(0, 0, busy_s=0.0, slots=32)
+    world.submit('long', [15_000.0] * 48, entry_id='e0')
+    world.run_for(3.0)
+    for _ in range(20):
+        world.run_for(0.5)
+        use = world.entries['e0'].core.core.limits.usage()
+        share = use[virtual.CUSTOMER]
+        assert share['running'] == 48
+        assert share['own'] + share['borrowed'] >= 48
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -16,6 +16,7 @@
     *[ask] * 4,
     *[deliver] * 6,
     *[st.tuples(st.just('advance'), st.floats(0.0, 2.0))] * 3,
+    *[st.tuples(st.just('recall'), index, st.integers(0, 300))] * 3,
     st.tuples(st.just('drop'), index),
     st.tuples(st.just('start'), index),
     st.tuples(st.just('finish'), index),
@@ -40,12 +41,14 @@
             system.deliver(system.messages[-1 - which], n_waiting)
         case ('drop', which) if system.messages:
             del system.messages[which % len(system.messages)]
+        case ('recall', who, n_waiting):
+            system.recall(ids[who % len(ids)], n_waiting)
         case ('start', who):
             system.start_all(ids[who % len(ids)])
         case ('finish', who):
-            system.shares[ids[who % len(ids)]].finish(
-                fleet.CUSTOMER, system.now_s
-            )
+            name = ids[who % len(ids)]
+            system.shares[name].finish(fleet.CUSTOMER, system.now_s)
+            system.give_back(name)
         case ('change', in_flight, n_told):
             system.change_contract(in_flight, n_told)
         case ('tell_all',):
@@ -81,7 +84,7 @@
     """Yield random events, mostly requests and recent deliveries."""
     kinds = ['ask'] * 25 + ['deliver'] * 35 + ['advance'] * 20 + ['start'] * 7
     kinds += ['finish'] * 4 + ['drop'] * 3 + ['change', 'tell_all'] * 2
-    kinds += ['die', 'join']
+    kinds += ['die', 'join'] + ['recall'] * 15 + ['finish'] * 8
     for _ in range(600):
         kind, who = rng.choice(kinds), rng.randrange(41)
         del system.messages[:-60]
@@ -90,6 +93,7 @@
         yield {
             'advance': (kind, rng.random() * rng.choice([0.02, 1, 5])),
             'ask': (kind, who, rng.randrange(300)),
+            'recall': (kind, who, rng.randrange(300)),
             'deliver': (
                 kind,
                 int(rng.expovariate(0.2)),
@@ -100,7 +104,9 @@
         }.get(kind, (kind, who))
 
 
-@pytest.mark.parametrize('seed', range(40))
+# Seeds 1124 and 1261 showed a grant that was returned in part under a
+# low limit and then grew with the next version.
+@pytest.mark.parametrize('seed', [*range(40), 1124, 1261])
 def test_shares_never_exceed_the_limit_in_long_histories(seed):
     # Guards the same bound where a fault takes a long history: 8,000
     # short ones did not show the two faults below.
@@ -110,7 +116,8 @@
         check_bound(system, what)
 
 
-@pytest.mark.parametrize('seed', range(20))
+# Seed 1095 showed borrowed tokens that were lent on.
+@pytest.mark.parametrize('seed', [*range(20), 1095])
 def test_starts_never_exceed_rate_and_burst(seed):
     # Guards against tokens that exist twice: a token bucket of the whole
     # contract, with one start more for each instance, must allow every
