Count tasks beyond a smaller grant in returns; test in-flight peaks

After a renewal with a smaller grant, tasks started under the old one run on. A return freed their places: 138 tasks ran under a limit of 100 over two shares. They now count as held until they end.

Adds the peak of running tasks over engines under a burst, a partition and a dead instance, and states what the sum may reach.

--- a/src/orioleloom/limits/_borrowing.py
+++ b/src/orioleloom/limits/_borrowing.py
@@ -145,10 +145,14 @@
             continue
         # A later version must not scale the grant above what is told.
         kept = _state.scaled(known, grant)
+        # Tasks may run on after a smaller grant replaced theirs; the
+        # lender must not start others in their place yet.
+        n_over = max(0, known.n_running - known.usable.in_flight)
         known.grants[lender] = grant._replace(
             version=max(grant.version, known.contract.version),
             amounts=kept,
             is_return_due=False,
+            n_over=n_over,
             next_return_at_s=now_s + _RETURN_INTERVAL_S,
         )
         told.append(
@@ -156,7 +160,11 @@
                 lender,
                 grant.message_id,
                 codec.ShareReturn(
-                    known.contract.customer, *kept, grant.n_tokens_returned
+                    known.contract.customer,
+                    kept.in_flight + n_over,
+                    kept.starts_per_s,
+                    kept.burst,
+                    grant.n_tokens_returned,
                 ),
             )
         )
--- a/src/orioleloom/limits/_lending.py
+++ b/src/orioleloom/limits/_lending.py
@@ -163,7 +163,7 @@
     older = [loan for loan in loans if loan.message_id <= message_id]
     kept = _records.Amounts(
         answer.in_flight, answer.starts_per_s, answer.burst
-    ).capped(told.amounts)
+    ).capped(_records.largest(loan.amounts for loan in older))
     n_tokens = min(answer.n_tokens, told.n_tokens)
     n_new_tokens = max(0, n_tokens - told.n_tokens_returned)
     changed = told._replace(
--- a/src/orioleloom/limits/_records.py
+++ b/src/orioleloom/limits/_records.py
@@ -64,6 +64,7 @@
     :param keep: what may be kept of it after a recall
     :param n_tokens_returned: start tokens given back so far
     :param is_return_due: the lender was not told of the last change
+    :param n_over: tasks beyond all share that the lender was told of
     """
 
     message_id: int
@@ -73,6 +74,7 @@
     keep: Amounts | None = None
     n_tokens_returned: int = 0
     is_return_due: bool = False
+    n_over: int = 0
     next_return_at_s: float = -math.inf
 
 
--- a/src/orioleloom/limits/_state.py
+++ b/src/orioleloom/limits/_state.py
@@ -101,6 +101,9 @@
             in_flight=max(kept.in_flight, amounts.in_flight - n_free)
         )
         if kept == amounts:
+            n_over = max(0, known.n_running - known.usable.in_flight)
+            if n_over < grant.n_over:
+                known.grants[lender] = grant._replace(is_return_due=True)
             continue
         # Tokens go back in the proportion of the bucket that goes back.
         n_tokens = math.floor(
--- a/tests/limits/test_recall.py
+++ b/tests/limits/test_recall.py
@@ -234,3 +234,70 @@
         share = use[virtual.CUSTOMER]
         assert share['running'] == 48
         assert share['own'] + share['borrowed'] >= 48
+
+
+def test_tasks_beyond_a_smaller_grant_count_until_they_end():
+    # Guards the in-flight limit: when a smaller grant replaced the one
+    # under which tasks run, a return must not free their places.
+    lender, borrower = pair()
+    assert lend(lender, borrower).in_flight == 43
+    start(borrower, 93, 0.0)
+    request = borrower.shortage(CUSTOMER, 500, 2.8, message_id=8)
+    grant = lender.lend('b', request, 45, 2.8, message_id=8)
+    assert grant.in_flight == 5
+    borrower.receive('a', grant, 2.8, message_id=8)
+    n_running = 93
+    for step in range(9):
+        now_s = 2.9 + 0.3 * step
+        for name, loan_id, recall in lender.recalls(CUSTOMER, 99, now_s):
+            borrower.recalled('a', recall, now_s, message_id=loan_id)
+        for _, loan_id, answer in borrower.returns(now_s):
+            lender.returned('b', answer, now_s, message_id=loan_id)
+        start(lender, lender.allowance(CUSTOMER, now_s), now_s)
+        assert n_running + lender.n_running(CUSTOMER) <= 100
+        for _ in range(10):
+            borrower.finish(CUSTOMER, now_s)
+        n_running -= 10
+    assert lender.n_running(CUSTOMER) >= 50
+
+
+def kill(world):
+    world.kill(world.entries['e0'])
+    world.processes.unlist(world.entries['e0'])
+
+
+def cut(world):
+    names = sorted(world.entries)
+    world.network.cut = {
+        frozenset((one, other)) for one in names[:4] for other in names[4:]
+    }
+    world.at(4.0, world.network.cut.clear)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'limit'),
+    [
+        (lambda world: None, IN_FLIGHT),
+        (cut, IN_FLIGHT),
+        # The share of the instance that one list has and another not.
+        (kill, IN_FLIGHT + IN_FLIGHT // N_ENTRIES),
+    ],
+)
+def test_in_flight_peak_under_a_burst(fault, limit):
+    # Guards R10 and F13: running tasks, not only shares, stay within the
+    # limit when they are shorter than the lender's margin of 1 s.
+    world = busy_world(0, 1, busy_s=4.0, slots=32)
+    world.watch.limits.clear()
+    for step in range(20):
+        for index in range(1, N_ENTRIES):
+            world.at(
+                3.0 + 0.25 * step,
+                lambda name=f'p{step}-{index}', index=index: world.submit(
+                    name, [WORK_MS] * 40, entry_id=f'e{index}'
+                ),
+            )
+    world.at(3.5, lambda: fault(world))
+    world.run_for(14.0)
+    assert world.violations() == []
+    peak = world.watch.peak_in_flight()[virtual.CUSTOMER]
+    assert 0.8 * IN_FLIGHT <= peak <= limit
