--- a/src/orioleloom/engine/_engine.py
+++ b/src/orioleloom/engine/_engine.py
@@ -134,6 +134,7 @@
         self._route(event)
         self.dispatcher.run()
         self._sharing.borrow(self.dispatcher.starved())
+        self._sharing.give_back()
         self._sharing.notices()
         self._write()
         done, core.pending = core.pending, []
@@ -273,6 +274,10 @@
                 self._sharing.request_received(message_id, sender, message)
             case codec.ShareGrant():
                 self._sharing.grant_received(message_id, sender, message)
+            case codec.ShareRecall():
+                self._sharing.recall_received(message_id, sender, message)
+            case codec.ShareReturn():
+                self._sharing.return_received(message_id, sender, message)
             case codec.WorkerNotice():
                 self._sharing.notice_received(message)
             case codec.LeavingNotice(instance_id):
@@ -300,6 +305,7 @@
         self._groups_done(core.writer.drop_expired(core.now_s))
         self._sharing.update_rank()
         core.limits.expire(core.now_s)
+        self._sharing.tick()
         self._remote.tick()
         self._expiry.tick()
 
