--- a/benchmarks/_response_cases.py
+++ b/benchmarks/_response_cases.py
@@ -89,12 +89,27 @@
             ('last task runs s', last['ok'] - last['start']),
             ('on the fastest s', work_ms / 1000 / fastest),
             ('worker speed', last['speed']),
+            ('free faster slots', _n_free_faster(run, last)),
             ('declared too short', declared_ms * mean_speed < work_ms * 0.9),
         ):
             found.setdefault(f'worst: {name}', []).append(value)
     return {name: statistics.mean(values) for name, values in found.items()}
 
 
+def _n_free_faster(run: Finished, task: Figures) -> int:
+    """Count the free slots of faster workers when a task started."""
+    faster = [
+        w for w in run.world.workers.by_id.values() if w.speed > task['speed']
+    ]
+    n_used = sum(
+        1 if entry.event == 'start' else -1
+        for worker in faster
+        for entry in worker.ledger.entries
+        if entry.time_s < task['start']
+    )
+    return sum(w.slots for w in faster) - n_used
+
+
 def failing(spec: Spec) -> Figures:
     """Count what a worker that fails everything costs."""
     run = response_world.simulate(spec._replace(variant='failing'))
@@ -131,7 +146,9 @@
             ]
             figures['refused jobs of the one'] = of_one.count('not_run')
             figures['all jobs of the one'] = len(of_one)
-            figures['its peak in flight'] = run.world.peak_in_flight()[name]
+            figures['its peak in flight'] = run.world.watch.peak_in_flight()[
+                name
+            ]
     return figures | {
         'p99 without s': p99_s['without'],
         'p99 with ten times s': p99_s['ten'],
@@ -201,7 +218,7 @@
     plain = response_world.simulate(spec)
     run = response_world.simulate(spec._replace(variant='deaths'))
     limits = {c.customer: c.in_flight for c in run.world.contracts}
-    peak = run.world.peak_in_flight()
+    peak = run.world.watch.peak_in_flight()
     return {
         'peak over limit': max(peak[c] / limits[c] for c in peak),
         'peak above limit, tasks': max(peak[c] - limits[c] for c in peak),
