Tell peers when a worker says that it leaves

The engine also took any row for a new word of the list, while the pool waits for a row that differs. Change: the first line that says 'leaving' is broadcast once; only a changed row replaces the word. Open: a worker that restarts under its id without a change of its row stays out.

--- a/src/orioleloom/engine/_dispatch.py
+++ b/src/orioleloom/engine/_dispatch.py
@@ -271,9 +271,12 @@
             return
         job, task = sent.job, sent.task
         worker_id = exchange.worker_id
-        if line.leaving:
+        if line.leaving and worker_id not in core.leaving_workers:
             core.leaving_workers.add(worker_id)
             core.pool.set_leaving(worker_id)
+            # Instances that do not use the worker now would learn it from
+            # the list only, seconds later.
+            core.broadcast(codec.WorkerNotice(worker_id, False, True))
         elapsed_ms = (core.now_s - sent.sent_at_s) * 1000
         job.n_in_flight = max(0, job.n_in_flight - 1)
         match line.outcome:
--- a/src/orioleloom/engine/_sharing.py
+++ b/src/orioleloom/engine/_sharing.py
@@ -139,12 +139,11 @@
         """Take changes of the platform's list."""
         core = self.core
         changed = core.members.apply(members, core.now_s)
-        # A new row of a worker replaces what the worker said itself.
-        core.leaving_workers.difference_update(m.id for m in members)
+        # The list lags, so only a row that differs from the last one
+        # replaces what a worker said itself.
+        core.leaving_workers.difference_update(m.id for m in changed)
         if any(m.role is model.Role.WORKER for m in changed):
             core.pool.set_workers(core.members.workers(), core.now_s)
-            for worker_id in core.leaving_workers:
-                core.pool.set_leaving(worker_id)
         for member in changed:
             gone = member.state is model.MemberState.GONE
             if gone and member.role is model.Role.ENTRY:
