--- a/tests/faults/defects.py
+++ b/tests/faults/defects.py
@@ -7,6 +7,7 @@
 from orioleloom.engine import _jobs
 from orioleloom.engine import _tags as tags
 from orioleloom import errors
+from orioleloom.limits import _state
 from orioleloom import model
 
 
@@ -386,7 +387,7 @@
             known = shares._customers.get(request.customer)
             if known is not None:
                 known.loans.pop(borrower, None)
-                shares._resum(known)
+                _state.resum(known)
             return grant
 
         shares.lend = lend_and_keep
--- a/tests/processes/test_worker_faults.py
+++ b/tests/processes/test_worker_faults.py
@@ -35,9 +35,11 @@
             await support.wait_workers(
                 fleet, lambda workers: not workers['plant0']['live']
             )
-            early = (await fleet.worker_counters())['plant1']['rejected']
+            early = (await fleet.worker_counters())['plant1'].get(
+                'rejected', 0
+            )
             await trio.sleep(1.0)
-            late = (await fleet.worker_counters())['plant1']['rejected']
+            late = (await fleet.worker_counters())['plant1'].get('rejected', 0)
             load.stop()
     assert late == early
     assert await fleet.audit() == []
