Ask a peer for contracts at each missed poll

Cause: an instance that the platform does not reach asked its peers only when the platform went away, so a change whose push was lost stayed out of force there until the platform came back (R8, open in docs/proofs.md). Change: at each missed poll it asks one random peer, which costs the same in a fleet of any size.

--- a/src/orioleloom/engine/_contract_flow.py
+++ b/src/orioleloom/engine/_contract_flow.py
@@ -191,15 +191,24 @@
             core.send_address(sender, pull.reply_to, codec.MembersPush(listed))
 
     def ask_peers(self) -> None:
-        """Ask peers for contracts, since the platform is away."""
+        """Ask peers for contracts, since the platform is away.
+
+        An instance that has contracts asks one random peer at each
+        missed poll, which repeats a push that was lost and costs the
+        same in a fleet of any size.
+        """
         core = self.core
+        peers = core.members.peers()
         pull = codec.ContractPull(
             core.book.versions(),
             core.settings.peer_address,
             with_members=not core.members.entries(),
         )
-        core.broadcast(pull)
-        if not core.members.peers():
+        if self.loaded and peers:
+            core.send_peer(core.random_state.choice(peers).id, pull)
+        else:
+            core.broadcast(pull)
+        if not peers:
             for address in core.settings.seed_peers:
                 core.send_address('', address, pull)
 
--- a/src/orioleloom/entry/_runner.py
+++ b/src/orioleloom/entry/_runner.py
@@ -359,8 +359,8 @@
                 message_type='platform_state', available=available
             )
             self.post(events.PlatformState(available))
-        elif not available and not self.engine.is_ready():
-            # Asks the peers again for what the platform cannot give.
+        elif not available:
+            # Asks peers again for what the platform cannot give.
             self.post(events.PlatformState(available))
         if found is None:
             self.counters['platform_failures'] += 1
--- a/src/orioleloom_standins/virtual/_processes.py
+++ b/src/orioleloom_standins/virtual/_processes.py
@@ -201,11 +201,9 @@
     def _read_lists(self, entry: Entry, incarnation: int) -> None:
         """Do what the runner of the daemon does at each poll."""
         available = self.platform.answers(entry.id)
-        if available != entry.platform_available:
+        if available != entry.platform_available or not available:
             entry.platform_available = available
             self.post(entry, incarnation, engine.PlatformState(available))
-        elif not available and not entry.core.is_ready():
-            self.post(entry, incarnation, engine.PlatformState(available))
         if not available:
             return
         first, entry.lists_read = not entry.lists_read, True
