Do not count tasks at their customer's limits as waiting for a slot

The wait for a faster slot was estimated from all queued tasks, also those that their customer's limits hold back and that take no slot; a trace of the placement calls showed 198 waiting for a job of one task. Change: customers that were at their limits when last looked at are left out.

--- a/src/orioleloom/engine/_dispatch.py
+++ b/src/orioleloom/engine/_dispatch.py
@@ -56,6 +56,8 @@
         self.request_raise: typing.Callable[[Job, int], None]
         self._n_exchanges = 0
         self._starved: dict[str, int] = {}
+        # Customers that were at their limits when last looked at.
+        self._at_limit: set[str] = set()
 
     def new_job(
         self,
@@ -158,7 +160,7 @@
                 task.upstream,
                 task.kind,
                 task.declared_run_time_ms,
-                core.queue.n_tasks() + 1,
+                self._n_startable() + 1,
                 core.now_s,
             )
             if worker_id is None:
@@ -176,9 +178,22 @@
         for worker_id, started in sends.items():
             self._send(worker_id, started)
 
+    def _n_startable(self) -> int:
+        """Return the queued tasks that may use a slot.
+
+        Tasks that their customer's limits hold back are left out: they
+        take no slot, and with them every wait looked long, so that the
+        tasks of other customers went to slow workers (F11).
+        """
+        queue = self.core.queue
+        held_back = sum(queue.n_tasks(name) for name in self._at_limit)
+        return max(0, queue.n_tasks() - held_back)
+
     def _within_limits(self, customer: str) -> bool:
         if self.core.limits.allowance(customer, self.core.now_s) > 0:
+            self._at_limit.discard(customer)
             return True
+        self._at_limit.add(customer)
         self._starved[customer] = self.core.queue.n_tasks(customer)
         return False
 
