--- a/src/orioleloom/engine/_dispatch.py
+++ b/src/orioleloom/engine/_dispatch.py
@@ -1,4 +1,3 @@
-import dataclasses
 import heapq
 import typing
 
@@ -6,6 +5,9 @@
 from orioleloom.engine._completion import Completion
 from orioleloom.engine._core import Core
 from orioleloom.engine import _effects as effects
+from orioleloom.engine._exchanges import Exchange
+from orioleloom.engine._exchanges import InFlightTask
+from orioleloom.engine._exchanges import size_bytes
 from orioleloom.engine._jobs import Job
 from orioleloom.engine._jobs import JobPhase
 from orioleloom.engine._jobs import TaskState
@@ -23,25 +25,6 @@
 RAISE_AHEAD = 16
 
 
-@dataclasses.dataclass(slots=True)
-class InFlightTask:
-    """A task that was sent to a worker."""
-
-    job: Job
-    task: queueing.QueuedTask
-    sent_at_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class Exchange:
-    """A POST to a worker whose lines are awaited."""
-
-    worker_id: str
-    tasks: dict[str, InFlightTask]
-    n_tasks: int = 0
-    n_rejected: int = 0
-
-
 class Dispatcher:
     """Place queued tasks on workers and take their outcomes.
 
@@ -359,7 +342,7 @@
 
     def _task_ok(self, job: Job, index: int, line: model.TaskLine) -> None:
         job.results[index] = line.result
-        job.result_bytes += _size_bytes(line.result)
+        job.result_bytes += size_bytes(line.result)
         if job.result_bytes > MAX_ANSWER_BYTES:
             self._set_error(
                 job,
@@ -443,11 +426,3 @@
             http = self._http_of(worker_id)
             if http:
                 core.emit(effects.CancelTasks(worker_id, http, tuple(keys)))
-
-
-def _size_bytes(result: typing.Any) -> int:
-    if isinstance(result, str):
-        return len(result)
-    if result is None or isinstance(result, (int, float)):
-        return 8
-    return len(codec.encode_json(result))
