Remove a promise that was carried along but never read

Cause: reading the change again showed that takeover and the watch of remote jobs passed first_attempt through five calls, always false, into a field that nothing reads; the promise counts only before a claim. Change: the parameter and the field are gone.

--- a/src/orioleloom/engine/_claim_flow.py
+++ b/src/orioleloom/engine/_claim_flow.py
@@ -162,7 +162,6 @@
             waiting,
             request=job.request,
             body=b'',
-            first_attempt=False,
         )
 
     def _drop(self, job: Job) -> Waiting:
@@ -209,7 +208,6 @@
         *,
         request: model.JobRequest | None,
         body: bytes,
-        first_attempt: bool,
     ) -> None:
         """Answer a submission from a claim row that exists.
 
@@ -232,9 +230,7 @@
                 'the submission id was used for a job with other content',
             )
         elif claim.state is model.ClaimState.CLAIMED:
-            self._resolve_claimed(
-                job_id, row, claim, waiting, request, body, first_attempt
-            )
+            self._resolve_claimed(job_id, row, claim, waiting, request, body)
         else:
             self._resolve_closed(job_id, claim, waiting)
 
@@ -272,7 +268,6 @@
         waiting: Waiting,
         request: model.JobRequest | None,
         body: bytes,
-        first_attempt: bool,
     ) -> None:
         job = self.core.jobs.get(job_id)
         if job is not None:
@@ -282,9 +277,7 @@
                     request_id, model.Answer(202, dict(job.progress()))
                 )
             return
-        self.remote.watch(
-            job_id, claim.owner, row, waiting, request, body, first_attempt
-        )
+        self.remote.watch(job_id, claim.owner, row, waiting, request, body)
         if claim.owner.partition('/')[0] == self.core.instance_id:
             # This process, or an earlier one of the same instance, made
             # the claim and does not hold the job.
@@ -363,7 +356,6 @@
                     Waiting(final=remote.waiters),
                     request=remote.request,
                     body=remote.body,
-                    first_attempt=False,
                 )
             case claims.GroupGivenUp():
                 self._refuse_all(
--- a/src/orioleloom/engine/_jobs.py
+++ b/src/orioleloom/engine/_jobs.py
@@ -166,7 +166,6 @@
     row: model.Row | None
     request: model.JobRequest | None
     body: bytes
-    first_attempt: bool
     deadline_at_s: float | None = None
     message_id: int = 0
     next_try_at_s: float = 0.0
--- a/src/orioleloom/engine/_remote.py
+++ b/src/orioleloom/engine/_remote.py
@@ -41,16 +41,13 @@
         waiting: Waiting,
         request: model.JobRequest | None,
         body: bytes,
-        first_attempt: bool,
     ) -> None:
         """Wait for the answer of a job that another instance holds."""
         core = self.core
         remote = core.remote.get(job_id)
         is_new = remote is None
         if remote is None:
-            remote = RemoteJob(
-                job_id, owner, row, request, body, first_attempt
-            )
+            remote = RemoteJob(job_id, owner, row, request, body)
             core.remote[job_id] = remote
         remote.row = row or remote.row
         remote.request = remote.request or request
@@ -91,7 +88,6 @@
             Waiting(final={request_id}),
             None,
             b'',
-            False,
         )
         self._cancel(job_id)
 
@@ -106,7 +102,6 @@
             Waiting(final={request_id}),
             None,
             b'',
-            False,
         )
         self._cancel(job_id)
 
--- a/src/orioleloom/engine/_submissions.py
+++ b/src/orioleloom/engine/_submissions.py
@@ -132,7 +132,6 @@
             _waiting(event.request_id, event.wait),
             event.request,
             event.body,
-            False,
         )
 
     def _check_ticket_age(self, ticket: claims.Ticket) -> None:
@@ -264,7 +263,6 @@
             Waiting(final={event.request_id}),
             None,
             b'',
-            False,
         )
 
     def _unknown_job(self, request_id: int, job_id: model.JobId) -> None:
@@ -323,7 +321,6 @@
                 _waiting(tag.request_id, tag.wait),
                 request=None,
                 body=b'',
-                first_attempt=False,
             )
 
     def cancel_read(
