Serve repeatable jobs on the users' platform

Cause: the product ran only against its own stand-ins. The platform has workers with cores and memory under leases, a transactional store and jobs that may run again as a whole after a lost answer.

"dispatch" is a core without I/O that places tasks on workers with room, under leases and fencing tokens. "node" joins both with peers, store and workers. "http1" is a lean HTTP server and client on httptools. "platform" translates the platform's messages, settings and names.

--- /dev/null
+++ b/src/orioleloom/dispatch/__init__.py
@@ -0,0 +1,49 @@
+"""Dispatcher of repeatable jobs to workers that run tasks under leases."""
+
+from orioleloom.dispatch._dispatcher import Dispatcher
+from orioleloom.dispatch._dispatcher import Settings
+from orioleloom.dispatch._records import AnswerJob
+from orioleloom.dispatch._records import Decision
+from orioleloom.dispatch._records import Effect
+from orioleloom.dispatch._records import EndKind
+from orioleloom.dispatch._records import Job
+from orioleloom.dispatch._records import Outcome
+from orioleloom.dispatch._records import OutcomeKind
+from orioleloom.dispatch._records import Queue
+from orioleloom.dispatch._records import Rejection
+from orioleloom.dispatch._records import Room
+from orioleloom.dispatch._records import RunEnd
+from orioleloom.dispatch._records import RunSeen
+from orioleloom.dispatch._records import StartRun
+from orioleloom.dispatch._records import Step
+from orioleloom.dispatch._records import StopRun
+from orioleloom.dispatch._records import Superseded
+from orioleloom.dispatch._records import TaskKey
+from orioleloom.dispatch._records import WatchWorker
+from orioleloom.dispatch._records import WorkerInfo
+from orioleloom.dispatch._records import WorkerReport
+
+__all__ = [
+    'AnswerJob',
+    'Decision',
+    'Dispatcher',
+    'Effect',
+    'EndKind',
+    'Job',
+    'Outcome',
+    'OutcomeKind',
+    'Queue',
+    'Rejection',
+    'Room',
+    'RunEnd',
+    'RunSeen',
+    'Settings',
+    'StartRun',
+    'Step',
+    'StopRun',
+    'Superseded',
+    'TaskKey',
+    'WatchWorker',
+    'WorkerInfo',
+    'WorkerReport',
+]
--- /dev/null
+++ b/src/orioleloom/http1/__init__.py
@@ -0,0 +1,26 @@
+"""Lean HTTP/1.1 server and client on trio and httptools.
+
+For paths with many small exchanges: hypercorn with quart takes some
+milliseconds of processor time for a request, httptools some
+microseconds for parsing it.
+"""
+
+from orioleloom.http1._client import Client
+from orioleloom.http1._client import NoAnswerError
+from orioleloom.http1._client import NotSentError
+from orioleloom.http1._client import Response
+from orioleloom.http1._server import Connection
+from orioleloom.http1._server import Limits
+from orioleloom.http1._server import Request
+from orioleloom.http1._server import Server
+
+__all__ = [
+    'Client',
+    'Connection',
+    'Limits',
+    'NoAnswerError',
+    'NotSentError',
+    'Request',
+    'Response',
+    'Server',
+]
--- /dev/null
+++ b/src/orioleloom/node/__init__.py
@@ -0,0 +1,33 @@
+"""An instance on a platform: jobs in, orders to workers out."""
+
+from orioleloom.node._log import log
+from orioleloom.node._log import LogWriter
+from orioleloom.node._node import Node
+from orioleloom.node._node import Settings
+from orioleloom.node._ports import HistoryLostError
+from orioleloom.node._ports import IngressLimits
+from orioleloom.node._ports import MemberInfo
+from orioleloom.node._ports import NoAnswerError
+from orioleloom.node._ports import NotSentError
+from orioleloom.node._ports import RejectedError
+from orioleloom.node._ports import Route
+from orioleloom.node._ports import Routing
+from orioleloom.node._ports import Snapshot
+from orioleloom.node._ports import StoreError
+
+__all__ = [
+    'HistoryLostError',
+    'IngressLimits',
+    'LogWriter',
+    'MemberInfo',
+    'NoAnswerError',
+    'Node',
+    'NotSentError',
+    'RejectedError',
+    'Route',
+    'Routing',
+    'Settings',
+    'Snapshot',
+    'StoreError',
+    'log',
+]
--- /dev/null
+++ b/src/orioleloom/node/_leader.py
@@ -0,0 +1,378 @@
+import random
+import typing
+
+import eliot
+import trio
+
+from orioleloom import dispatch
+from orioleloom import leadership
+from orioleloom.node import _log
+from orioleloom.node import _messages
+from orioleloom.node import _ports
+
+# A worker answers a start or stop within a few milliseconds. One that has
+# not answered by then gets a stop on another connection.
+_START_TIMEOUT_S = 0.05
+_STOP_TIMEOUT_S = 0.05
+# A worker that has runs is asked this often at least; a lease of 1 s then
+# survives one lost answer.
+_REPORT_WAIT_S = 0.3
+_REPORT_GRACE_S = 0.15
+_FIRST_REPORT_TIMEOUT_S = 0.2
+# Pause between calls to a silent worker: it doubles up to the second value.
+_FIRST_PAUSE_S = 0.02
+_MAX_PAUSE_S = 0.5
+
+# Beats to an instance that does not answer are sent this many times more
+# seldom, since most of them are gone.
+_SILENT_BEAT_EVERY = 10
+# Replies to beats older than this many beats are stale.
+_MAX_BEATS_LATE = 6
+# A superseded leader steps down if fewer than half of its followers
+# answer; otherwise it takes a higher token.
+_TOKEN_STEP = 2_000_000
+
+
+class Follower:
+    """What a leader knows of another instance."""
+
+    def __init__(self, instance_id: str, session: int):
+        self.instance_id = instance_id
+        self.session = session
+        self.last_heard_s = -1e9
+        self.is_lost = True
+        self.is_stopping = False
+
+
+class Leader:
+    """Runs a dispatcher and serves the followers of one term.
+
+    :param send: queues a message to an instance
+    :param answer_local: hands an outcome to a caller of this instance
+    :param on_superseded: called when workers obey another leader
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        term: int,
+        scope: str,
+        token: int,
+        run_id_base: int,
+        gateway: _ports.WorkerGateway,
+        send: typing.Callable[[str, _messages.Message], None],
+        answer_local: typing.Callable[[str, dispatch.Outcome], None],
+        on_superseded: typing.Callable[[], None],
+        now_s: float,
+    ):
+        self.instance_id = instance_id
+        self.term = term
+        self.scope = scope
+        self.gateway = gateway
+        self.send = send
+        self.answer_local = answer_local
+        self.on_superseded = on_superseded
+        self.dispatcher = dispatch.Dispatcher(
+            token=token,
+            run_id_base=run_id_base,
+            random_state=random.Random(),
+            now_s=now_s,
+        )
+        self.followers: dict[str, Follower] = {}
+        self.sequence = 0
+        self.is_closed = False
+        self._cancel_scope = trio.CancelScope()
+        self._nursery: trio.Nursery | None = None
+        self._wake_watch: dict[str, trio.Event] = {}
+
+    async def run(self) -> None:
+        """Carry out effects until :meth:`close`."""
+        with self._cancel_scope:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                self.carry_out()
+                await trio.sleep_forever()
+
+    def close(self) -> None:
+        """Give no more orders."""
+        self.is_closed = True
+        self._cancel_scope.cancel()
+
+    # Effects
+
+    def carry_out(self) -> None:
+        """Carry out what the dispatcher has decided."""
+        if self._nursery is None or self.is_closed:
+            return
+        for effect in self.dispatcher.take_effects():
+            match effect:
+                case dispatch.StartRun():
+                    self._nursery.start_soon(self._start_run, effect)
+                case dispatch.StopRun():
+                    self._nursery.start_soon(self._stop_run, effect)
+                case dispatch.WatchWorker():
+                    self._nursery.start_soon(
+                        self._watch_worker, effect.worker_id
+                    )
+                case dispatch.AnswerJob():
+                    self._answer(effect)
+                case dispatch.Superseded():
+                    self.on_superseded()
+                case dispatch.Decision():
+                    _log.log(effect.name, **effect.fields)
+            if self.is_closed:
+                return
+
+    def _answer(self, effect: dispatch.AnswerJob) -> None:
+        if effect.instance_id == self.instance_id:
+            self.answer_local(effect.job_id, effect.outcome)
+        else:
+            self.send(
+                effect.instance_id,
+                _messages.JobEnded(self.term, effect.job_id, effect.outcome),
+            )
+
+    async def _start_run(self, order: dispatch.StartRun) -> None:
+        dispatcher = self.dispatcher
+        worker_id = order.worker.id
+        run = (worker_id, order.key, order.run_id)
+        try:
+            with trio.fail_after(_START_TIMEOUT_S):
+                clock_ms = await self.gateway.start(order)
+        except _ports.RejectedError as exc:
+            dispatcher.start_rejected(*run, exc.reason, trio.current_time())
+        except _ports.NotSentError:
+            dispatcher.start_unanswered(*run, False, trio.current_time())
+        except (_ports.NoAnswerError, trio.TooSlowError):
+            dispatcher.start_unanswered(*run, True, trio.current_time())
+        else:
+            dispatcher.start_accepted(*run, clock_ms, trio.current_time())
+        self.carry_out()
+
+    async def _stop_run(self, order: dispatch.StopRun) -> None:
+        try:
+            with trio.fail_after(_STOP_TIMEOUT_S):
+                await self.gateway.stop(order)
+        except (
+            _ports.RejectedError,
+            _ports.NotSentError,
+            _ports.NoAnswerError,
+            trio.TooSlowError,
+        ) as exc:
+            _log.log(
+                'stop_unanswered',
+                job=order.key.job_id,
+                worker=order.worker.id,
+                run=order.run_id,
+                reason=f'{type(exc).__name__}: {exc}',
+            )
+            return
+        self.dispatcher.stop_confirmed(
+            order.worker.id, order.key, order.run_id, trio.current_time()
+        )
+        self.carry_out()
+
+    async def _watch_worker(self, worker_id: str) -> None:
+        """Ask a worker for its runs as long as it has any."""
+        dispatcher = self.dispatcher
+        pause_s = _FIRST_PAUSE_S
+        while dispatcher.needs_watch(worker_id):
+            if await self._ask(worker_id):
+                pause_s = _FIRST_PAUSE_S
+            else:
+                await trio.sleep(pause_s)
+                pause_s = min(2 * pause_s, _MAX_PAUSE_S)
+
+    async def _ask(self, worker_id: str) -> bool:
+        worker = self.dispatcher.workers[worker_id]
+        asked_s = trio.current_time()
+        expires_ms, acked_through = self.dispatcher.lease(worker_id, asked_s)
+        if expires_ms is None:
+            wait_s, timeout_s = 0.0, _FIRST_REPORT_TIMEOUT_S
+        else:
+            wait_s = _REPORT_WAIT_S
+            timeout_s = _REPORT_WAIT_S + _REPORT_GRACE_S
+        try:
+            with trio.fail_after(timeout_s):
+                report = await self.gateway.report(
+                    worker.info,
+                    self.dispatcher.token,
+                    expires_ms,
+                    acked_through,
+                    wait_s,
+                )
+        except _ports.RejectedError as exc:
+            now_s = trio.current_time()
+            if exc.reason is dispatch.Rejection.FENCED:
+                self.on_superseded()
+            self.dispatcher.report_failed(worker_id, exc.reason, now_s)
+            self.carry_out()
+            return False
+        except (
+            _ports.NotSentError,
+            _ports.NoAnswerError,
+            trio.TooSlowError,
+        ) as exc:
+            reason = f'{type(exc).__name__}: {exc}'
+            self.dispatcher.report_failed(
+                worker_id, reason, trio.current_time()
+            )
+            self.carry_out()
+            return False
+        self.dispatcher.report(worker_id, report, asked_s, trio.current_time())
+        self.carry_out()
+        return True
+
+    # Followers
+
+    def tick(self, now_s: float) -> None:
+        """Let the dispatcher handle the time, and drop lost followers."""
+        for follower in self.followers.values():
+            if (
+                not follower.is_lost
+                and now_s - follower.last_heard_s
+                > leadership.FOLLOWER_SILENCE_S
+            ):
+                follower.is_lost = True
+                follower.session += 1
+                _log.log(
+                    'follower_lost',
+                    peer=follower.instance_id,
+                    heard_ago_s=round(now_s - follower.last_heard_s, 3),
+                )
+                self.dispatcher.forget_instance(
+                    follower.instance_id, 'instance out of contact', now_s
+                )
+        self.dispatcher.tick(now_s)
+        self.carry_out()
+
+    def alive(self) -> list[str]:
+        """Return this instance and the followers in contact."""
+        return [
+            self.instance_id,
+            *(f.instance_id for f in self.followers.values() if not f.is_lost),
+        ]
+
+    def beat(self, member_ids: typing.Iterable[str], now_s: float) -> None:
+        """Send a sign of life to the other instances."""
+        self.sequence += 1
+        alive = self.alive()
+        n_unstarted = self.n_unstarted()
+        for number, member_id in enumerate(sorted(member_ids)):
+            follower = self.follower(member_id)
+            if follower.is_lost and (
+                (self.sequence + number) % _SILENT_BEAT_EVERY
+            ):
+                continue
+            self.send_beat(follower, alive, n_unstarted)
+
+    def follower(self, member_id: str) -> Follower:
+        """Return the record of an instance."""
+        known = self.followers.get(member_id)
+        if known is None:
+            known = Follower(member_id, (self.term << 20) + 1)
+            self.followers[member_id] = known
+        return known
+
+    def send_beat(
+        self,
+        follower: Follower,
+        alive: list[str] | None = None,
+        n_unstarted: dict[str, int] | None = None,
+    ) -> None:
+        """Send a sign of life to one instance."""
+        self.send(
+            follower.instance_id,
+            _messages.Beat(
+                self.term,
+                self.scope,
+                follower.session,
+                self.sequence,
+                not follower.is_lost,
+                self.alive() if alive is None else alive,
+                self.n_unstarted() if n_unstarted is None else n_unstarted,
+            ),
+        )
+
+    def n_unstarted(self) -> dict[str, int]:
+        """Return the number of jobs without a started task, by queue."""
+        counts: dict[str, int] = {}
+        for job in self.dispatcher.jobs.values():
+            if job.first_start_s is None:
+                name = job.job.queue.name
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+    def beat_answered(
+        self, member_id: str, reply: _messages.BeatReply, now_s: float
+    ) -> None:
+        """Take note of a follower's sign of life and of its jobs."""
+        follower = self.follower(member_id)
+        if (
+            reply.session != follower.session
+            or reply.sequence < self.sequence - _MAX_BEATS_LATE
+        ):
+            return
+        if follower.is_lost:
+            _log.log('follower_joined', peer=member_id)
+        follower.is_lost = False
+        follower.last_heard_s = now_s
+        follower.is_stopping = reply.is_stopping
+        wanted = set(reply.job_ids)
+        for job_id in wanted - self.dispatcher.jobs.keys():
+            outcome = self.dispatcher.outcome(job_id)
+            if outcome is None:
+                self.send(member_id, _messages.JobUnknown(self.term, job_id))
+            else:
+                self.send(
+                    member_id,
+                    _messages.JobEnded(self.term, job_id, outcome),
+                )
+        for job in list(self.dispatcher.jobs.values()):
+            if job.instance_id == member_id and job.job.id not in wanted:
+                self.dispatcher.cancel(
+                    job.job.id, member_id, 'no caller waits', now_s
+                )
+        self.carry_out()
+
+    def submitted(
+        self, member_id: str, message: _messages.SubmitJob, now_s: float
+    ) -> None:
+        """Take over a job of a follower."""
+        follower = self.follower(member_id)
+        if message.session != follower.session:
+            return
+        contact_s = message.contact_ago_s
+        self.dispatcher.submit(
+            message.job,
+            member_id,
+            arrived_s=now_s - message.age_s,
+            deadline_s=now_s + message.remaining_s,
+            last_contact_s=None if contact_s is None else now_s - contact_s,
+            now_s=now_s,
+        )
+        self.carry_out()
+
+    def cancelled(
+        self, member_id: str, message: _messages.CancelJob, now_s: float
+    ) -> None:
+        """End a job whose caller has left a follower."""
+        if message.session == self.follower(member_id).session:
+            self.dispatcher.cancel(
+                message.job_id, member_id, 'caller left', now_s
+            )
+            self.carry_out()
+
+    def has_most_followers(self) -> bool:
+        """Return whether at least half of the known instances answer."""
+        seen = [f for f in self.followers.values() if f.last_heard_s > 0]
+        alive = sum(1 for f in seen if not f.is_lost)
+        return 2 * (alive + 1) >= len(seen) + 1
+
+    def raise_token(self) -> None:
+        """Use a higher fencing token than the one that superseded it."""
+        self.dispatcher.token += _TOKEN_STEP
+        eliot.log_message(
+            message_type='token_raised', token=self.dispatcher.token
+        )
--- /dev/null
+++ b/src/orioleloom/node/metrics.py
@@ -0,0 +1,85 @@
+"""Metrics of a node, in the text format of Prometheus."""
+
+import typing
+
+import aioprometheus
+
+from orioleloom import http1
+from orioleloom.node import _node
+
+# Upper bounds of the latency buckets, in seconds: objectives of 0.15 to
+# 1.5 s with some room on both sides.
+_LATENCY_BUCKETS_S = [
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.15,
+    0.25,
+    0.4,
+    0.6,
+    1.0,
+    1.5,
+    2.5,
+    5.0,
+    10.0,
+]
+
+
+class NodeMetrics:
+    """Collects the counters of a node when they are asked for."""
+
+    def __init__(self, node: _node.Node, client: http1.Client):
+        self.node = node
+        self.client = client
+        self._registry = aioprometheus.Registry()
+        self._gauges: dict[str, aioprometheus.Gauge] = {}
+        self._latency = aioprometheus.Histogram(
+            'orioleloom_job_seconds',
+            'Time from the arrival of a job to its outcome',
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        node.on_latency = self.observe
+
+    def observe(self, outcome: str, latency_s: float) -> None:
+        """Count a job's outcome."""
+        self._latency.observe({'outcome': outcome}, latency_s)
+
+    def _set(self, name: str, value: float) -> None:
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = self._gauges[name] = aioprometheus.Gauge(
+                name, name.replace('_', ' '), registry=self._registry
+            )
+        gauge.set({}, value)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the page and its header lines."""
+        node = self.node
+        for name, value in node.counters.items():
+            self._set(f'orioleloom_node_{name}_total', value)
+        self._set('orioleloom_node_pending', len(node.pending))
+        self._set('orioleloom_node_ready', int(node.is_ready()))
+        self._set('orioleloom_node_leading', int(node.leader is not None))
+        self._set('orioleloom_connects_total', self.client.n_connects)
+        if node.routing is not None:
+            self._set('orioleloom_configuration_version', node.routing.version)
+        if node.leader is not None:
+            self._render_dispatcher(node.leader.dispatcher)
+        body, headers = aioprometheus.render(self._registry, [])
+        lines = ''.join(
+            f'{name}: {value}\r\n'
+            for name, value in headers.items()
+            if name.lower() != 'content-type'
+        )
+        return body, lines
+
+    def _render_dispatcher(self, dispatcher: typing.Any) -> None:
+        for name, value in dispatcher.counters.items():
+            self._set(f'orioleloom_dispatch_{name}_total', value)
+        self._set('orioleloom_dispatch_jobs', len(dispatcher.jobs))
+        self._set(
+            'orioleloom_dispatch_runs',
+            sum(len(worker.runs) for worker in dispatcher.workers.values()),
+        )
--- a/src/orioleloom/peer_api/_socket.py
+++ b/src/orioleloom/peer_api/_socket.py
@@ -131,6 +131,12 @@
             if address not in addresses:
                 self._dealers.pop(address).close()
 
+    def disconnect(self, address: str) -> None:
+        """Close the socket to a peer; the next message opens a new one."""
+        dealer = self._dealers.pop(address, None)
+        if dealer is not None:
+            dealer.close()
+
     def peers(self) -> list[str]:
         """Return the addresses to which a socket is open."""
         return [*self._dealers]
--- /dev/null
+++ b/src/orioleloom/platform/_daemon.py
@@ -0,0 +1,206 @@
+"""The process that runs on each of the platform's machines."""
+
+import argparse
+import os
+import random
+import signal
+import sys
+import typing
+
+import msgspec
+import trio
+
+from orioleloom import http1
+from orioleloom import node
+from orioleloom.node import metrics
+from orioleloom.platform import _ingress
+from orioleloom.platform import _settings
+from orioleloom.platform import _store
+from orioleloom.platform import _workers
+from orioleloom import timers
+
+# After SIGTERM requests are still accepted until the balancer has missed
+# two readiness checks, one a second, and its last connections are over.
+_MIN_LINGER_S = 2.6
+# The last answers leave this long before SIGKILL.
+_EXIT_MARGIN_S = 0.5
+# Descriptors kept for files, peers and workers.
+_RESERVED_FDS = 600
+_SETTINGS_CHECK_S = 2.0
+_LOG_FLUSH_S = 0.2
+
+
+class Daemon:
+    """Joins node, store, workers and callers.
+
+    :param settings: the platform's settings
+    :param metrics_port: port of the metrics; 0 leaves them out
+    """
+
+    def __init__(
+        self, settings: _settings.PlatformSettings, metrics_port: int = 0
+    ):
+        self.settings = settings
+        self.metrics_port = metrics_port
+        self.client = http1.Client()
+        self.timers = timers.TimerService(random_state=random.Random())
+        self.store = _store.PlatformStore(self.client, settings.store.address)
+        self.node = node.Node(
+            settings=node.Settings(
+                instance_id=settings.instance_id,
+                data_centre=settings.data_centre,
+                peer_bind=settings.peer_address(settings.ip),
+                rank=settings.limits.cpu_share * settings.limits.cores,
+                seed_peers=settings.seed_peers(),
+            ),
+            store=self.store,
+            gateway=_workers.WorkerCalls(self.client),
+            timer_service=self.timers,
+        )
+        self.metrics = metrics.NodeMetrics(self.node, self.client)
+        ingress = _ingress.Ingress(self.node)
+        self.callers = http1.Server(
+            ingress.on_request,
+            ingress.on_disconnect,
+            max_connections=max(100, settings.limits.max_fds - _RESERVED_FDS),
+        )
+        self.readiness = http1.Server(_ingress.Readiness(self.node).on_request)
+        self.control = http1.Server(self._on_control)
+        self.node.on_routing = self._set_limits
+        self._settings_modified_s = _settings.modified_s(os.environ)
+
+    def _set_limits(self, routing: node.Routing) -> None:
+        limits = routing.limits
+        if limits is not None:
+            self.callers.limits = http1.Limits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            )
+
+    def _on_control(
+        self, connection: http1.Connection, request: http1.Request
+    ) -> None:
+        match request.path:
+            case '/state':
+                connection.respond(200, msgspec.json.encode(self.node.state()))
+            case '/metrics':
+                body, headers = self.metrics.render()
+                connection.respond(200, body, headers)
+            case _:
+                connection.respond(404)
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        listen = self.settings.listen
+        node.log(
+            'started',
+            data_centre=self.settings.data_centre,
+            incarnation=self.node.incarnation,
+            pid=os.getpid(),
+        )
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGHUP, signal.SIGINT
+        ) as signals:
+            async with trio.open_nursery() as nursery:
+                for server, address in (
+                    (self.callers, listen.frontend),
+                    (self.readiness, listen.readiness_address),
+                    (self.control, listen.control),
+                    (
+                        self.control,
+                        f'{self.settings.ip}:{self.metrics_port}'
+                        if self.metrics_port
+                        else '',
+                    ),
+                ):
+                    if address:
+                        await nursery.start(server.serve, address)
+                self.timers.subscribe(
+                    'settings', _SETTINGS_CHECK_S, self._check_settings
+                )
+                await nursery.start(self.node.run)
+                async for number in signals:
+                    if number == signal.SIGHUP:
+                        self._reload()
+                    else:
+                        break
+                await self._drain()
+                nursery.cancel_scope.cancel()
+        self.node.close()
+        self.client.close()
+        node.log('stopped', n_pending=len(self.node.pending))
+
+    def _check_settings(self) -> None:
+        modified_s = _settings.modified_s(os.environ)
+        if modified_s != self._settings_modified_s:
+            self._reload()
+
+    def _reload(self) -> None:
+        """Take over the settings that may change while running."""
+        self._settings_modified_s = _settings.modified_s(os.environ)
+        try:
+            settings = _settings.load(os.environ)
+        except _settings.SettingsError as exc:
+            node.log('reload_failed', reason=str(exc))
+            return
+        self.settings = settings
+        self.store.address = settings.store.address
+        self.node.settings = self.node.settings._replace(
+            seed_peers=settings.seed_peers()
+        )
+        node.log('reloaded', n_seeds=len(settings.seeds))
+
+    async def _drain(self) -> None:
+        """Hand over and finish the accepted requests."""
+        started_s = trio.current_time()
+        node.log('stopping', n_pending=len(self.node.pending))
+        self.node.begin_stop()
+        self.callers.is_draining = True
+        limit_s = self.settings.bounds.grace_s - _EXIT_MARGIN_S
+        while True:
+            await trio.sleep(0.05)
+            age_s = trio.current_time() - started_s
+            if age_s >= limit_s:
+                break
+            if age_s >= _MIN_LINGER_S and not self.node.pending:
+                break
+
+
+def main(argv: typing.Sequence[str] | None = None) -> int:
+    """Run the process.
+
+    :returns: exit code
+    """
+    parser = argparse.ArgumentParser(
+        prog='python -m orioleloom.platform',
+        description='Run an instance on the platform. Its settings file is '
+        f'named by the environment variable {_settings.PATH_VARIABLE}.',
+    )
+    parser.add_argument(
+        '--metrics-port',
+        type=int,
+        default=int(os.environ.get('ORIOLELOOM_METRICS_PORT', '0')),
+        help='port of the metrics page; 0 leaves it out '
+        '[ORIOLELOOM_METRICS_PORT]',
+    )
+    arguments = parser.parse_args(argv)
+    try:
+        settings = _settings.load(os.environ)
+    except _settings.SettingsError as exc:
+        print(f'orioleloom: {exc}', file=sys.stderr)
+        return 2
+    writer = node.LogWriter(sys.stdout.fileno(), settings.instance_id)
+    writer.start()
+
+    async def run() -> None:
+        daemon = Daemon(settings, arguments.metrics_port)
+        daemon.timers.subscribe('log_flush', _LOG_FLUSH_S, writer.flush)
+        await daemon.run()
+
+    try:
+        trio.run(run)
+    finally:
+        writer.stop()
+    return 0
--- /dev/null
+++ b/src/orioleloom/platform/_ingress.py
@@ -0,0 +1,180 @@
+"""Callers' requests."""
+
+import math
+import typing
+
+import msgspec
+import trio
+
+from orioleloom import dispatch
+from orioleloom import http1
+from orioleloom import node
+from orioleloom.platform import _wire
+
+_DEADLINE_HEADER = 'x-orioleloom-deadline-ms'
+# For requests without the header, in seconds.
+_DEFAULT_DEADLINE_S = 10.0
+_NO_CONFIGURATION_RETRY_S = 1
+
+
+class Ingress:
+    """Turns callers' requests into jobs and outcomes into answers.
+
+    :param instance: the node that takes the jobs
+    """
+
+    def __init__(self, instance: node.Node):
+        self.instance = instance
+
+    def on_request(
+        self, connection: http1.Connection, request: http1.Request
+    ) -> None:
+        """Answer a request, or hand its job to the node."""
+        routing = self.instance.routing
+        if routing is None:
+            self._unavailable(
+                connection, 'no configuration', _NO_CONFIGURATION_RETRY_S
+            )
+            return
+        host = request.headers.get('host', '').partition(':')[0].lower()
+        route = routing.find(host, request.path)
+        if route is None:
+            _respond(connection, 404, {'error': 'no such queue'})
+            return
+        job_id = request.path[len(route.path_prefix) :]
+        match request.method:
+            case 'GET' if not job_id:
+                _respond(
+                    connection,
+                    200,
+                    {
+                        'pending': self.instance.count_unstarted(
+                            route.queue.name
+                        )
+                    },
+                )
+            case _ if not _wire.is_job_id(job_id):
+                _respond(connection, 404, {'error': 'no such job'})
+            case 'POST':
+                self._submit(connection, request, route, job_id)
+            case 'GET':
+                self._state(connection, job_id)
+            case 'DELETE':
+                self._cancel(connection, job_id)
+            case _:
+                _respond(connection, 405, {'error': 'method not allowed'})
+
+    def _submit(
+        self,
+        connection: http1.Connection,
+        request: http1.Request,
+        route: node.Route,
+        job_id: str,
+    ) -> None:
+        try:
+            job = _wire.decode_job(job_id, route.queue, request.body)
+        except _wire.UnsupportedError as exc:
+            node.log('job_refused', job=job_id, reason=str(exc))
+            _respond(connection, 503, {'error': str(exc)})
+            return
+        except _wire.WireError as exc:
+            node.log('job_refused', job=job_id, reason=str(exc)[:200])
+            _respond(connection, 400, {'error': str(exc)[:200]})
+            return
+        deadline_s = request.arrived_s + _deadline_s(request)
+
+        def on_outcome(outcome: dispatch.Outcome) -> None:
+            if connection.request is request:
+                _answer(connection, outcome)
+
+        connection.context = (job_id, on_outcome)
+        self.instance.submit(
+            job,
+            arrived_s=request.arrived_s,
+            deadline_s=deadline_s,
+            on_outcome=on_outcome,
+        )
+
+    def _state(self, connection: http1.Connection, job_id: str) -> None:
+        pending = self.instance.pending.get(job_id)
+        if pending is None:
+            _respond(connection, 410, {'error': 'no such job'})
+        else:
+            state = 'in_progress' if pending.was_submitted else 'queued'
+            _respond(connection, 200, {'state': state})
+
+    def _cancel(self, connection: http1.Connection, job_id: str) -> None:
+        if self.instance.cancel(job_id):
+            _respond(connection, 200, {'state': 'cancelled'})
+        else:
+            _respond(connection, 410, {'error': 'no such job'})
+
+    def on_disconnect(self, connection: http1.Connection) -> None:
+        """Drop the job of a caller that has left."""
+        if connection.context is not None:
+            job_id, on_outcome = connection.context
+            self.instance.caller_left(job_id, on_outcome)
+
+    def _unavailable(
+        self, connection: http1.Connection, reason: str, retry_after_s: int
+    ) -> None:
+        _respond(
+            connection,
+            503,
+            {'error': reason},
+            f'Retry-After: {retry_after_s}\r\n',
+        )
+
+
+def _deadline_s(request: http1.Request) -> float:
+    text = request.headers.get(_DEADLINE_HEADER, '')
+    try:
+        deadline_s = float(text) / 1000
+    except ValueError:
+        return _DEFAULT_DEADLINE_S
+    return deadline_s if math.isfinite(deadline_s) else _DEFAULT_DEADLINE_S
+
+
+def _answer(connection: http1.Connection, outcome: dispatch.Outcome) -> None:
+    match outcome.kind:
+        case dispatch.OutcomeKind.COMPLETED | dispatch.OutcomeKind.FAILED:
+            _respond(connection, 200, {'state': outcome.kind.value})
+        case dispatch.OutcomeKind.NOT_RUN:
+            retry_after_s = max(1, math.ceil(outcome.retry_after_s))
+            _respond(
+                connection,
+                503,
+                {'error': outcome.reason},
+                f'Retry-After: {retry_after_s}\r\n',
+            )
+        case dispatch.OutcomeKind.UNKNOWN:
+            status = 504 if outcome.reason == 'deadline' else 502
+            _respond(connection, status, {'error': outcome.reason})
+
+
+def _respond(
+    connection: http1.Connection,
+    status: int,
+    body: dict[str, typing.Any],
+    headers: str = '',
+) -> None:
+    connection.respond(status, msgspec.json.encode(body), headers)
+
+
+class Readiness:
+    """Tells the platform whether callers should be sent here."""
+
+    def __init__(self, instance: node.Node):
+        self.instance = instance
+        self.not_ready_s = 0.0
+        self._since_s = trio.current_time()
+
+    def on_request(
+        self, connection: http1.Connection, request: http1.Request
+    ) -> None:
+        """Answer a readiness check."""
+        if request.path == '/readyz':
+            status = 200 if self.instance.is_ready() else 503
+            connection.respond(status)
+        else:
+            connection.respond(404)
--- /dev/null
+++ b/src/orioleloom/platform/_store.py
@@ -0,0 +1,193 @@
+"""Client of the platform's store."""
+
+import base64
+import binascii
+import typing
+import urllib.parse
+
+import msgspec
+
+from orioleloom import dispatch
+from orioleloom import http1
+from orioleloom import node
+from orioleloom.platform import _wire
+
+_T = typing.TypeVar('_T')
+
+# Rows in one answer; the store's own limit.
+_PAGE_ROWS = 500
+_CONFIGURATION_TABLE = 'op'
+_CONFIGURATION_KEY = 'config'
+_WORKER_TABLE = 'servers'
+_MEMBER_TABLE = 'orioleloom-members'
+_SIGN_TABLE = 'orioleloom-leader'
+_SIGN_KEY = 'sign'
+
+
+class _StoreTable(typing.Generic[_T]):
+    """A table of the store whose rows are decoded one by one.
+
+    :param decode: raises :class:`_wire.WireError` for a row to leave out
+    :param only_key: the one row of the table that matters, if so
+    """
+
+    def __init__(
+        self,
+        store: 'PlatformStore',
+        table: str,
+        decode: typing.Callable[[str, bytes], _T],
+        only_key: str = '',
+    ):
+        self._store = store
+        self._table = table
+        self._decode = decode
+        self._only_key = only_key
+        self._unreadable: set[tuple[str, int]] = set()
+
+    async def read(self) -> node.Snapshot[_T]:
+        """Return all rows."""
+        rows: dict[str, _T | None] = {}
+        version = 0
+        start = self._only_key
+        while True:
+            query = {
+                'table': self._table,
+                'part': '',
+                'from': start,
+                'limit': '1' if self._only_key else str(_PAGE_ROWS),
+            }
+            answer = await self._store.read_rows('/rows-get', query)
+            rows.update(self._decode_rows(answer.rows))
+            # Pages are of several moments: changes after the first one
+            # are listed by the feed.
+            version = version or answer.ver
+            if self._only_key or not answer.has_more or not answer.rows:
+                return node.Snapshot(version, rows)
+            start = answer.rows[-1].key + '\0'
+
+    async def changes(self, after: int, wait_s: float) -> node.Snapshot[_T]:
+        """Return the rows changed after a version."""
+        answer = await self._store.read_rows(
+            '/rows-feed',
+            {
+                'table': self._table,
+                'after': str(after),
+                'waitMs': str(int(wait_s * 1000)),
+            },
+        )
+        return node.Snapshot(answer.ver, self._decode_rows(answer.rows))
+
+    def _decode_rows(self, rows: list[_wire.StoreRow]) -> dict[str, _T | None]:
+        decoded: dict[str, _T | None] = {}
+        for row in rows:
+            if self._only_key and row.key != self._only_key:
+                continue
+            if row.deleted:
+                decoded[row.key] = None
+                continue
+            try:
+                value = base64.b64decode(row.value, validate=True)
+                decoded[row.key] = self._decode(row.key, value)
+            except (_wire.WireError, binascii.Error) as exc:
+                # Other writers may leave anything in a table.
+                decoded[row.key] = None
+                if (row.key, row.ver) not in self._unreadable:
+                    self._unreadable = {(row.key, row.ver)}
+                    node.log(
+                        'row_unreadable',
+                        table=self._table,
+                        key=row.key[:80],
+                        version=row.ver,
+                        reason=str(exc)[:200],
+                    )
+        return decoded
+
+
+class PlatformStore:
+    """The store that every instance shares.
+
+    :param address: ``IP:PORT``
+    """
+
+    def __init__(self, client: http1.Client, address: str):
+        self.client = client
+        self.address = address
+        self.n_calls = 0
+        self.routing: _StoreTable[node.Routing] = _StoreTable(
+            self,
+            _CONFIGURATION_TABLE,
+            lambda _, data: _wire.decode_configuration(data),
+            _CONFIGURATION_KEY,
+        )
+        self.workers: _StoreTable[dispatch.WorkerInfo] = _StoreTable(
+            self, _WORKER_TABLE, _wire.decode_worker
+        )
+        self.members: _StoreTable[node.MemberInfo] = _StoreTable(
+            self, _MEMBER_TABLE, _wire.decode_member
+        )
+
+    async def _call(
+        self, method: str, target: str, body: bytes = b''
+    ) -> http1.Response:
+        self.n_calls += 1
+        try:
+            response = await self.client.request(
+                self.address, method, target, body
+            )
+        except (http1.NotSentError, http1.NoAnswerError) as exc:
+            raise node.StoreError(str(exc)) from exc
+        if response.status == 410:
+            raise node.HistoryLostError(target)
+        if response.status != 200:
+            raise node.StoreError(f'status {response.status} for {target}')
+        return response
+
+    async def read_rows(
+        self, path: str, query: dict[str, str]
+    ) -> _wire.StoreRows:
+        """Read rows of a table.
+
+        :raises StoreError: no readable answer
+        """
+        response = await self._call(
+            'GET', f'{path}?{urllib.parse.urlencode(query)}'
+        )
+        try:
+            return _wire.decode_rows(response.body)
+        except _wire.WireError as exc:
+            raise node.StoreError(str(exc)) from exc
+
+    async def _put(self, table: str, key: str, value: bytes) -> None:
+        body = msgspec.json.encode(
+            {
+                'expectedRevision': [],
+                'puts': [
+                    {
+                        'table': table,
+                        'part': '',
+                        'key': key,
+                        'value': base64.b64encode(value).decode(),
+                    }
+                ],
+                'remove': [],
+            }
+        )
+        await self._call('POST', '/rows-tx', body)
+
+    async def put_member(self, member: node.MemberInfo) -> None:
+        """Register an instance."""
+        await self._put(
+            _MEMBER_TABLE, member.instance_id, _wire.encode_member(member)
+        )
+
+    async def put_leader_sign(self, sign: str) -> None:
+        """Write a leader's sign of life."""
+        await self._put(_SIGN_TABLE, _SIGN_KEY, sign.encode())
+
+    async def read_leader_sign(self) -> str:
+        """Return the newest sign of life, or an empty text."""
+        answer = await self.read_rows(
+            '/rows-get',
+            {'table': _SIGN_TABLE, 'part': '', 'from': _SIGN_KEY},
+        )
+        return answer.rows[0].value if answer.rows else ''
--- /dev/null
+++ b/src/orioleloom/platform/_workers.py
@@ -0,0 +1,117 @@
+"""Calls to the platform's workers."""
+
+import typing
+
+import msgspec
+
+from orioleloom import dispatch
+from orioleloom import http1
+from orioleloom import node
+from orioleloom.platform import _wire
+
+
+class WorkerCalls:
+    """Gives orders to workers."""
+
+    def __init__(self, client: http1.Client):
+        self.client = client
+
+    async def _post(
+        self,
+        worker: dispatch.WorkerInfo,
+        path: str,
+        body: dict[str, typing.Any],
+    ) -> http1.Response:
+        try:
+            response = await self.client.request(
+                worker.address,
+                'POST',
+                path,
+                msgspec.json.encode(body),
+                f'X-Orioleloom-Expected-Instance: {worker.id}\r\n',
+            )
+        except http1.NotSentError as exc:
+            raise node.NotSentError(str(exc)) from exc
+        except http1.NoAnswerError as exc:
+            raise node.NoAnswerError(str(exc)) from exc
+        match response.status:
+            case 200:
+                return response
+            case 421:
+                raise node.RejectedError(dispatch.Rejection.OTHER_LIFE)
+            case 429 | 503:
+                raise node.RejectedError(dispatch.Rejection.UNHEALTHY)
+            case 409:
+                raise node.RejectedError(_conflict(response))
+            case 400 | 404:
+                raise node.RejectedError(dispatch.Rejection.REFUSED)
+        raise node.NoAnswerError(f'status {response.status}')
+
+    async def start(self, order: dispatch.StartRun) -> int:
+        """Start a run and return the worker's clock."""
+        response = await self._post(
+            order.worker,
+            '/run-start',
+            {
+                'task': _wire.encode_key(order.key),
+                'runId': order.run_id,
+                'spec': order.payload,
+                'expiresMs': order.expires_ms,
+                'fencingToken': order.token,
+            },
+        )
+        return self._decode(_wire.decode_order_answer, response)[0]
+
+    async def stop(self, order: dispatch.StopRun) -> None:
+        """Stop a run, or keep it from ever starting."""
+        await self._post(
+            order.worker,
+            '/run-stop',
+            {
+                'task': _wire.encode_key(order.key),
+                'runId': order.run_id,
+                'fencingToken': order.token,
+            },
+        )
+
+    async def report(
+        self,
+        worker: dispatch.WorkerInfo,
+        token: int,
+        expires_ms: int | None,
+        acked_through: int,
+        wait_s: float,
+    ) -> dispatch.WorkerReport:
+        """Extend the lease of a worker's runs and list them."""
+        body: dict[str, typing.Any] = {
+            'fencingToken': token,
+            'ackedThrough': acked_through,
+        }
+        if expires_ms is not None:
+            body['expiresMs'] = expires_ms
+        if wait_s:
+            body['waitMs'] = int(wait_s * 1000)
+        response = await self._post(worker, '/hold', body)
+        return self._decode(_wire.decode_report, response)
+
+    async def reach(self, worker: dispatch.WorkerInfo) -> bool:
+        """Return whether a connection to a worker can be made."""
+        return await self.client.reach(worker.address)
+
+    @staticmethod
+    def _decode(
+        decode: typing.Callable[[bytes], typing.Any], response: http1.Response
+    ) -> typing.Any:
+        try:
+            return decode(response.body)
+        except _wire.WireError as exc:
+            # The order may have been carried out.
+            raise node.NoAnswerError(str(exc)) from exc
+
+
+def _conflict(response: http1.Response) -> dispatch.Rejection:
+    try:
+        reason = _wire.decode_order_answer(response.body)[1]
+    except _wire.WireError as exc:
+        raise node.NoAnswerError(str(exc)) from exc
+    return _wire.REJECTIONS.get(reason, dispatch.Rejection.REFUSED)
