Wait for confirmations of all workers before a handed over job starts

Cause: after a zone's cut had healed, jobs of the zone's own leader started again at the fleet's leader while their runs went on. The fleet's leader believed its old report of the zone's workers, or they had left the store's list. Two requests were lost at SIGTERM because closing a connection while its reader waited ended the process.

Change: a job that another dispatcher had starts only after every worker, also one that left the list without notice, has answered an order with our token, or after the time in which the other has dropped it. A reader accepts that its connection was closed.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -7,6 +7,7 @@
 from orioleloom.dispatch._records import Effect
 from orioleloom.dispatch._records import EndKind
 from orioleloom.dispatch._records import Job
+from orioleloom.dispatch._records import LookAtWorker
 from orioleloom.dispatch._records import Outcome
 from orioleloom.dispatch._records import OutcomeKind
 from orioleloom.dispatch._records import Queue
@@ -30,6 +31,7 @@
     'Effect',
     'EndKind',
     'Job',
+    'LookAtWorker',
     'Outcome',
     'OutcomeKind',
     'Queue',
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -18,7 +18,13 @@
 _UNCLAIMED_END_S = 2.0
 # After this time without contact an earlier dispatcher has dropped the jobs
 # of an instance (0.6 s) and their leases have ended (1.07 s).
-_HANDOVER_S = 1.7
+_HANDOVER_S = 1.8
+# A worker that has left the list without notice may be cut off and run on;
+# it is remembered this long, longer than the cuts of some seconds that are
+# common.
+_DELISTED_S = 30.0
+# Workers that have not confirmed are asked again after this time.
+_CONFIRM_INTERVAL_S = 0.05
 
 # Stops that are sent before the end of the lease is waited for.
 _MAX_STOPS = 4
@@ -78,7 +84,9 @@
         self._stop_due_s: dict[_workers.Run, float] = {}
         self._effects: list[_records.Effect] = []
         self._needs_pump = False
-        self._next_watch_s = now_s
+        self._confirm_asked_s = -math.inf
+        # Jobs of an earlier dispatcher that wait for confirmations.
+        self._held: set[str] = set()
         self.counters: dict[str, int] = {}
 
     # Effects and bookkeeping
@@ -117,15 +125,35 @@
             else:
                 worker.info = info
                 worker.is_listed = True
+                worker.delisted_s = math.inf
         for worker_id, worker in list(self.workers.items()):
             if worker_id in listed:
                 continue
-            worker.is_listed = False
-            if not worker.runs and worker_id not in self._orphan_workers():
-                del self.workers[worker_id]
+            if worker.is_listed:
+                worker.is_listed = False
+                worker.delisted_s = now_s
+                self._log(
+                    'worker_delisted',
+                    worker=worker_id,
+                    is_leaving=worker.info.is_leaving,
+                    n_runs=len(worker.runs),
+                )
+        self._forget_workers(now_s)
         self.placement.sort()
         self._request_pump(now_s)
 
+    def _forget_workers(self, now_s: float) -> None:
+        for worker_id, worker in list(self.workers.items()):
+            if worker.is_listed or worker.runs:
+                continue
+            if worker_id in self._orphan_workers():
+                continue
+            if (
+                worker.info.is_leaving
+                or now_s - worker.delisted_s > _DELISTED_S
+            ):
+                del self.workers[worker_id]
+
     def _orphan_workers(self) -> set[str]:
         return {entry[0] for entry in self._orphans.values()}
 
@@ -190,6 +218,7 @@
             worker.is_watched = True
             self.placement.sort()
         worker.set_clock(report.clock_ms, now_s)
+        worker.confirmed_s = max(worker.confirmed_s, asked_s)
         if worker.n_silences:
             self._log(
                 'worker_regained',
@@ -433,6 +462,8 @@
             run.stopped_s = now_s
             self._stop_due_s[run] = now_s + 3 * _STOP_INTERVAL_S
             self._watch(worker)
+            if not run.is_accepted:
+                self._effects.append(_records.LookAtWorker(worker_id))
 
     # Starts
 
@@ -531,7 +562,9 @@
         match reason:
             case _records.Rejection.FENCED:
                 worker.suspend(now_s)
-                self._effects.append(_records.Superseded(worker_id))
+                self._effects.append(
+                    _records.Superseded(worker_id, self.token)
+                )
             case _records.Rejection.OLD_RUN:
                 if task is not None:
                     task.last_run_id += 1000
@@ -630,8 +663,9 @@
             self._tasks[task.key] = task
         if last_contact_s is not None:
             state.was_elsewhere = True
-            if any(not worker.is_known for worker in self.workers.values()):
-                state.held_until_s = last_contact_s + _HANDOVER_S
+            state.handed_s = now_s
+            state.held_until_s = last_contact_s + _HANDOVER_S
+            self._held.add(job.id)
         self._claim_found_runs(state, now_s)
         self._request_pump(now_s)
 
@@ -640,6 +674,34 @@
         answered = self._answered.get(job_id)
         return answered[0] if answered is not None else None
 
+    def _release_held(self, now_s: float) -> None:
+        """Let handed over jobs start once no worker can surprise them.
+
+        A worker that has answered since the job came ignores the earlier
+        dispatcher, and its list shows what that one has started.
+        """
+        for job_id in list(self._held):
+            job = self.jobs.get(job_id)
+            if job is None or now_s >= job.held_until_s:
+                self._held.discard(job_id)
+        if not self._held:
+            return
+        handed_s = {
+            job_id: self.jobs[job_id].handed_s for job_id in self._held
+        }
+        workers = self.workers.values()
+        confirmed_s = min((w.confirmed_s for w in workers), default=now_s)
+        for job_id, since_s in handed_s.items():
+            if confirmed_s >= since_s:
+                self.jobs[job_id].held_until_s = 0.0
+                self._held.discard(job_id)
+        newest_s = max(handed_s.values())
+        if self._held and now_s - self._confirm_asked_s > _CONFIRM_INTERVAL_S:
+            self._confirm_asked_s = now_s
+            for worker in workers:
+                if worker.confirmed_s < newest_s:
+                    self._effects.append(_records.LookAtWorker(worker.id))
+
     def _longest_chain_s(self, job: _records.Job) -> float:
         ends_s: list[float] = []
         for step in job.steps:
@@ -749,8 +811,10 @@
         self._expire_leases(now_s)
         self._repeat_stops(now_s)
         self._stop_orphans(now_s)
+        self._release_held(now_s)
         self._expire_jobs(now_s)
         self._forget_old(now_s)
+        self._forget_workers(now_s)
         self._request_pump(now_s)
 
     def _expire_leases(self, now_s: float) -> None:
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -60,8 +60,10 @@
         self.n_sent = 0
         # An earlier dispatcher may have started tasks.
         self.was_elsewhere = False
-        # Tasks must not start before then.
+        # Tasks must not start before then, or before each worker was
+        # confirmed after ``handed_s``.
         self.held_until_s = 0.0
+        self.handed_s = 0.0
         self.expected_s = 0.0
         self.objective_s = 0.0
         self.late_until_s = 0.0
--- a/src/orioleloom/dispatch/_records.py
+++ b/src/orioleloom/dispatch/_records.py
@@ -222,6 +222,13 @@
     worker_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookAtWorker:
+    """Effect: ask a worker for its runs once, without waiting."""
+
+    worker_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerJob:
     """Effect: hand the outcome of a job to the instance that waits."""
@@ -233,9 +240,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Superseded:
-    """Effect: a worker obeys another dispatcher with a higher token."""
+    """Effect: a worker obeys another dispatcher with a higher token.
+
+    :param token: the token that was too low
+    """
 
     worker_id: str
+    token: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -250,4 +261,12 @@
     fields: dict[str, typing.Any]
 
 
-Effect = StartRun | StopRun | WatchWorker | AnswerJob | Superseded | Decision
+Effect = (
+    StartRun
+    | StopRun
+    | WatchWorker
+    | LookAtWorker
+    | AnswerJob
+    | Superseded
+    | Decision
+)
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -15,6 +15,10 @@
 # Failed runs in a row that suspend a worker.
 _FAILURES_TO_SUSPEND = 2
 
+# Missing answers in a row after which a worker gets no new work. A single
+# one is common: some orders are carried out late.
+_SILENCES_TO_AVOID = 2
+
 # A worker's clock may be this much slower than ours.
 _CLOCK_DRIFT = 0.02
 # Time between the computation of a lease and its arrival at the worker.
@@ -73,6 +77,7 @@
         # The worker answered this dispatcher at least once.
         self.is_known = False
         self.is_listed = True
+        self.delisted_s = math.inf
         self.is_watched = False
         # Difference between the worker's clock and ours, in seconds.
         self.clock_offset_s = 0.0
@@ -80,6 +85,9 @@
         self.lease_until_s = 0.0
         self.acked_through = 0
         self.last_heard_s = -math.inf
+        # The worker was asked then, has answered, and ignores dispatchers
+        # with a lower token since.
+        self.confirmed_s = -math.inf
         # Natural logarithm of the run time against a worker of speed 1.
         self.log_factor = 0.0
         self.n_results = 0
@@ -121,7 +129,7 @@
             not self.is_known
             or not self.is_listed
             or self.info.is_leaving
-            or self.n_silences
+            or self.n_silences >= _SILENCES_TO_AVOID
         ):
             return False
         if self.n_suspensions and now_s >= self.suspended_until_s:
--- a/src/orioleloom/http1/_server.py
+++ b/src/orioleloom/http1/_server.py
@@ -156,8 +156,9 @@
                 if not data:
                     break
                 self._feed(data)
-        except OSError:
-            # A reset is an ordinary end of a connection.
+        except (OSError, trio.ClosedResourceError):
+            # A reset, or an answer that ended the connection while its
+            # reader waited, is an ordinary end.
             pass
         finally:
             self.close()
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -12,13 +12,12 @@
 
 # A worker answers a start or stop within a few milliseconds. One that has
 # not answered by then gets a stop on another connection.
-_START_TIMEOUT_S = 0.05
-_STOP_TIMEOUT_S = 0.05
+_START_TIMEOUT_S = 0.03
+_STOP_TIMEOUT_S = 0.03
 # A worker that has runs is asked this often at least; a lease of 1 s then
-# survives one lost answer.
-_REPORT_WAIT_S = 0.3
-_REPORT_GRACE_S = 0.15
-_FIRST_REPORT_TIMEOUT_S = 0.2
+# survives several lost answers.
+_REPORT_WAIT_S = 0.2
+_REPORT_GRACE_S = 0.1
 # Pause between calls to a silent worker: it doubles up to the second value.
 _FIRST_PAUSE_S = 0.02
 _MAX_PAUSE_S = 0.5
@@ -49,7 +48,8 @@
 
     :param send: queues a message to an instance
     :param answer_local: hands an outcome to a caller of this instance
-    :param on_superseded: called when workers obey another leader
+    :param on_superseded: called with the token that was too low when
+        workers obey another leader
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         gateway: _ports.WorkerGateway,
         send: typing.Callable[[str, _messages.Message], None],
         answer_local: typing.Callable[[str, dispatch.Outcome], None],
-        on_superseded: typing.Callable[[], None],
+        on_superseded: typing.Callable[[int], None],
         now_s: float,
     ):
         self.instance_id = instance_id
@@ -115,10 +115,12 @@
                     self._nursery.start_soon(
                         self._watch_worker, effect.worker_id
                     )
+                case dispatch.LookAtWorker():
+                    self._nursery.start_soon(self._look, effect.worker_id)
                 case dispatch.AnswerJob():
                     self._answer(effect)
                 case dispatch.Superseded():
-                    self.on_superseded()
+                    self.on_superseded(effect.token)
                 case dispatch.Decision():
                     _log.log(effect.name, **effect.fields)
             if self.is_closed:
@@ -177,27 +179,34 @@
         """Ask a worker for its runs as long as it has any."""
         dispatcher = self.dispatcher
         pause_s = _FIRST_PAUSE_S
+        is_answered = True
         while dispatcher.needs_watch(worker_id):
-            if await self._ask(worker_id):
+            # After a missing answer the next one must come at once.
+            wait_s = _REPORT_WAIT_S if is_answered else 0.0
+            is_answered = await self._ask(worker_id, wait_s)
+            if is_answered:
                 pause_s = _FIRST_PAUSE_S
             else:
                 await trio.sleep(pause_s)
                 pause_s = min(2 * pause_s, _MAX_PAUSE_S)
 
-    async def _ask(self, worker_id: str) -> bool:
+    async def _look(self, worker_id: str) -> None:
+        if worker_id in self.dispatcher.workers:
+            await self._ask(worker_id, 0.0)
+
+    async def _ask(self, worker_id: str, wait_s: float) -> bool:
         worker = self.dispatcher.workers[worker_id]
+        token = self.dispatcher.token
         asked_s = trio.current_time()
         expires_ms, acked_through = self.dispatcher.lease(worker_id, asked_s)
         if expires_ms is None:
-            wait_s, timeout_s = 0.0, _FIRST_REPORT_TIMEOUT_S
-        else:
-            wait_s = _REPORT_WAIT_S
-            timeout_s = _REPORT_WAIT_S + _REPORT_GRACE_S
+            wait_s = 0.0
+        timeout_s = wait_s + _REPORT_GRACE_S
         try:
             with trio.fail_after(timeout_s):
                 report = await self.gateway.report(
                     worker.info,
-                    self.dispatcher.token,
+                    token,
                     expires_ms,
                     acked_through,
                     wait_s,
@@ -205,7 +214,7 @@
         except _ports.RejectedError as exc:
             now_s = trio.current_time()
             if exc.reason is dispatch.Rejection.FENCED:
-                self.on_superseded()
+                self.on_superseded(token)
             self.dispatcher.report_failed(worker_id, exc.reason, now_s)
             self.carry_out()
             return False
@@ -370,9 +379,12 @@
         alive = sum(1 for f in seen if not f.is_lost)
         return 2 * (alive + 1) >= len(seen) + 1
 
-    def raise_token(self) -> None:
-        """Use a higher fencing token than the one that superseded it."""
-        self.dispatcher.token += _TOKEN_STEP
+    def raise_token(self, least: int) -> None:
+        """Use a higher fencing token than the one that superseded it.
+
+        :param least: the token that a new leader would use
+        """
+        self.dispatcher.token = max(self.dispatcher.token + _TOKEN_STEP, least)
         eliot.log_message(
             message_type='token_raised', token=self.dispatcher.token
         )
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -450,12 +450,11 @@
 
     def _begin_leading(self, now_s: float) -> None:
         now_ms = int(time.time() * 1000)
-        number = zlib.crc32(self.me.instance_id.encode()) % _TOKENS_PER_MS
         leader = self.leader = _leader.Leader(
             instance_id=self.me.instance_id,
             term=self.elector.term,
             scope=self.elector.scope,
-            token=now_ms * _TOKENS_PER_MS + number,
+            token=self._new_token(),
             run_id_base=(now_ms * _RUN_IDS_PER_S // 1000) & 0x7FFFFFFF,
             gateway=self.gateway,
             send=self.send,
@@ -478,6 +477,10 @@
         for pending in list(self.pending.values()):
             self._submit_pending(pending, now_s)
 
+    def _new_token(self) -> int:
+        number = zlib.crc32(self.me.instance_id.encode()) % _TOKENS_PER_MS
+        return int(time.time() * 1000) * _TOKENS_PER_MS + number
+
     def _stop_leading(self, now_s: float, *, following: bool = False) -> None:
         leader = self.leader
         if leader is None:
@@ -490,13 +493,13 @@
             self.elector.step_down(now_s)
         _log.log('leading_ended', term=leader.term)
 
-    def _superseded(self) -> None:
+    def _superseded(self, token: int) -> None:
         leader = self.leader
-        if leader is None:
+        if leader is None or token != leader.dispatcher.token:
             return
         now_s = trio.current_time()
         if leader.scope == leadership.FLEET and leader.has_most_followers():
-            leader.raise_token()
+            leader.raise_token(self._new_token())
             return
         _log.log('superseded', term=leader.term, scope=leader.scope)
         self._stop_leading(now_s)
