Let one of two leaders give way, and share tables with fresh instances

Change: leaders are totally ordered by scope, term and id, and answer a lower leader's beat at once. An instance that does not know the number of members leads nobody. Peers send configuration, workers and members to instances that could not read them.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -54,7 +54,8 @@
     :param token: fencing token; workers ignore orders with a lower one
     :param run_id_base: lowest run number, higher than that of any
         dispatcher that ended before
-    :param is_takeover: earlier dispatchers may have left runs behind
+    :param sees_all: every worker is listed to this dispatcher, so that
+        their answers show what an earlier dispatcher has left running
     """
 
     def __init__(
@@ -64,7 +65,7 @@
         run_id_base: int,
         random_state: typing.Any,
         now_s: float,
-        is_takeover: bool = True,
+        sees_all: bool = True,
         settings: Settings = Settings(),
     ):
         self.token = token
@@ -72,7 +73,7 @@
         self.random_state = random_state
         self.settings = settings
         self.created_s = now_s
-        self.is_takeover = is_takeover
+        self.sees_all = sees_all
         self.workers: dict[str, _workers.Worker] = {}
         self.jobs: dict[str, _jobs.JobState] = {}
         self.run_times = _estimates.RunTimes()
@@ -684,7 +685,7 @@
             job = self.jobs.get(job_id)
             if job is None or now_s >= job.held_until_s:
                 self._held.discard(job_id)
-        if not self._held:
+        if not self._held or not self.sees_all:
             return
         handed_s = {
             job_id: self.jobs[job_id].handed_s for job_id in self._held
--- a/src/orioleloom/leadership/_elector.py
+++ b/src/orioleloom/leadership/_elector.py
@@ -135,16 +135,14 @@
 
         :returns: whether the sender is followed from now on
         """
-        if self.role is Role.LEADING and not self._yields_to(term, scope):
+        if scope not in (FLEET, self.data_centre):
             return False
         if (
-            self.role is Role.FOLLOWING
+            self.role in (Role.LEADING, Role.FOLLOWING)
             and leader_id != self.leader_id
-            and (scope != FLEET, -term) >= (self.scope != FLEET, -self.term)
+            and not self._is_before(leader_id, term, scope)
         ):
             return False
-        if scope not in (FLEET, self.data_centre):
-            return False
         self.role = Role.FOLLOWING
         self.leader_id = leader_id
         self.leader_data_centre = data_centre
@@ -155,10 +153,16 @@
         self.is_first_search = False
         return True
 
-    def _yields_to(self, term: int, scope: str) -> bool:
-        if (scope == FLEET) != (self.scope == FLEET):
-            return scope == FLEET
-        return term > self.term
+    def _is_before(self, leader_id: str, term: int, scope: str) -> bool:
+        """Return whether a leader goes before the present one.
+
+        The order is total, so that of two leaders one gives way.
+        """
+        return (scope == FLEET, term, leader_id) > (
+            self.scope == FLEET,
+            self.term,
+            self.leader_id,
+        )
 
     def search(self, now_s: float) -> None:
         """Begin to look for a leader."""
@@ -188,12 +192,13 @@
     def has_half(self, n_others: int, n_members: int) -> bool:
         """Return whether so many peers allow to lead the fleet."""
         n_known = len(self.alive) or n_members
-        return 2 * (n_others + 1) >= n_known
+        return n_known > 0 and 2 * (n_others + 1) >= n_known
 
     def tick(self, now_s: float, n_members: int) -> bool:
         """Advance the election.
 
-        :param n_members: instances that are listed, this one included
+        :param n_members: instances that are listed, this one included; 0
+            while that is not known
         :returns: whether this instance has become leader
         """
         if self.role is Role.FOLLOWING:
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -27,9 +27,6 @@
 _SILENT_BEAT_EVERY = 10
 # Replies to beats older than this many beats are stale.
 _MAX_BEATS_LATE = 6
-# A superseded leader steps down if fewer than half of its followers
-# answer; otherwise it takes a higher token.
-_TOKEN_STEP = 2_000_000
 
 
 class Follower:
@@ -78,10 +75,12 @@
             run_id_base=run_id_base,
             random_state=random.Random(),
             now_s=now_s,
+            sees_all=scope == leadership.FLEET,
         )
         self.followers: dict[str, Follower] = {}
         self.sequence = 0
         self.is_closed = False
+        self._token_step = 1
         self._cancel_scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
         self._wake_watch: dict[str, trio.Event] = {}
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -6,6 +6,7 @@
 
 from orioleloom import dispatch
 from orioleloom import leadership
+from orioleloom.node import _ports
 
 
 class Sender(typing.NamedTuple):
@@ -22,10 +23,14 @@
 
 
 class Probe(typing.NamedTuple):
-    """State of a peer, sent while a leader is searched."""
+    """State of a peer, sent while a leader is searched.
+
+    :param lacks_tables: the sender has not read the store's tables yet
+    """
 
     state: leadership.PeerState
     wants_answer: bool
+    lacks_tables: bool = False
 
 
 class Beat(typing.NamedTuple):
@@ -53,6 +58,7 @@
     """Answer to a beat.
 
     :param job_ids: every job that the instance waits for
+    :param lacks_tables: the instance has not read the store's tables yet
     """
 
     term: int
@@ -60,6 +66,7 @@
     sequence: int
     job_ids: list[str]
     is_stopping: bool
+    lacks_tables: bool = False
 
 
 class SubmitJob(typing.NamedTuple):
@@ -102,6 +109,14 @@
     job_id: str
 
 
+class Tables(typing.NamedTuple):
+    """Copies of the store's tables for a peer that could not read them."""
+
+    routing: _ports.Routing | None
+    workers: dict[str, dispatch.WorkerInfo]
+    members: list[_ports.MemberInfo]
+
+
 class Handover(typing.NamedTuple):
     """The leader stops and names its successor."""
 
@@ -117,6 +132,7 @@
     | CancelJob
     | JobEnded
     | JobUnknown
+    | Tables
     | Handover
 )
 
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -24,6 +24,7 @@
 # An instance out of contact reads the sign twice at this distance.
 _SIGN_CHECK_S = 0.8
 _REACH_TIMEOUT_S = 0.15
+_EXPLORE_PAUSE_S = 0.2
 _N_REACH_WORKERS = 4
 # A job waits this long for a leader to be found.
 _MAX_LEADERLESS_S = 1.0
@@ -344,6 +345,8 @@
             case _messages.BeatReply():
                 if leader is not None and message.term == leader.term:
                     leader.beat_answered(sender_id, message, now_s)
+                    if message.lacks_tables:
+                        self._send_tables(sender_id)
             case _messages.SubmitJob():
                 if leader is not None and message.term == leader.term:
                     leader.submitted(sender_id, message, now_s)
@@ -360,6 +363,8 @@
                 ):
                     pending.leader = None
                     self._submit_pending(pending, now_s)
+            case _messages.Tables():
+                self._tables_received(sender_id, message)
             case _messages.Handover():
                 self._handed_over(sender_id, message, now_s)
 
@@ -375,6 +380,37 @@
         self._send_to(
             sender.address, _messages.Probe(self.elector.state(), False)
         )
+        if probe.lacks_tables:
+            self._send_tables(sender.instance_id)
+
+    def _lacks_tables(self) -> bool:
+        return self.routing is None or not self._workers
+
+    def _send_tables(self, member_id: str) -> None:
+        if self._lacks_tables():
+            return
+        self.send(
+            member_id,
+            _messages.Tables(
+                self.routing, self._workers, list(self.peers.values())
+            ),
+        )
+
+    def _tables_received(
+        self, sender_id: str, tables: _messages.Tables
+    ) -> None:
+        """Fill in what could not be read from the store."""
+        _log.log(
+            'tables_received',
+            peer=sender_id,
+            version=tables.routing.version if tables.routing else None,
+            n_workers=len(tables.workers),
+        )
+        if self.routing is None and tables.routing is not None:
+            self._routing_changed({'': tables.routing}, 0)
+        if not self._workers:
+            self._workers_changed(tables.workers, 0)
+        self._members_changed({m.instance_id: m for m in tables.members}, 0)
 
     def _renew_connection(self, address: str, now_s: float) -> None:
         # A peer that searches may not hear what is sent to it: the
@@ -397,6 +433,9 @@
             beat.alive,
             now_s,
         ):
+            if self.leader is not None:
+                # The other leader gives way once it hears of this one.
+                self.leader.send_beat(self.leader.follower(sender.instance_id))
             return
         if was_leading:
             self._stop_leading(now_s, following=True)
@@ -411,7 +450,7 @@
                 last_beat_ago_s=round(now_s - last_beat_s, 3),
             )
             if not was_leading:
-                self._lost_contact_s = last_beat_s
+                self._lost_contact_s = max(self._lost_contact_s, last_beat_s)
         if not beat.is_heard:
             self._renew_connection(sender.address, now_s)
         self._send_to(
@@ -426,6 +465,7 @@
                     if pending.leader == (sender.instance_id, beat.term)
                 ],
                 self.is_stopping,
+                self._lacks_tables(),
             ),
         )
         for pending in list(self.pending.values()):
@@ -507,7 +547,7 @@
     def _tick(self) -> None:
         now_s = trio.current_time()
         was = self.elector.role
-        became_leader = self.elector.tick(now_s, len(self.peers) + 1)
+        became_leader = self.elector.tick(now_s, self._n_members())
         if self.elector.role is not was:
             _log.log(
                 'role_changed',
@@ -522,7 +562,9 @@
                 was is leadership.Role.FOLLOWING
                 and self.elector.role is leadership.Role.SEARCHING
             ):
-                self._lost_contact_s = self.elector.last_beat_s
+                self._lost_contact_s = max(
+                    self._lost_contact_s, self.elector.last_beat_s
+                )
         if became_leader:
             self._begin_leading(now_s)
         if self.elector.role in (
@@ -534,18 +576,23 @@
             self.leader.tick(now_s)
         self._expire_pending(now_s)
 
+    def _n_members(self) -> int:
+        return len(self.peers) + 1 if self.member_watch.version else 0
+
     def _search(self, now_s: float) -> None:
         if now_s - self._last_probe_s < _PROBE_S:
             return
         self._last_probe_s = now_s
-        probe = _messages.Probe(self.elector.state(), True)
+        probe = _messages.Probe(
+            self.elector.state(), True, self._lacks_tables()
+        )
         for address in {
             *(peer.address for peer in self.peers.values()),
             *self.settings.seed_peers,
         } - {self.me.address}:
             self._send_to(address, probe)
         lacks_peers = not self.elector.has_half(
-            len(self.elector.heard(now_s)), len(self.peers) + 1
+            len(self.elector.heard(now_s)), self._n_members()
         )
         if (
             lacks_peers
@@ -558,8 +605,11 @@
     async def _explore(self) -> None:
         """Find out why half of the instances are out of contact."""
         try:
+            before = self.elector.reach
             self.elector.reach = await self._find_reach()
-            _log.log('reach', reach=self.elector.reach)
+            if self.elector.reach is not before:
+                _log.log('reach_changed', reach=self.elector.reach)
+            await trio.sleep(_EXPLORE_PAUSE_S)
         finally:
             self._is_exploring = False
 
@@ -591,6 +641,7 @@
                 after = await self.store.read_leader_sign()
         except (_ports.StoreError, trio.TooSlowError) as exc:
             _log.log('leader_sign_unread', reason=repr(exc))
+            await trio.sleep(_EXPLORE_PAUSE_S)
             return leadership.Reach.UNKNOWN
         if before == after:
             return leadership.Reach.NOBODY_LEADS
