--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -383,7 +383,11 @@
 
         :param least: the token that a new leader would use
         """
-        self.dispatcher.token = max(self.dispatcher.token + _TOKEN_STEP, least)
+        # The step doubles, since the other token is not known and may
+        # come from a clock that is ahead.
+        token = max(self.dispatcher.token + self._token_step, least)
+        self._token_step *= 2
+        self.dispatcher.token = token
         eliot.log_message(
             message_type='token_raised', token=self.dispatcher.token
         )
