Ask twice while orders stay unanswered; a fleet of nodes on the mock clock

A lost answer hid the ends of a worker's runs for up to 0.45 s, and an unanswered stop was repeated after 0.1 s only.

Change: while three orders within a second are unanswered, each worker with runs is asked on two lanes, runs that are overdue are looked for every 40 ms, and stops are repeated after 35 ms. The package orioleloom_standins.leased has workers under leases, a load like the sites' and whole nodes with a network and a store on the mock clock. A follower's list of jobs no longer ends a job that was just submitted.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1,3 +1,4 @@
+import collections
 import math
 import typing
 
@@ -26,9 +27,25 @@
 # Workers that have not confirmed are asked again after this time.
 _CONFIRM_INTERVAL_S = 0.05
 
+# A worker that has runs is asked this often at least; a lease of 1 s then
+# survives several lost answers.
+_REPORT_WAIT_S = 0.2
+# While orders stay unanswered, each worker is asked twice at a time, since
+# a lost answer hides the ends of its runs until the next one.
+_CAUTIOUS_WAIT_S = 0.1
+# An unanswered order counts for this long.
+_CAUTION_S = 1.0
+# Unanswered orders within that time that call for caution.
+_CAUTION_ORDERS = 3
+
 # Stops that are sent before the end of the lease is waited for.
 _MAX_STOPS = 4
-_STOP_INTERVAL_S = 0.1
+_STOP_INTERVAL_S = 0.035
+# A run that may have ended unnoticed, since its answer may be lost, is
+# looked for at most this often.
+_LOOK_INTERVAL_S = 0.04
+# Runs take longer than expected by less than this in most cases.
+_OVERDUE_FACTOR = 1.3
 # Retry-After of a refused job, in seconds: spread so that callers do not
 # return together.
 _RETRY_AFTER_S = (1.0, 3.0)
@@ -88,6 +105,11 @@
         self._confirm_asked_s = -math.inf
         # Jobs of an earlier dispatcher that wait for confirmations.
         self._held: set[str] = set()
+        self._latest_s = now_s
+        # Times of the last orders without an answer.
+        self._unanswered: collections.deque[float] = collections.deque(
+            maxlen=_CAUTION_ORDERS
+        )
         self.counters: dict[str, int] = {}
 
     # Effects and bookkeeping
@@ -159,11 +181,29 @@
         return {entry[0] for entry in self._orphans.values()}
 
     def _watch(self, worker: _workers.Worker) -> None:
-        if not worker.is_watched:
-            worker.is_watched = True
-            self._effects.append(_records.WatchWorker(worker.id))
+        for lane in (0, 1) if self._is_cautious(self._latest_s) else (0,):
+            if not worker.is_watched[lane]:
+                worker.is_watched[lane] = True
+                self._effects.append(_records.WatchWorker(worker.id, lane))
+
+    def report_wait_s(self, now_s: float) -> float:
+        """Return how long a worker may wait for the end of a run."""
+        return _CAUTIOUS_WAIT_S if self._is_cautious(now_s) else _REPORT_WAIT_S
+
+    def _is_cautious(self, now_s: float) -> bool:
+        return (
+            len(self._unanswered) == _CAUTION_ORDERS
+            and now_s - self._unanswered[0] <= _CAUTION_S
+        )
+
+    def _order_unanswered(self, now_s: float) -> None:
+        self._unanswered.append(now_s)
+        if self._is_cautious(now_s):
+            for worker in self.workers.values():
+                if worker.runs:
+                    self._watch(worker)
 
-    def needs_watch(self, worker_id: str) -> bool:
+    def needs_watch(self, worker_id: str, lane: int, now_s: float) -> bool:
         """Return whether a worker must be asked for its runs again.
 
         The caller ends its loop over the worker when this is false.
@@ -171,13 +211,16 @@
         worker = self.workers.get(worker_id)
         if worker is None:
             return False
+        if lane and not (worker.runs and self._is_cautious(now_s)):
+            worker.is_watched[lane] = False
+            return False
         if worker.runs or (worker.is_listed and not worker.is_known):
             return True
         if worker_id in self._orphan_workers():
             return True
         if worker.n_silences and worker.is_listed:
             return True
-        worker.is_watched = False
+        worker.is_watched[lane] = False
         return False
 
     def lease(self, worker_id: str, now_s: float) -> tuple[int | None, int]:
@@ -215,8 +258,9 @@
         ):
             self._end_life(worker, 'restarted', now_s)
             info = worker.info._replace(life=report.life)
+            watched = worker.is_watched
             worker = self.workers[worker_id] = _workers.Worker(info)
-            worker.is_watched = True
+            worker.is_watched = watched
             self.placement.sort()
         worker.set_clock(report.clock_ms, now_s)
         worker.confirmed_s = max(worker.confirmed_s, asked_s)
@@ -258,6 +302,7 @@
             return
         worker.n_silences += 1
         if worker.n_silences == 1:
+            self._order_unanswered(now_s)
             self._log(
                 'worker_silent',
                 worker=worker_id,
@@ -471,6 +516,7 @@
     def _start(
         self, task: _jobs.TaskState, worker: _workers.Worker, now_s: float
     ) -> None:
+        self._latest_s = now_s
         job = task.job
         run_id = max(
             self.run_id_base + int((now_s - self.created_s) * _RUN_IDS_PER_S),
@@ -599,6 +645,7 @@
         self._count('starts_unanswered')
         if run is None or run.is_accepted:
             return
+        self._order_unanswered(now_s)
         self._log(
             'start_unanswered',
             job=key.job_id,
@@ -656,7 +703,7 @@
                 _records.AnswerJob(job.id, instance_id, answered[0])
             )
             return
-        state = _jobs.JobState(job, instance_id, arrived_s, deadline_s)
+        state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
         state.set_expected(self._longest_chain_s(job))
         self.jobs[job.id] = state
         self._count('jobs')
@@ -789,8 +836,8 @@
             total_ms=round((now_s - job.arrived_s) * 1000),
             objective_ms=round((job.objective_s - job.arrived_s) * 1000),
         )
-        self._answered[job.job.id] = (outcome, now_s)
         if is_wanted:
+            self._answered[job.job.id] = (outcome, now_s)
             self._effects.append(
                 _records.AnswerJob(job.job.id, job.instance_id, outcome)
             )
@@ -813,6 +860,7 @@
         self._repeat_stops(now_s)
         self._stop_orphans(now_s)
         self._release_held(now_s)
+        self._look_for_ends(now_s)
         self._expire_jobs(now_s)
         self._forget_old(now_s)
         self._forget_workers(now_s)
@@ -834,6 +882,27 @@
                 self._stop_due_s[run] = now_s + 5 * _STOP_INTERVAL_S
             self._stop(run, now_s)
 
+    def _look_for_ends(self, now_s: float) -> None:
+        if not self._is_cautious(now_s):
+            return
+        for worker in self.workers.values():
+            if not worker.runs or now_s - worker.looked_s < _LOOK_INTERVAL_S:
+                continue
+            if now_s - worker.last_heard_s < _LOOK_INTERVAL_S:
+                continue
+            if any(
+                self._may_have_ended(run, now_s)
+                for run in (worker.runs.values())
+            ):
+                worker.looked_s = now_s
+                self._effects.append(_records.LookAtWorker(worker.id))
+
+    def _may_have_ended(self, run: _workers.Run, now_s: float) -> bool:
+        if run.is_stopping and not run.is_accepted:
+            return run.stopped_s < now_s
+        expected_s = run.expected_s * run.worker.factor() * _OVERDUE_FACTOR
+        return run.is_accepted and now_s > run.started_s + expected_s
+
     def _stop_orphans(self, now_s: float) -> None:
         for key, (worker_id, run_id, since_s) in list(self._orphans.items()):
             worker = self.workers.get(worker_id)
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -42,6 +42,7 @@
 
     :param arrived_s: when the caller's request arrived
     :param deadline_s: when the caller stops waiting
+    :param accepted_s: when the dispatcher took it over
     """
 
     def __init__(
@@ -50,11 +51,13 @@
         instance_id: str,
         arrived_s: float,
         deadline_s: float,
+        accepted_s: float,
     ):
         self.job = job
         self.instance_id = instance_id
         self.arrived_s = arrived_s
         self.deadline_s = deadline_s
+        self.accepted_s = accepted_s
         # Starts that were sent and not rejected; while it is zero no
         # task of the job has run.
         self.n_sent = 0
--- a/src/orioleloom/dispatch/_records.py
+++ b/src/orioleloom/dispatch/_records.py
@@ -217,9 +217,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchWorker:
-    """Effect: keep asking a worker for its runs while it has any."""
+    """Effect: keep asking a worker for its runs while it has any.
+
+    :param lane: 0, or 1 for a second question beside the first
+    """
 
     worker_id: str
+    lane: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -78,13 +78,15 @@
         self.is_known = False
         self.is_listed = True
         self.delisted_s = math.inf
-        self.is_watched = False
+        # Whether the worker is being asked, by lane.
+        self.is_watched = [False, False]
         # Difference between the worker's clock and ours, in seconds.
         self.clock_offset_s = 0.0
         # Every lease given to the worker has ended by then (our clock).
         self.lease_until_s = 0.0
         self.acked_through = 0
         self.last_heard_s = -math.inf
+        self.looked_s = -math.inf
         # The worker was asked then, has answered, and ignores dispatchers
         # with a lower token since.
         self.confirmed_s = -math.inf
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -14,10 +14,12 @@
 # not answered by then gets a stop on another connection.
 _START_TIMEOUT_S = 0.03
 _STOP_TIMEOUT_S = 0.03
-# A worker that has runs is asked this often at least; a lease of 1 s then
-# survives several lost answers.
-_REPORT_WAIT_S = 0.2
-_REPORT_GRACE_S = 0.1
+# A follower's list of jobs may be older than a job that it has just sent.
+_SUBMIT_GRACE_S = 0.3
+
+# A worker that was asked to wait for the end of a run answers this long
+# after that time at the latest.
+_REPORT_GRACE_S = 0.05
 # Pause between calls to a silent worker: it doubles up to the second value.
 _FIRST_PAUSE_S = 0.02
 _MAX_PAUSE_S = 0.5
@@ -112,7 +114,7 @@
                     self._nursery.start_soon(self._stop_run, effect)
                 case dispatch.WatchWorker():
                     self._nursery.start_soon(
-                        self._watch_worker, effect.worker_id
+                        self._watch_worker, effect.worker_id, effect.lane
                     )
                 case dispatch.LookAtWorker():
                     self._nursery.start_soon(self._look, effect.worker_id)
@@ -174,14 +176,18 @@
         )
         self.carry_out()
 
-    async def _watch_worker(self, worker_id: str) -> None:
+    async def _watch_worker(self, worker_id: str, lane: int) -> None:
         """Ask a worker for its runs as long as it has any."""
         dispatcher = self.dispatcher
         pause_s = _FIRST_PAUSE_S
         is_answered = True
-        while dispatcher.needs_watch(worker_id):
+        while dispatcher.needs_watch(worker_id, lane, trio.current_time()):
             # After a missing answer the next one must come at once.
-            wait_s = _REPORT_WAIT_S if is_answered else 0.0
+            wait_s = (
+                dispatcher.report_wait_s(trio.current_time())
+                if is_answered
+                else 0.0
+            )
             is_answered = await self._ask(worker_id, wait_s)
             if is_answered:
                 pause_s = _FIRST_PAUSE_S
@@ -338,7 +344,11 @@
                     _messages.JobEnded(self.term, job_id, outcome),
                 )
         for job in list(self.dispatcher.jobs.values()):
-            if job.instance_id == member_id and job.job.id not in wanted:
+            if (
+                job.instance_id == member_id
+                and job.job.id not in wanted
+                and now_s - job.accepted_s > _SUBMIT_GRACE_S
+            ):
                 self.dispatcher.cancel(
                     job.job.id, member_id, 'no caller waits', now_s
                 )
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -91,6 +91,8 @@
 
     :param store: the platform's store
     :param gateway: calls to workers
+    :param peer_socket: replaces the socket to peers in tests
+    :param wall_time: Unix time in seconds
     """
 
     def __init__(
@@ -100,14 +102,17 @@
         store: _ports.Store,
         gateway: _ports.WorkerGateway,
         timer_service: timers.TimerService,
+        peer_socket: typing.Any = None,
+        wall_time: typing.Callable[[], float] = time.time,
     ):
         self.settings = settings
         self.store = store
         self.gateway = gateway
         self.timer_service = timer_service
+        self.wall_time = wall_time
         self.random_state = random.Random()
         self.incarnation = secrets.token_hex(8)
-        self.peer_socket = peer_api.PeerSocket(
+        self.peer_socket = peer_socket or peer_api.PeerSocket(
             settings.peer_bind, f'{settings.instance_id}/{self.incarnation}'
         )
         self.me = _messages.Sender(
@@ -489,7 +494,7 @@
         self._begin_leading(now_s)
 
     def _begin_leading(self, now_s: float) -> None:
-        now_ms = int(time.time() * 1000)
+        now_ms = int(self.wall_time() * 1000)
         leader = self.leader = _leader.Leader(
             instance_id=self.me.instance_id,
             term=self.elector.term,
@@ -519,7 +524,7 @@
 
     def _new_token(self) -> int:
         number = zlib.crc32(self.me.instance_id.encode()) % _TOKENS_PER_MS
-        return int(time.time() * 1000) * _TOKENS_PER_MS + number
+        return int(self.wall_time() * 1000) * _TOKENS_PER_MS + number
 
     def _stop_leading(self, now_s: float, *, following: bool = False) -> None:
         leader = self.leader
--- /dev/null
+++ b/src/orioleloom_standins/leased/__init__.py
@@ -0,0 +1,34 @@
+"""Workers under leases and one dispatcher, on a virtual clock.
+
+The dispatcher is the product's own. Workers keep the rules of the
+platform: room in cores, leases on their own clock, fencing tokens, run
+numbers and numbered ends. Orders may be lost, late or rejected.
+"""
+
+from orioleloom_standins.leased._fleet import Fleet
+from orioleloom_standins.leased._history import HistoryReport
+from orioleloom_standins.leased._history import run_history
+from orioleloom_standins.leased._history import UnservedError
+from orioleloom_standins.leased._load import JobKind
+from orioleloom_standins.leased._load import LoadReport
+from orioleloom_standins.leased._load import offer_load
+from orioleloom_standins.leased._load import SITE_KINDS
+from orioleloom_standins.leased._load import site_workers
+from orioleloom_standins.leased._worker import LeasedWorker
+from orioleloom_standins.leased._world import Violation
+from orioleloom_standins.leased._world import World
+
+__all__ = [
+    'HistoryReport',
+    'UnservedError',
+    'run_history',
+    'Fleet',
+    'JobKind',
+    'LeasedWorker',
+    'LoadReport',
+    'SITE_KINDS',
+    'Violation',
+    'World',
+    'offer_load',
+    'site_workers',
+]
--- /dev/null
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -0,0 +1,377 @@
+"""Whole nodes in one process, on trio's clock, with the product's own code.
+
+Under trio's mock clock a minute of a fleet takes some seconds.
+"""
+
+import collections
+import collections.abc
+import random
+import typing
+
+import trio
+
+from orioleloom import dispatch
+from orioleloom import node
+from orioleloom import timers
+from orioleloom_standins.leased import _worker
+from orioleloom_standins.leased import _world
+
+_HOP_S = 0.0005
+_STORE_S = 0.004
+_LATE_S = (2.0, 6.0)
+# Time of day at which the mock clock begins.
+_START_UNIX_S = 1_750_000_000.0
+
+
+class Network:
+    """Which parties reach each other.
+
+    Instances are named by id, workers by id and the store by ``store``.
+    """
+
+    def __init__(self) -> None:
+        self._cuts: set[frozenset[str]] = set()
+        self._zones: dict[str, str] = {}
+        self._cut_zones: set[str] = set()
+
+    def place(self, name: str, data_centre: str) -> None:
+        """Set the data centre of a party."""
+        self._zones[name] = data_centre
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut two parties off from each other."""
+        self._cuts.add(frozenset((one, other)))
+
+    def cut_data_centre(self, data_centre: str) -> None:
+        """Cut a data centre off from all parties elsewhere."""
+        self._cut_zones.add(data_centre)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+        self._cut_zones.clear()
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Return whether two parties reach each other."""
+        if frozenset((one, other)) in self._cuts:
+            return False
+        zone, other_zone = self._zones.get(one), self._zones.get(other)
+        return zone == other_zone or not ({zone, other_zone} & self._cut_zones)
+
+
+class _PeerSocket:
+    """The part of :class:`orioleloom.peer_api.PeerSocket` that nodes use."""
+
+    def __init__(self, fleet: 'Fleet', instance_id: str, address: str):
+        self.fleet = fleet
+        self.instance_id = instance_id
+        self.address = address
+        self._arrivals: collections.deque[tuple[float, str, bytes]] = (
+            collections.deque()
+        )
+        self._arrived = trio.Event()
+        fleet.sockets[address] = self
+
+    def send(self, address: str, frame: bytes) -> bool:
+        target = self.fleet.sockets.get(address)
+        if target is not None:
+            target._arrivals.append(
+                (trio.current_time() + _HOP_S, self.instance_id, frame)
+            )
+            target._arrived.set()
+        return True
+
+    async def receive(self) -> collections.abc.AsyncIterator[bytes]:
+        while True:
+            while self._arrivals:
+                due_s, sender, frame = self._arrivals[0]
+                if due_s > trio.current_time():
+                    await trio.sleep_until(due_s)
+                self._arrivals.popleft()
+                if self.fleet.network.reaches(sender, self.instance_id):
+                    yield frame
+            self._arrived = trio.Event()
+            await self._arrived.wait()
+
+    def disconnect(self, address: str) -> None:
+        """Nothing to do: every message has a connection of its own."""
+
+    def close(self) -> None:
+        if self.fleet.sockets.get(self.address) is self:
+            del self.fleet.sockets[self.address]
+
+
+class _Table:
+    """A table of the stand-in store, as one instance reads it."""
+
+    def __init__(self, store: 'Store', name: str):
+        self.store = store
+        self.name = name
+
+    async def read(self) -> node.Snapshot:
+        await self.store.call()
+        rows = self.store.data.tables.get(self.name, {})
+        return node.Snapshot(
+            self.store.data.version,
+            {k: v for k, (v, _) in rows.items() if v is not None},
+        )
+
+    async def changes(self, after: int, wait_s: float) -> node.Snapshot:
+        await self.store.call()
+        deadline_s = trio.current_time() + wait_s
+        while True:
+            rows = self.store.data.tables.get(self.name, {})
+            changed = {k: v for k, (v, ver) in rows.items() if ver > after}
+            if changed or trio.current_time() >= deadline_s:
+                await self.store.call()
+                return node.Snapshot(self.store.data.version, changed)
+            with trio.move_on_at(deadline_s):
+                await self.store.data.changed.wait()
+
+
+class StoreData:
+    """Rows shared by all instances, and the store's faults."""
+
+    def __init__(self) -> None:
+        self.tables: dict[str, dict[str, tuple[typing.Any, int]]] = {}
+        self.version = 0
+        self.changed = trio.Event()
+        self.is_down = False
+        # Instances that the store refuses.
+        self.refused: set[str] = set()
+        self.sign = ''
+
+    def put(self, table: str, key: str, value: typing.Any) -> None:
+        """Write a row; ``None`` removes it."""
+        self.version += 1
+        self.tables.setdefault(table, {})[key] = (value, self.version)
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+class Store:
+    """The store as one instance sees it."""
+
+    def __init__(self, fleet: 'Fleet', instance_id: str):
+        self.data = fleet.store
+        self.fleet = fleet
+        self.instance_id = instance_id
+        self.routing = _Table(self, 'routing')
+        self.workers = _Table(self, 'workers')
+        self.members = _Table(self, 'members')
+
+    async def call(self) -> None:
+        """Take the time of a call, or fail.
+
+        :raises StoreError: the store is down for this instance
+        """
+        await trio.sleep(_STORE_S)
+        if not self.fleet.network.reaches(self.instance_id, 'store'):
+            await trio.sleep_forever()
+        if self.data.is_down or self.instance_id in self.data.refused:
+            raise node.StoreError('store is down')
+
+    async def put_member(self, member: node.MemberInfo) -> None:
+        """Register an instance."""
+        await self.call()
+        self.data.put('members', member.instance_id, member)
+
+    async def put_leader_sign(self, sign: str) -> None:
+        """Write a leader's sign of life."""
+        await self.call()
+        self.data.sign = sign
+
+    async def read_leader_sign(self) -> str:
+        """Return the newest sign of life."""
+        await self.call()
+        return self.data.sign
+
+
+class _Gateway:
+    """Calls of one instance to the workers."""
+
+    def __init__(self, fleet: 'Fleet', instance_id: str):
+        self.fleet = fleet
+        self.instance_id = instance_id
+
+    async def _reach(self, worker_id: str) -> _worker.LeasedWorker:
+        await trio.sleep(_HOP_S)
+        worker = self.fleet.workers.get(worker_id)
+        if (
+            worker is None
+            or not worker.is_reachable
+            or not self.fleet.network.reaches(self.instance_id, worker_id)
+        ):
+            await trio.sleep_forever()
+        return worker
+
+    async def _answer(self, worker_id: str) -> None:
+        await self._reach(worker_id)
+
+    async def _late(self, worker: _worker.LeasedWorker) -> None:
+        if self.fleet.random_state.random() < worker.late_share:
+            await trio.sleep(self.fleet.random_state.uniform(*_LATE_S))
+
+    async def start(self, order: dispatch.StartRun) -> int:
+        worker = await self._reach(order.worker.id)
+        work = self.fleet.world.work[order.key]
+
+        def carry_out() -> dispatch.Rejection | None:
+            self.fleet.sync()
+            rejection = worker.start(
+                order,
+                work.work_s,
+                self.fleet.world.rooms[order.key],
+                work.is_poison,
+                trio.current_time(),
+            )
+            self.fleet.world.worker_changed(worker)
+            return rejection
+
+        if self.fleet.random_state.random() < worker.late_share:
+            self.fleet.later(
+                self.fleet.random_state.uniform(*_LATE_S), carry_out
+            )
+            await trio.sleep_forever()
+        rejection = carry_out()
+        await self._answer(order.worker.id)
+        if rejection is not None:
+            raise node.RejectedError(rejection)
+        return worker.clock_ms(trio.current_time())
+
+    async def stop(self, order: dispatch.StopRun) -> None:
+        worker = await self._reach(order.worker.id)
+        worker.stop(order, trio.current_time())
+        await self._answer(order.worker.id)
+
+    async def report(
+        self,
+        info: dispatch.WorkerInfo,
+        token: int,
+        expires_ms: int | None,
+        acked_through: int,
+        wait_s: float,
+    ) -> dispatch.WorkerReport:
+        worker = await self._reach(info.id)
+        if self.fleet.random_state.random() < worker.late_share:
+            await trio.sleep_forever()
+        now_s = trio.current_time()
+        if not worker.hold(token, expires_ms, acked_through, now_s):
+            await self._answer(info.id)
+            raise node.RejectedError(dispatch.Rejection.FENCED)
+        deadline_s = now_s + wait_s
+        while True:
+            now_s = trio.current_time()
+            worker.advance(now_s)
+            if worker.ends or now_s >= deadline_s:
+                break
+            await trio.sleep_until(
+                min(deadline_s, worker.next_end_s() + 1e-6, now_s + 0.02)
+            )
+        report = worker.report(trio.current_time())
+        await self._answer(info.id)
+        return report
+
+    async def reach(self, worker: dispatch.WorkerInfo) -> bool:
+        await self._reach(worker.id)
+        return True
+
+
+class Fleet:
+    """Instances, workers and store of a small site.
+
+    :param nursery: runs the instances
+    :param data_centres: data centre of each instance
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        workers: typing.Iterable[_worker.LeasedWorker],
+        data_centres: typing.Sequence[str],
+        *,
+        random_state: random.Random,
+    ):
+        self.nursery = nursery
+        self.random_state = random_state
+        self.network = Network()
+        self.store = StoreData()
+        self.sockets: dict[str, _PeerSocket] = {}
+        self.world = _world.World(workers, random_state)
+        self.workers = self.world.workers
+        self.nodes: dict[str, node.Node] = {}
+        self.outcomes: dict[str, dispatch.Outcome] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._data_centres = {
+            f'e{number}': name for number, name in enumerate(data_centres)
+        }
+        for worker in self.workers.values():
+            self.network.place(worker.info.id, worker.info.data_centre)
+            self.store.put('workers', worker.info.id, worker.info)
+
+    def sync(self) -> None:
+        """Set the clock of the world that checks the promises."""
+        self.world.now_s = trio.current_time()
+
+    def later(self, delay_s: float, call: typing.Callable) -> None:
+        """Call a function after a delay."""
+
+        async def run() -> None:
+            await trio.sleep(delay_s)
+            call()
+
+        self.nursery.start_soon(run)
+
+    def start(self, *instance_ids: str) -> None:
+        """Start instances, by default all."""
+        for instance_id in instance_ids or self._data_centres:
+            self.nursery.start_soon(self._run, instance_id)
+
+    async def _run(self, instance_id: str) -> None:
+        data_centre = self._data_centres[instance_id]
+        address = f'tcp://10.9.0.{instance_id[1:]}:7000'
+        self.network.place(instance_id, data_centre)
+        service = timers.TimerService(random_state=random.Random(1))
+        instance = node.Node(
+            settings=node.Settings(instance_id, data_centre, address, 1.0),
+            store=Store(self, instance_id),
+            gateway=_Gateway(self, instance_id),
+            timer_service=service,
+            peer_socket=_PeerSocket(self, instance_id, address),
+            wall_time=lambda: _START_UNIX_S + trio.current_time(),
+        )
+        instance.random_state.seed(self.random_state.random())
+        self.nodes[instance_id] = instance
+        with trio.CancelScope() as scope:
+            self._scopes[instance_id] = scope
+            await instance.run()
+
+    def kill(self, instance_id: str) -> None:
+        """End an instance at once."""
+        instance = self.nodes.pop(instance_id, None)
+        if instance is not None:
+            self._scopes.pop(instance_id).cancel()
+            instance.close()
+
+    def leaders(self) -> list[str]:
+        """Return the instances that lead."""
+        return [k for k, n in self.nodes.items() if n.leader is not None]
+
+    def submit(
+        self,
+        instance_id: str,
+        job: dispatch.Job,
+        work_s: list[float],
+        deadline_s: float = 5.0,
+    ) -> None:
+        """Hand a job to an instance; its outcome is kept."""
+        self.world.declare(job, work_s)
+        now_s = trio.current_time()
+        self.nodes[instance_id].submit(
+            job,
+            arrived_s=now_s,
+            deadline_s=now_s + deadline_s,
+            on_outcome=lambda outcome: self.outcomes.__setitem__(
+                job.id, outcome
+            ),
+        )
--- /dev/null
+++ b/src/orioleloom_standins/leased/_history.py
@@ -0,0 +1,294 @@
+"""Random histories of a fleet under faults."""
+
+import random
+import typing
+
+import trio
+import trio.testing
+
+from orioleloom import dispatch
+from orioleloom import node
+from orioleloom_standins.leased import _fleet
+from orioleloom_standins.leased import _load
+
+# A caller without an answer sends its job again after this time.
+_RESEND_S = 1.3
+# Faults and traffic last this long; then everything heals.
+_TROUBLE_S = 12.0
+_QUIET_S = 9.0
+_QUEUE = dispatch.Queue('lookup', 'pool', 1, 3, 1.6, 0.06)
+
+
+class HistoryReport(typing.NamedTuple):
+    """Result of one history.
+
+    :param faults: what was done, with its time in seconds
+    """
+
+    seed: int
+    faults: list[str]
+    n_jobs: int
+    outcomes: dict[str, int]
+
+
+class _History:
+    def __init__(self, fleet: _fleet.Fleet, rng: random.Random):
+        self.fleet = fleet
+        self.rng = rng
+        self.faults: list[str] = []
+        self.n_jobs = 0
+        # Job, work and the instance that has it.
+        self.waiting: dict[str, tuple[dispatch.Job, list[float], str]] = {}
+        self.outcomes: dict[str, dispatch.Outcome] = {}
+        self.start_s = trio.current_time()
+
+    def note(self, text: str) -> None:
+        self.faults.append(f'{trio.current_time() - self.start_s:.2f} {text}')
+
+    # Callers
+
+    async def send_jobs(self, duration_s: float) -> None:
+        """Send jobs at random times."""
+        end_s = trio.current_time() + duration_s
+        while trio.current_time() < end_s:
+            await trio.sleep(self.rng.expovariate(12.0))
+            n_tasks = self.rng.choice((1, 2, 4, 8))
+            work_s = self.rng.choice((0.05, 0.2, 0.9))
+            job = dispatch.Job(
+                f'{self.n_jobs:016x}',
+                _QUEUE,
+                'payload',
+                (
+                    dispatch.Step(
+                        n_tasks,
+                        dispatch.Room(6_800, 64),
+                        work_s * self.rng.uniform(0.6, 1.6),
+                    ),
+                ),
+            )
+            self.n_jobs += 1
+            self.fleet.world.declare(job, [work_s] * n_tasks)
+            self.send(job)
+
+    def send(self, job: dispatch.Job) -> None:
+        """Hand a job to any instance that is up."""
+        if not self.fleet.nodes:
+            self.fleet.later(_RESEND_S, lambda: self.send(job))
+            return
+        instance_id = self.rng.choice(sorted(self.fleet.nodes))
+        self.waiting[job.id] = (job, [], instance_id)
+        now_s = trio.current_time()
+        self.fleet.nodes[instance_id].submit(
+            job,
+            arrived_s=now_s,
+            deadline_s=now_s + self.rng.uniform(1.9, 7.0),
+            on_outcome=lambda outcome: self._ended(job, outcome),
+        )
+
+    def _ended(self, job: dispatch.Job, outcome: dispatch.Outcome) -> None:
+        if job.id not in self.waiting:
+            return
+        del self.waiting[job.id]
+        self.outcomes[job.id] = outcome
+        if outcome.kind is dispatch.OutcomeKind.UNKNOWN:
+            self.fleet.later(_RESEND_S, lambda: self.send(job))
+
+    def kill(self, instance_id: str) -> None:
+        """Kill an instance; its callers send again elsewhere."""
+        self.fleet.kill(instance_id)
+        for job, _, holder in list(self.waiting.values()):
+            if holder == instance_id:
+                del self.waiting[job.id]
+                self.fleet.later(_RESEND_S, lambda job=job: self.send(job))
+
+    # Faults
+
+    async def make_trouble(self, duration_s: float) -> None:
+        """Begin random faults, which end by themselves."""
+        end_s = trio.current_time() + duration_s
+        actions = (
+            self._kill_some,
+            self._kill_leader,
+            self._kill_all,
+            self._cut_data_centre,
+            self._cut_instance,
+            self._store_down,
+            self._store_refuses,
+            self._worker_restarts,
+            self._worker_dark,
+            self._orders_late,
+            self._worker_leaves,
+        )
+        while True:
+            await trio.sleep(self.rng.expovariate(0.8))
+            if trio.current_time() >= end_s:
+                return
+            self.rng.choice(actions)(self.rng.uniform(0.3, 5.0))
+
+    def _restart_later(self, instance_id: str, delay_s: float) -> None:
+        self.fleet.later(delay_s, lambda: self.fleet.start(instance_id))
+
+    def _kill_some(self, for_s: float) -> None:
+        if not self.fleet.nodes:
+            return
+        instance_id = self.rng.choice(sorted(self.fleet.nodes))
+        self.note(f'kill {instance_id} for {for_s:.1f}')
+        self.kill(instance_id)
+        self._restart_later(instance_id, for_s)
+
+    def _kill_leader(self, for_s: float) -> None:
+        for instance_id in self.fleet.leaders():
+            self.note(f'kill leader {instance_id} for {for_s:.1f}')
+            self.kill(instance_id)
+            self._restart_later(instance_id, for_s)
+
+    def _kill_all(self, for_s: float) -> None:
+        self.note('kill all')
+        for instance_id in list(self.fleet.nodes):
+            self.kill(instance_id)
+            self._restart_later(instance_id, self.rng.uniform(0.5, 1.5))
+
+    def _cut_data_centre(self, for_s: float) -> None:
+        name = self.rng.choice(('dc0', 'dc1', 'dc2', 'dc3'))
+        self.note(f'cut {name} for {for_s:.1f}')
+        self.fleet.network.cut_data_centre(name)
+        self.fleet.later(for_s, self.fleet.network.heal)
+
+    def _cut_instance(self, for_s: float) -> None:
+        if not self.fleet.nodes:
+            return
+        names = sorted(self.fleet.nodes)
+        one = self.rng.choice(names)
+        self.note(f'cut instance {one} for {for_s:.1f}')
+        for other in names:
+            self.fleet.network.cut(one, other)
+        self.fleet.later(for_s, self.fleet.network.heal)
+
+    def _store_down(self, for_s: float) -> None:
+        self.note(f'store down for {for_s:.1f}')
+        self.fleet.store.is_down = True
+
+        def end() -> None:
+            self.fleet.store.is_down = False
+
+        self.fleet.later(for_s, end)
+
+    def _store_refuses(self, for_s: float) -> None:
+        if not self.fleet.nodes:
+            return
+        name = self.rng.choice(sorted(self.fleet.nodes))
+        self.note(f'store refuses {name} for {for_s:.1f}')
+        self.fleet.store.refused.add(name)
+        self.fleet.later(for_s, lambda: self.fleet.store.refused.discard(name))
+
+    def _any_worker(self) -> typing.Any:
+        return self.rng.choice(list(self.fleet.workers.values()))
+
+    def _worker_restarts(self, for_s: float) -> None:
+        worker = self._any_worker()
+        self.note(f'worker {worker.info.id} restarts')
+        worker.restart(trio.current_time())
+        self.fleet.store.put('workers', worker.info.id, worker.info)
+
+    def _worker_dark(self, for_s: float) -> None:
+        worker = self._any_worker()
+        self.note(f'worker {worker.info.id} dark for {for_s:.1f}')
+        worker.is_reachable = False
+
+        def end() -> None:
+            worker.is_reachable = True
+
+        self.fleet.later(for_s, end)
+
+    def _orders_late(self, for_s: float) -> None:
+        self.note(f'orders late for {for_s:.1f}')
+        for worker in self.fleet.workers.values():
+            worker.late_share = 0.1
+
+        def end() -> None:
+            for worker in self.fleet.workers.values():
+                worker.late_share = 0.0
+
+        self.fleet.later(for_s, end)
+
+    def _worker_leaves(self, for_s: float) -> None:
+        worker = self._any_worker()
+        self.note(f'worker {worker.info.id} leaves and returns')
+        info = worker.info
+        self.fleet.store.put(
+            'workers', info.id, info._replace(is_leaving=True)
+        )
+        self.fleet.later(
+            for_s + 2,
+            lambda: self.fleet.store.put(
+                'workers', worker.info.id, worker.info
+            ),
+        )
+
+
+async def _run(seed: int) -> HistoryReport:
+    rng = random.Random(seed)
+    async with trio.open_nursery() as nursery:
+        fleet = _fleet.Fleet(
+            nursery,
+            _load.site_workers(12),
+            ['dc0', 'dc0', 'dc1', 'dc2', 'dc2', 'dc3'],
+            random_state=rng,
+        )
+        fleet.store.put('routing', 'config', node.Routing(1, ()))
+        fleet.start()
+        await trio.sleep(1.5)
+        history = _History(fleet, rng)
+        async with trio.open_nursery() as inner:
+            inner.start_soon(history.send_jobs, _TROUBLE_S)
+            inner.start_soon(history.make_trouble, _TROUBLE_S)
+        await trio.sleep(_QUIET_S)
+        await history.send_jobs(1.0)
+        await trio.sleep(_QUIET_S)
+        _check(seed, history)
+        nursery.cancel_scope.cancel()
+    counts: dict[str, int] = {}
+    for outcome in history.outcomes.values():
+        counts[outcome.kind] = counts.get(outcome.kind, 0) + 1
+    return HistoryReport(seed, history.faults, history.n_jobs, counts)
+
+
+class UnservedError(AssertionError):
+    """A fleet did not recover after its faults had ended."""
+
+
+def _check(seed: int, history: _History) -> None:
+    faults = '; '.join(history.faults)
+    if history.waiting:
+        raise UnservedError(
+            f'seed {seed}: no outcome for {sorted(history.waiting)} '
+            f'after {faults}'
+        )
+    if len(history.fleet.leaders()) != 1:
+        raise UnservedError(
+            f'seed {seed}: leaders {history.fleet.leaders()} after {faults}'
+        )
+    last = [
+        history.outcomes[f'{number:016x}']
+        for number in range(history.n_jobs - 10, history.n_jobs)
+    ]
+    if any(o.kind is not dispatch.OutcomeKind.COMPLETED for o in last):
+        raise UnservedError(
+            f'seed {seed}: last jobs ended as {last} after {faults}'
+        )
+
+
+def run_history(seed: int) -> HistoryReport:
+    """Run one random history on a mock clock.
+
+    :raises Violation: a task ran twice at one time
+    :raises UnservedError: the fleet did not recover
+    """
+    # trio runs the tasks that are due in a random order, from this source
+    # once it is told to be repeatable.
+    trio_run = trio._core._run
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_run._r.seed(seed)
+    return trio.run(
+        _run, seed, clock=trio.testing.MockClock(autojump_threshold=0)
+    )
--- /dev/null
+++ b/src/orioleloom_standins/leased/_worker.py
@@ -0,0 +1,195 @@
+import dataclasses
+import math
+import typing
+
+from orioleloom import dispatch
+
+# Longest lease that a worker grants, and the time that a stop takes.
+_MAX_LEASE_S = 1.0
+_STOP_S = 0.03
+
+
+@dataclasses.dataclass
+class _Run:
+    key: dispatch.TaskKey
+    run_id: int
+    room: dispatch.Room
+    started_s: float
+    done_s: float
+    is_failing: bool
+    stop_s: float = math.inf
+
+
+class LeasedWorker:
+    """A worker that keeps the platform's rules.
+
+    :param speed: work done in a second
+    :param clock_rate: seconds of its clock in a second
+    """
+
+    def __init__(
+        self,
+        info: dispatch.WorkerInfo,
+        *,
+        speed: float = 1.0,
+        clock_rate: float = 1.0,
+    ):
+        self.info = info
+        self.speed = speed
+        self.clock_rate = clock_rate
+        # Faults, set by tests.
+        self.is_reachable = True
+        self.fails_all = False
+        self.hangs = False
+        self.late_share = 0.0
+        self._begin_life(0.0)
+
+    def _begin_life(self, now_s: float) -> None:
+        self.born_s = now_s
+        self.runs: dict[dispatch.TaskKey, _Run] = {}
+        self.ends: list[dispatch.RunEnd] = []
+        self.n_ends = 0
+        self.token = 0
+        self.lease_until_s = now_s
+        self.highest: dict[dispatch.TaskKey, int] = {}
+        self.n_starts = 0
+
+    def restart(self, now_s: float) -> None:
+        """Begin a new life that knows nothing."""
+        self.info = self.info._replace(life=self.info.life + 1)
+        self._begin_life(now_s)
+
+    def clock_ms(self, now_s: float) -> int:
+        """Return the worker's own clock."""
+        return int(1000 * (now_s - self.born_s) * self.clock_rate)
+
+    def advance(self, now_s: float) -> None:
+        """End the runs that are due."""
+        for run in list(self.runs.values()):
+            end_s = min(run.done_s, run.stop_s, self.lease_until_s)
+            if end_s > now_s:
+                continue
+            if end_s == run.done_s:
+                kind = (
+                    dispatch.EndKind.FAILED
+                    if run.is_failing
+                    else dispatch.EndKind.DONE
+                )
+            elif end_s == run.stop_s:
+                kind = dispatch.EndKind.STOPPED
+            else:
+                kind = dispatch.EndKind.LAPSED
+            del self.runs[run.key]
+            self.n_ends += 1
+            self.ends.append(
+                dispatch.RunEnd(self.n_ends, run.key, run.run_id, kind)
+            )
+
+    def next_end_s(self) -> float:
+        """Return when the next run ends if nothing happens."""
+        return min(
+            (
+                min(run.done_s, run.stop_s, self.lease_until_s)
+                for run in self.runs.values()
+            ),
+            default=math.inf,
+        )
+
+    def _extend(self, expires_ms: int | None, now_s: float) -> None:
+        if expires_ms is None:
+            return
+        left_s = (expires_ms - self.clock_ms(now_s)) / 1000 / self.clock_rate
+        left_s = min(left_s, _MAX_LEASE_S / self.clock_rate)
+        if left_s > 0:
+            self.lease_until_s = max(self.lease_until_s, now_s + left_s)
+
+    def _is_fenced(self, token: int) -> bool:
+        if token < self.token:
+            return True
+        self.token = token
+        return False
+
+    def start(
+        self,
+        order: dispatch.StartRun,
+        work_s: float,
+        room: dispatch.Room,
+        is_poison: bool,
+        now_s: float,
+    ) -> dispatch.Rejection | None:
+        """Carry out a start; return why it was rejected, if so."""
+        self.advance(now_s)
+        if order.worker.id != self.info.id:
+            return dispatch.Rejection.OTHER_LIFE
+        if self._is_fenced(order.token):
+            return dispatch.Rejection.FENCED
+        known = self.runs.get(order.key)
+        if known is not None and known.run_id == order.run_id:
+            return None
+        if order.run_id <= self.highest.get(order.key, 0):
+            return dispatch.Rejection.OLD_RUN
+        if order.expires_ms <= self.clock_ms(now_s):
+            return dispatch.Rejection.LATE
+        used = dispatch.Room(0)
+        for run in self.runs.values():
+            used = used.plus(run.room)
+        self._extend(order.expires_ms, now_s)
+        if not self.info.capacity.holds(used.plus(room)):
+            return dispatch.Rejection.NO_ROOM
+        self.highest[order.key] = order.run_id
+        fails = self.fails_all or is_poison
+        duration_s = work_s / self.speed
+        if self.fails_all:
+            duration_s = 0.002
+        elif self.hangs:
+            duration_s = math.inf
+        self.n_starts += 1
+        self.runs[order.key] = _Run(
+            order.key, order.run_id, room, now_s, now_s + duration_s, fails
+        )
+        return None
+
+    def stop(self, order: dispatch.StopRun, now_s: float) -> None:
+        """Carry out a stop, also of a run that has not begun."""
+        self.advance(now_s)
+        if self._is_fenced(order.token):
+            return
+        self.highest[order.key] = max(
+            order.run_id, self.highest.get(order.key, 0)
+        )
+        run = self.runs.get(order.key)
+        if run is not None and run.run_id <= order.run_id:
+            run.stop_s = min(run.stop_s, now_s + _STOP_S)
+
+    def hold(
+        self,
+        token: int,
+        expires_ms: int | None,
+        acked_through: int,
+        now_s: float,
+    ) -> bool:
+        """Extend leases and forget noted ends; false if fenced."""
+        self.advance(now_s)
+        if self._is_fenced(token):
+            return False
+        self._extend(expires_ms, now_s)
+        self.ends = [end for end in self.ends if end.number > acked_through]
+        return True
+
+    def report(self, now_s: float) -> dispatch.WorkerReport:
+        """Return both lists."""
+        self.advance(now_s)
+        return dispatch.WorkerReport(
+            self.clock_ms(now_s),
+            self.info.life,
+            tuple(
+                dispatch.RunSeen(run.key, run.run_id)
+                for run in self.runs.values()
+            ),
+            tuple(self.ends[:500]),
+        )
+
+    def running(self) -> typing.Iterator[tuple[dispatch.TaskKey, int]]:
+        """Yield the runs at work."""
+        for run in self.runs.values():
+            yield run.key, run.run_id
--- /dev/null
+++ b/src/orioleloom_standins/leased/_world.py
@@ -0,0 +1,348 @@
+import heapq
+import itertools
+import random
+import typing
+
+from orioleloom import dispatch
+from orioleloom_standins.leased import _worker
+
+# One way between dispatcher and worker.
+_HOP_S = 0.0005
+# Time-outs of the product's leader.
+_ORDER_TIMEOUT_S = 0.03
+_REPORT_GRACE_S = 0.05
+_TICK_S = 0.025
+# Range after which a late order is carried out.
+_LATE_S = (2.0, 12.0)
+
+
+class Violation(AssertionError):
+    """A promise was broken."""
+
+
+class _Work(typing.NamedTuple):
+    """What a task really takes, unknown to the dispatcher."""
+
+    work_s: float
+    is_poison: bool
+
+
+class _Side:
+    """One dispatcher and its view of the network.
+
+    :param name: for tests
+    """
+
+    def __init__(self, world: 'World', name: str, token: int, now_s: float):
+        self.world = world
+        self.name = name
+        self.is_alive = True
+        # Workers that this dispatcher cannot reach.
+        self.cut_off: set[str] = set()
+        self.dispatcher = dispatch.Dispatcher(
+            token=token,
+            run_id_base=int(now_s * 4) + 1,
+            random_state=random.Random(7),
+            now_s=now_s,
+        )
+        self.outcomes: dict[str, tuple[dispatch.Outcome, float]] = {}
+        self.n_superseded = 0
+        self._tick()
+
+    def _tick(self) -> None:
+        if not self.is_alive:
+            return
+        self.dispatcher.tick(self.world.now_s)
+        self.carry_out()
+        self.world.after(_TICK_S, self._tick)
+
+    def list_workers(self) -> None:
+        """Hand the present list of workers to the dispatcher."""
+        self.dispatcher.set_workers(
+            {w.info.id: w.info for w in self.world.workers.values()},
+            self.world.now_s,
+        )
+        self.carry_out()
+
+    def carry_out(self) -> None:
+        """Carry out the effects of the dispatcher."""
+        if not self.is_alive:
+            return
+        for effect in self.dispatcher.take_effects():
+            match effect:
+                case dispatch.StartRun():
+                    self._send_start(effect)
+                case dispatch.StopRun():
+                    self._send_stop(effect)
+                case dispatch.WatchWorker():
+                    self._watch(effect.worker_id, effect.lane)
+                case dispatch.LookAtWorker():
+                    self._ask(effect.worker_id, 0.0, None)
+                case dispatch.AnswerJob():
+                    self.outcomes[effect.job_id] = (
+                        effect.outcome,
+                        self.world.now_s,
+                    )
+                case dispatch.Superseded():
+                    self.n_superseded += 1
+
+    def _reaches(self, worker_id: str) -> bool:
+        worker = self.world.workers.get(worker_id)
+        return (
+            worker is not None
+            and worker.is_reachable
+            and worker_id not in self.cut_off
+        )
+
+    def _is_late(self, worker_id: str) -> bool:
+        worker = self.world.workers.get(worker_id)
+        return worker is not None and (
+            self.world.random_state.random() < worker.late_share
+        )
+
+    def _call(
+        self,
+        worker_id: str,
+        carry_out: typing.Callable[[], typing.Any],
+        answered: typing.Callable[[typing.Any], None],
+        timed_out: typing.Callable[[], None],
+    ) -> None:
+        """Send an order; it is carried out, lost or late."""
+        world = self.world
+        state = {'is_open': True}
+
+        def expire() -> None:
+            if state['is_open'] and self.is_alive:
+                state['is_open'] = False
+                timed_out()
+                self.carry_out()
+
+        def arrive() -> None:
+            if not self._reaches(worker_id):
+                return
+            if self._is_late(worker_id):
+                world.after(
+                    world.random_state.uniform(*_LATE_S),
+                    lambda: carry_out() if self._reaches(worker_id) else None,
+                )
+                return
+            answer = carry_out()
+            world.after(_HOP_S, lambda: return_answer(answer))
+
+        def return_answer(answer: typing.Any) -> None:
+            if state['is_open'] and self.is_alive and self._reaches(worker_id):
+                state['is_open'] = False
+                answered(answer)
+                self.carry_out()
+
+        world.after(_ORDER_TIMEOUT_S, expire)
+        world.after(_HOP_S, arrive)
+
+    def _send_start(self, order: dispatch.StartRun) -> None:
+        world = self.world
+        run = (order.worker.id, order.key, order.run_id)
+        work = world.work[order.key]
+
+        def carry_out() -> tuple[dispatch.Rejection | None, int]:
+            worker = world.workers[order.worker.id]
+            rejection = worker.start(
+                order,
+                work.work_s,
+                world.rooms[order.key],
+                work.is_poison,
+                world.now_s,
+            )
+            world.worker_changed(worker)
+            return rejection, worker.clock_ms(world.now_s)
+
+        def answered(answer: tuple[dispatch.Rejection | None, int]) -> None:
+            if answer[0] is None:
+                self.dispatcher.start_accepted(*run, answer[1], world.now_s)
+            else:
+                self.dispatcher.start_rejected(*run, answer[0], world.now_s)
+
+        self._call(
+            order.worker.id,
+            carry_out,
+            answered,
+            lambda: self.dispatcher.start_unanswered(*run, True, world.now_s),
+        )
+
+    def _send_stop(self, order: dispatch.StopRun) -> None:
+        world = self.world
+
+        def carry_out() -> None:
+            worker = world.workers[order.worker.id]
+            worker.stop(order, world.now_s)
+            world.worker_changed(worker)
+
+        self._call(
+            order.worker.id,
+            carry_out,
+            lambda _: self.dispatcher.stop_confirmed(
+                order.worker.id, order.key, order.run_id, world.now_s
+            ),
+            lambda: None,
+        )
+
+    def _watch(self, worker_id: str, lane: int = 0) -> None:
+        now_s = self.world.now_s
+        if self.is_alive and self.dispatcher.needs_watch(
+            worker_id, lane, now_s
+        ):
+            wait_s = self.dispatcher.report_wait_s(now_s)
+            self._ask(
+                worker_id, wait_s, lambda _: self._watch(worker_id, lane)
+            )
+
+    def _ask(
+        self,
+        worker_id: str,
+        wait_s: float,
+        then: typing.Callable[[str], None] | None,
+    ) -> None:
+        world = self.world
+        asked_s = world.now_s
+        if worker_id not in self.dispatcher.workers:
+            return
+        token = self.dispatcher.token
+        expires_ms, acked = self.dispatcher.lease(worker_id, asked_s)
+        if expires_ms is None:
+            wait_s = 0.0
+        state = {'is_open': True}
+
+        def finish(report: dispatch.WorkerReport | None) -> None:
+            if not state['is_open'] or not self.is_alive:
+                return
+            state['is_open'] = False
+            if report is None:
+                self.dispatcher.report_failed(
+                    worker_id, 'no answer', world.now_s
+                )
+            else:
+                self.dispatcher.report(worker_id, report, asked_s, world.now_s)
+            self.carry_out()
+            if then is not None:
+                pause_s = 0.0 if report is not None else 0.05
+                world.after(pause_s, lambda: then(worker_id))
+
+        def arrive() -> None:
+            if not self._reaches(worker_id):
+                return
+            worker = world.workers[worker_id]
+            is_late = self._is_late(worker_id)
+            if is_late:
+                world.after(
+                    world.random_state.uniform(*_LATE_S),
+                    lambda: worker.hold(token, expires_ms, acked, world.now_s),
+                )
+                return
+            if not worker.hold(token, expires_ms, acked, world.now_s):
+                self.n_superseded += 1
+                world.after(_HOP_S, lambda: finish(None))
+                return
+            world.worker_changed(worker)
+            answer_at(world.now_s + wait_s)
+
+        def answer_at(latest_s: float) -> None:
+            worker = world.workers.get(worker_id)
+            if worker is None or not self._reaches(worker_id):
+                return
+            worker.advance(world.now_s)
+            if worker.ends or world.now_s >= latest_s - 1e-9:
+                report = worker.report(world.now_s)
+                world.after(
+                    _HOP_S,
+                    lambda: finish(
+                        report if self._reaches(worker_id) else None
+                    ),
+                )
+                return
+            next_s = min(latest_s, worker.next_end_s() + 1e-6)
+            # Runs that begin meanwhile may end sooner.
+            next_s = min(next_s, world.now_s + 0.005)
+            world.at(next_s, lambda: answer_at(latest_s))
+
+        world.after(_HOP_S, arrive)
+        world.after(wait_s + _REPORT_GRACE_S, lambda: finish(None))
+
+    def submit(self, job: dispatch.Job, **options: typing.Any) -> None:
+        """Hand a job to the dispatcher."""
+        options.setdefault('arrived_s', self.world.now_s)
+        options.setdefault('deadline_s', self.world.now_s + 7.0)
+        self.dispatcher.submit(job, 'e1', now_s=self.world.now_s, **options)
+        self.carry_out()
+
+
+class World:
+    """Virtual clock, workers and dispatchers.
+
+    Checks at every change of a worker that no task runs twice at one
+    time.
+
+    :param random_state: source of all chance
+    """
+
+    def __init__(
+        self,
+        workers: typing.Iterable[_worker.LeasedWorker],
+        random_state: random.Random,
+    ):
+        self.now_s = 0.0
+        self.random_state = random_state
+        self.workers = {worker.info.id: worker for worker in workers}
+        self.work: dict[dispatch.TaskKey, _Work] = {}
+        self.rooms: dict[dispatch.TaskKey, dispatch.Room] = {}
+        self.sides: list[_Side] = []
+        self._heap: list[tuple[float, int, typing.Callable[[], None]]] = []
+        self._sequence = itertools.count()
+
+    def at(self, time_s: float, call: typing.Callable[[], typing.Any]) -> None:
+        """Call a function at a time."""
+        heapq.heappush(
+            self._heap,
+            (max(time_s, self.now_s), next(self._sequence), call),
+        )
+
+    def after(
+        self, delay_s: float, call: typing.Callable[[], typing.Any]
+    ) -> None:
+        """Call a function after a delay."""
+        self.at(self.now_s + delay_s, call)
+
+    def run_until(self, time_s: float) -> None:
+        """Advance the clock."""
+        while self._heap and self._heap[0][0] <= time_s:
+            self.now_s, _, call = heapq.heappop(self._heap)
+            call()
+        self.now_s = time_s
+
+    def start_dispatcher(self, name: str = 'a', token: int = 1) -> _Side:
+        """Start a dispatcher that knows all workers."""
+        side = _Side(self, name, token, self.now_s)
+        self.sides.append(side)
+        side.list_workers()
+        return side
+
+    def declare(
+        self, job: dispatch.Job, work_s: list[float], is_poison: bool = False
+    ) -> None:
+        """Set what the tasks of a one-step job really take."""
+        for index, seconds in enumerate(work_s):
+            key = dispatch.TaskKey(job.id, 0, index)
+            self.work[key] = _Work(seconds, is_poison)
+            self.rooms[key] = job.steps[0].room
+
+    def worker_changed(self, worker: _worker.LeasedWorker) -> None:
+        """Check the promises that a change of a worker may break."""
+        mine = {key for key, _ in worker.running()}
+        for other in self.workers.values():
+            if other is worker:
+                continue
+            other.advance(self.now_s)
+            for key, run_id in other.running():
+                if key in mine:
+                    raise Violation(
+                        f'{key} runs on {worker.info.id} and as run '
+                        f'{run_id} on {other.info.id} at {self.now_s:.3f} s'
+                    )
