Count leases of other dispatchers; pause jobs whose instance may have left

Cause: random histories on the mock clock found two ways to a second run of one task. A new dispatcher adopted a run on a worker to which it had given no lease itself, and took the run for lapsed at the next tick. A superseded leader raised its token and went on with jobs that their instance had handed to the other leader, which relied on its own token.

Change: a list with runs counts as a lease that begins now. A leader that raises its token starts nothing for a follower until that has answered a later beat.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -106,6 +106,8 @@
         # Jobs of an earlier dispatcher that wait for confirmations.
         self._held: set[str] = set()
         self._latest_s = now_s
+        # Instances that may have left for another dispatcher.
+        self._paused: set[str] = set()
         # Times of the last orders without an answer.
         self._unanswered: collections.deque[float] = collections.deque(
             maxlen=_CAUTION_ORDERS
@@ -334,6 +336,8 @@
                 run.is_accepted = True
                 run.accepted_s = now_s
             return
+        # Another dispatcher may have given the run a whole lease just now.
+        worker.expect_lease(self.settings.lease_s, now_s)
         if run is not None or seen.key in self._orphans:
             return
         task = self._tasks.get(seen.key)
@@ -844,9 +848,31 @@
 
     # Placement
 
+    def raise_token(
+        self, token: int, instance_ids: typing.Iterable[str]
+    ) -> None:
+        """Use a higher token, after workers obeyed another dispatcher.
+
+        The given instances may have left for the other one. Their jobs
+        start nothing until :meth:`resume_instance`: the other dispatcher
+        relies on workers that ignore this one.
+        """
+        self.token = token
+        self._paused.update(instance_ids)
+
+    def resume_instance(self, instance_id: str, now_s: float) -> None:
+        """Take note that an instance still belongs to this dispatcher."""
+        if instance_id in self._paused:
+            self._paused.discard(instance_id)
+            self._request_pump(now_s)
+
     def _pump(self, now_s: float) -> None:
         """Start waiting tasks wherever room is free."""
-        waiting = [job for job in self.jobs.values() if job.waiting]
+        waiting = [
+            job
+            for job in self.jobs.values()
+            if job.waiting and job.instance_id not in self._paused
+        ]
         if not waiting:
             return
         for start in self.placement.choose(waiting, now_s):
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -114,10 +114,14 @@
             del self.runs[run.key]
             self.free = self.free.plus(run.room)
 
-    def expires_ms(self, lease_s: float, now_s: float) -> int:
-        """Extend the lease and return its end on the worker's clock."""
+    def expect_lease(self, lease_s: float, now_s: float) -> None:
+        """Take note of a lease that begins now at the latest."""
         until_s = now_s + lease_s * (1 + _CLOCK_DRIFT) + _LEASE_MARGIN_S
         self.lease_until_s = max(self.lease_until_s, until_s)
+
+    def expires_ms(self, lease_s: float, now_s: float) -> int:
+        """Extend the lease and return its end on the worker's clock."""
+        self.expect_lease(lease_s, now_s)
         return int((now_s + lease_s + self.clock_offset_s) * 1000)
 
     def set_clock(self, clock_ms: int, now_s: float) -> None:
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -17,6 +17,9 @@
 # A follower's list of jobs may be older than a job that it has just sent.
 _SUBMIT_GRACE_S = 0.3
 
+# First step by which a superseded leader raises its token: a millisecond.
+_FIRST_TOKEN_STEP = 1000
+
 # A worker that was asked to wait for the end of a run answers this long
 # after that time at the latest.
 _REPORT_GRACE_S = 0.05
@@ -82,7 +85,10 @@
         self.followers: dict[str, Follower] = {}
         self.sequence = 0
         self.is_closed = False
-        self._token_step = 1
+        self._token_step = _FIRST_TOKEN_STEP
+        # Replies to earlier beats do not show that an instance has not
+        # left for a leader with a higher token.
+        self._challenge_sequence = 0
         self._cancel_scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
         self._wake_watch: dict[str, trio.Event] = {}
@@ -333,6 +339,8 @@
         follower.is_lost = False
         follower.last_heard_s = now_s
         follower.is_stopping = reply.is_stopping
+        if reply.sequence >= self._challenge_sequence:
+            self.dispatcher.resume_instance(member_id, now_s)
         wanted = set(reply.job_ids)
         for job_id in wanted - self.dispatcher.jobs.keys():
             outcome = self.dispatcher.outcome(job_id)
@@ -397,7 +405,8 @@
         # come from a clock that is ahead.
         token = max(self.dispatcher.token + self._token_step, least)
         self._token_step *= 2
-        self.dispatcher.token = token
+        self._challenge_sequence = self.sequence + 1
+        self.dispatcher.raise_token(token, self.followers)
         eliot.log_message(
             message_type='token_raised', token=self.dispatcher.token
         )
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -545,6 +545,7 @@
         now_s = trio.current_time()
         if leader.scope == leadership.FLEET and leader.has_most_followers():
             leader.raise_token(self._new_token())
+            leader.beat(self.peers, now_s)
             return
         _log.log('superseded', term=leader.term, scope=leader.scope)
         self._stop_leading(now_s)
--- a/src/orioleloom_standins/leased/_history.py
+++ b/src/orioleloom_standins/leased/_history.py
@@ -243,9 +243,10 @@
             inner.start_soon(history.send_jobs, _TROUBLE_S)
             inner.start_soon(history.make_trouble, _TROUBLE_S)
         await trio.sleep(_QUIET_S)
+        n_before = history.n_jobs
         await history.send_jobs(1.0)
         await trio.sleep(_QUIET_S)
-        _check(seed, history)
+        _check(seed, history, n_before)
         nursery.cancel_scope.cancel()
     counts: dict[str, int] = {}
     for outcome in history.outcomes.values():
@@ -257,7 +258,7 @@
     """A fleet did not recover after its faults had ended."""
 
 
-def _check(seed: int, history: _History) -> None:
+def _check(seed: int, history: _History, n_before: int) -> None:
     faults = '; '.join(history.faults)
     if history.waiting:
         raise UnservedError(
@@ -270,7 +271,7 @@
         )
     last = [
         history.outcomes[f'{number:016x}']
-        for number in range(history.n_jobs - 10, history.n_jobs)
+        for number in range(n_before, history.n_jobs)
     ]
     if any(o.kind is not dispatch.OutcomeKind.COMPLETED for o in last):
         raise UnservedError(
