End leaders of one data centre after a cut; bound the rise of fencing tokens

Change: a leader of one data centre gives up after 1.3 s of unbroken contact to other data centres. A token rises at most every 25 ms, by two seconds of the time of day at most; beats carry the leader's token, and a new leader begins above the highest that it has heard.

--- a/src/orioleloom/leadership/_elector.py
+++ b/src/orioleloom/leadership/_elector.py
@@ -1,6 +1,9 @@
 import enum
 import typing
 
+# Scope of a leader that serves every data centre.
+FLEET = ''
+
 # A follower searches for a leader after this time without a beat. Beats
 # come every 0.1 s, so three must be missed.
 LEADER_SILENCE_S = 0.35
@@ -22,8 +25,12 @@
 # Answers to probes count for this long.
 _PEER_FRESH_S = 0.3
 
-# Scope of a leader that serves every data centre.
-FLEET = ''
+# Contact to other data centres is unbroken if no longer pause is in it:
+# leaders send beats to lost instances about once a second.
+_OUTSIDE_GAP_S = 1.2
+# A leader of one data centre gives up after so long an unbroken contact to
+# others, in which a leader of the fleet would have been heard.
+_REUNION_S = 1.3
 
 
 class Role(enum.StrEnum):
@@ -40,6 +47,7 @@
 
     :param leader_id: leader that it hears, or empty
     :param rank: capacity for leading; a higher one is preferred
+    :param scope: data centre that its leader serves
     """
 
     instance_id: str
@@ -49,6 +57,7 @@
     rank: float
     is_stopping: bool
     data_centre: str
+    scope: str = FLEET
 
 
 class Reach(enum.StrEnum):
@@ -105,6 +114,9 @@
         # Instances alive at the last contact with a leader.
         self.alive: frozenset[str] = frozenset()
         self._peers: dict[str, tuple[PeerState, float]] = {}
+        # Unbroken contact to instances of other data centres.
+        self._outside_since_s = -1e9
+        self._outside_last_s = -1e9
 
     def state(self) -> PeerState:
         """Return what peers are told in a probe."""
@@ -116,11 +128,21 @@
             self.rank,
             self.is_stopping,
             self.data_centre,
+            self.scope,
         )
 
     def hear_peer(self, peer: PeerState, now_s: float) -> None:
         """Take note of a probe or of its answer."""
         self._peers[peer.instance_id] = (peer, now_s)
+        self.hear_from(peer.data_centre, now_s)
+
+    def hear_from(self, data_centre: str, now_s: float) -> None:
+        """Take note of contact to a data centre."""
+        if data_centre == self.data_centre:
+            return
+        if now_s - self._outside_last_s > _OUTSIDE_GAP_S:
+            self._outside_since_s = now_s
+        self._outside_last_s = now_s
 
     def hear_beat(
         self,
@@ -205,10 +227,24 @@
             if now_s - self.last_beat_s > LEADER_SILENCE_S:
                 self.search(now_s)
             return False
+        if self.role is Role.LEADING and self._is_cut_over(now_s):
+            self.search(now_s)
         if self.role is Role.LEADING or self.is_stopping:
             return False
         return self._search_tick(now_s, n_members)
 
+    def _is_cut_over(self, now_s: float) -> bool:
+        """Return whether a leader of one data centre is not needed.
+
+        Two of them in different data centres would otherwise go on side
+        by side when there is no leader of the fleet.
+        """
+        return (
+            self.scope != FLEET
+            and now_s - self._outside_last_s <= _OUTSIDE_GAP_S
+            and now_s - self._outside_since_s > _REUNION_S
+        )
+
     def _search_tick(self, now_s: float, n_members: int) -> bool:
         heard = self.heard(now_s)
         for peer in heard:
@@ -222,6 +258,7 @@
         others_follow = any(
             peer.role in (Role.FOLLOWING, Role.LEADING)
             and peer.leader_id != self.instance_id
+            and peer.scope in (FLEET, self.data_centre)
             for peer in heard
         )
         if others_follow:
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -17,8 +17,15 @@
 # A follower's list of jobs may be older than a job that it has just sent.
 _SUBMIT_GRACE_S = 0.3
 
-# First step by which a superseded leader raises its token: a millisecond.
-_FIRST_TOKEN_STEP = 1000
+# Steps by which a superseded leader raises its token: from a millisecond
+# to two seconds of the time of day.
+_FIRST_TOKEN_STEP = 1_000
+_MAX_TOKEN_STEP = 2_000_000
+# Between two steps, so that two leaders do not race far ahead of the time
+# of day until one has heard the other's beat.
+_TOKEN_INTERVAL_S = 0.025
+# After this time without a step the next one is the first again.
+_TOKEN_CALM_S = 3.0
 
 # A worker that was asked to wait for the end of a run answers this long
 # after that time at the latest.
@@ -86,6 +93,7 @@
         self.sequence = 0
         self.is_closed = False
         self._token_step = _FIRST_TOKEN_STEP
+        self._raised_s = -1e9
         # Replies to earlier beats do not show that an instance has not
         # left for a leader with a higher token.
         self._challenge_sequence = 0
@@ -228,6 +236,10 @@
                 self.on_superseded(token)
             self.dispatcher.report_failed(worker_id, exc.reason, now_s)
             self.carry_out()
+            if exc.reason is dispatch.Rejection.FENCED:
+                # The next question carries a higher token by then.
+                await trio.sleep(_TOKEN_INTERVAL_S)
+                return True
             return False
         except (
             _ports.NotSentError,
@@ -312,6 +324,7 @@
                 not follower.is_lost,
                 self.alive() if alive is None else alive,
                 self.n_unstarted() if n_unstarted is None else n_unstarted,
+                self.dispatcher.token,
             ),
         )
 
@@ -396,6 +409,10 @@
         alive = sum(1 for f in seen if not f.is_lost)
         return 2 * (alive + 1) >= len(seen) + 1
 
+    def may_raise_token(self, now_s: float) -> bool:
+        """Return whether the last step is long enough ago."""
+        return now_s - self._raised_s >= _TOKEN_INTERVAL_S
+
     def raise_token(self, least: int) -> None:
         """Use a higher fencing token than the one that superseded it.
 
@@ -403,8 +420,12 @@
         """
         # The step doubles, since the other token is not known and may
         # come from a clock that is ahead.
+        now_s = trio.current_time()
+        if now_s - self._raised_s > _TOKEN_CALM_S:
+            self._token_step = _FIRST_TOKEN_STEP
+        self._raised_s = now_s
         token = max(self.dispatcher.token + self._token_step, least)
-        self._token_step *= 2
+        self._token_step = min(2 * self._token_step, _MAX_TOKEN_STEP)
         self._challenge_sequence = self.sequence + 1
         self.dispatcher.raise_token(token, self.followers)
         eliot.log_message(
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -43,6 +43,7 @@
     :param is_heard: the leader has heard the instance a moment ago
     :param alive: instances that the leader has heard a moment ago
     :param n_unstarted: jobs without a started task, by queue
+    :param token: fencing token of the leader
     """
 
     term: int
@@ -52,6 +53,7 @@
     is_heard: bool
     alive: list[str]
     n_unstarted: dict[str, int]
+    token: int = 0
 
 
 class BeatReply(typing.NamedTuple):
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -142,6 +142,8 @@
         )
         self._worker_scope = trio.CancelScope()
         self._session = 0
+        # Of any leader that was heard.
+        self._highest_token = 0
         self._workers: dict[str, dispatch.WorkerInfo] = {}
         self._reset_s: dict[str, float] = {}
         self._last_probe_s = -1e9
@@ -427,6 +429,7 @@
     def _beat_heard(
         self, sender: _messages.Sender, beat: _messages.Beat, now_s: float
     ) -> None:
+        self.elector.hear_from(sender.data_centre, now_s)
         before = (self.elector.leader_id, self.elector.term)
         was_leading = self.leader is not None
         last_beat_s = self.elector.last_beat_s
@@ -445,6 +448,7 @@
         if was_leading:
             self._stop_leading(now_s, following=True)
         self._session = beat.session
+        self._highest_token = max(self._highest_token, beat.token)
         self.n_unstarted = beat.n_unstarted
         if (sender.instance_id, beat.term) != before:
             _log.log(
@@ -524,7 +528,9 @@
 
     def _new_token(self) -> int:
         number = zlib.crc32(self.me.instance_id.encode()) % _TOKENS_PER_MS
-        return int(self.wall_time() * 1000) * _TOKENS_PER_MS + number
+        now_ms = int(self.wall_time() * 1000)
+        now_ms = max(now_ms, self._highest_token // _TOKENS_PER_MS + 1)
+        return now_ms * _TOKENS_PER_MS + number
 
     def _stop_leading(self, now_s: float, *, following: bool = False) -> None:
         leader = self.leader
@@ -544,8 +550,9 @@
             return
         now_s = trio.current_time()
         if leader.scope == leadership.FLEET and leader.has_most_followers():
-            leader.raise_token(self._new_token())
-            leader.beat(self.peers, now_s)
+            if leader.may_raise_token(now_s):
+                leader.raise_token(self._new_token())
+                leader.beat(self.peers, now_s)
             return
         _log.log('superseded', term=leader.term, scope=leader.scope)
         self._stop_leading(now_s)
@@ -573,6 +580,11 @@
                 )
         if became_leader:
             self._begin_leading(now_s)
+        elif (
+            self.leader is not None
+            and self.elector.role is not leadership.Role.LEADING
+        ):
+            self._stop_leading(now_s, following=True)
         if self.elector.role in (
             leadership.Role.SEARCHING,
             leadership.Role.ISOLATED,
