--- a/src/orioleloom/dispatch/_placement.py
+++ b/src/orioleloom/dispatch/_placement.py
@@ -95,12 +95,27 @@
     def __init__(self) -> None:
         self._rooms: dict[str, _records.Room] = {}
         self.n_runs: dict[str, int] = {}
+        self._n_of_step: dict[tuple[str, str, int], int] = {}
+
+    def n_beside(self, task: _jobs.TaskState, worker: _workers.Worker) -> int:
+        """Return the number of tasks of the same step on a worker."""
+        key = task.key
+        running = sum(
+            1
+            for other in worker.runs
+            if other.job_id == key.job_id and other.step == key.step
+        )
+        return running + self._n_of_step.get(
+            (worker.id, key.job_id, key.step), 0
+        )
 
     def free(self, worker: _workers.Worker) -> _records.Room:
         return self._rooms.get(worker.id, worker.free)
 
-    def take(self, worker: _workers.Worker, room: _records.Room) -> None:
-        self._rooms[worker.id] = self.free(worker).minus(room)
+    def take(self, worker: _workers.Worker, task: _jobs.TaskState) -> None:
+        self._rooms[worker.id] = self.free(worker).minus(task.step.room)
+        step = (worker.id, task.key.job_id, task.key.step)
+        self._n_of_step[step] = self._n_of_step.get(step, 0) + 1
         self.n_runs[worker.id] = self.n_runs.get(worker.id, 0) + 1
 
 
@@ -117,7 +132,7 @@
         worker = _pick(task, workers, limit_s, now_s, taken)
         if worker is None:
             return False
-        taken.take(worker, task.step.room)
+        taken.take(worker, task)
         starts.append(Start(task, worker))
     return True
 
@@ -146,7 +161,7 @@
         ):
             continue
         if step.max_per_worker and (
-            _n_beside(task, worker) >= step.max_per_worker
+            taken.n_beside(task, worker) >= step.max_per_worker
         ):
             continue
         if step.preferred_rack and (
@@ -156,11 +171,3 @@
             continue
         return worker
     return fallback
-
-
-def _n_beside(task: _jobs.TaskState, worker: _workers.Worker) -> int:
-    return sum(
-        1
-        for key in worker.runs
-        if key.job_id == task.key.job_id and key.step == task.key.step
-    )
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -33,6 +33,9 @@
 # become leader.
 _FOLLOWER_READ_S = 4.0
 _LEADER_READ_S = 0.2
+_LEADER_MEMBER_READ_S = 1.0
+# Members are read this often while a leader is searched.
+_MEMBER_READ_S = 0.2
 # A connection to a peer that hears nothing is made anew at most this often.
 _RECONNECT_S = 0.5
 # A fencing token is the time in milliseconds times this, plus a number of
@@ -220,14 +223,27 @@
                     await trio.sleep_forever()
 
     async def _watch_members(self) -> None:
+        read_s = -1e9
         while True:
-            await self.member_watch.read()
+            now_s = trio.current_time()
+            if now_s - read_s >= self._member_interval_s():
+                read_s = now_s
+                await self.member_watch.read()
             await trio.sleep(
-                _FOLLOWER_READ_S * self.random_state.uniform(0.7, 1.3)
-                if self.member_watch.is_current
-                else 0.2
+                _MEMBER_READ_S * self.random_state.uniform(0.7, 1.3)
             )
 
+    def _member_interval_s(self) -> float:
+        """Return how often the members are read in the present role."""
+        match self.elector.role:
+            case leadership.Role.SEARCHING | leadership.Role.ISOLATED:
+                # Instances that start together do not see each other in
+                # their first reading.
+                return _MEMBER_READ_S
+            case leadership.Role.LEADING:
+                return _LEADER_MEMBER_READ_S
+        return _FOLLOWER_READ_S
+
     def close(self) -> None:
         """Close the sockets."""
         self.peer_socket.close()
--- /dev/null
+++ b/tests/dispatch/test_dispatcher.py
@@ -0,0 +1,440 @@
+"""Decisions of the dispatcher, event by event."""
+
+import random
+
+import pytest
+
+from orioleloom import dispatch
+
+QUEUE = dispatch.Queue('check', 'pool', 0, 2, 1.6, 0.06)
+
+
+def worker_info(worker_id='w1', **fields):
+    return dispatch.WorkerInfo(
+        worker_id,
+        '10.0.0.1:80',
+        'dc1',
+        'pool',
+        dispatch.Room(16_000, 65_536),
+        **{'life': 1, **fields},
+    )
+
+
+def one_step_job(job_id='a' * 16, n_tasks=1, **fields):
+    step = dispatch.Step(n_tasks, dispatch.Room(6_800, 64), 0.2, **fields)
+    return dispatch.Job(job_id, QUEUE, 'payload', (step,))
+
+
+class Harness:
+    """Feeds a dispatcher and keeps its effects."""
+
+    def __init__(self, *worker_ids, **options):
+        self.now_s = 100.0
+        self.dispatcher = dispatch.Dispatcher(
+            token=5,
+            run_id_base=1,
+            random_state=random.Random(1),
+            now_s=self.now_s,
+            **options,
+        )
+        self.infos = {w: worker_info(w) for w in worker_ids}
+        self.dispatcher.set_workers(self.infos, self.now_s)
+        for worker_id in worker_ids:
+            self.report(worker_id)
+        self.effects()
+
+    def effects(self, kind=object):
+        return [
+            effect
+            for effect in self.dispatcher.take_effects()
+            if isinstance(effect, kind)
+        ]
+
+    def report(self, worker_id, running=(), ended=(), asked_s=None, life=1):
+        self.dispatcher.report(
+            worker_id,
+            dispatch.WorkerReport(
+                int(self.now_s * 1000),
+                life,
+                tuple(dispatch.RunSeen(*run) for run in running),
+                tuple(ended),
+            ),
+            self.now_s if asked_s is None else asked_s,
+            self.now_s,
+        )
+
+    def submit(self, job, **options):
+        self.dispatcher.submit(
+            job,
+            options.pop('instance_id', 'e1'),
+            arrived_s=self.now_s,
+            deadline_s=self.now_s + 5,
+            now_s=self.now_s,
+            **options,
+        )
+
+    def after(self, seconds):
+        self.now_s += seconds
+        self.dispatcher.tick(self.now_s)
+
+    def starts(self):
+        return self.effects(dispatch.StartRun)
+
+    def accept(self, start):
+        self.dispatcher.start_accepted(
+            start.worker.id,
+            start.key,
+            start.run_id,
+            int(self.now_s * 1000),
+            self.now_s,
+        )
+
+    def end(self, start, kind=dispatch.EndKind.DONE, number=1, running=()):
+        self.report(
+            start.worker.id,
+            running=[(run.key, run.run_id) for run in running],
+            ended=[dispatch.RunEnd(number, start.key, start.run_id, kind)],
+        )
+
+
+def outcome_of(harness):
+    answers = harness.effects(dispatch.AnswerJob)
+    assert len(answers) == 1
+    return answers[0].outcome
+
+
+def test_job_completes_when_all_tasks_are_done():
+    harness = Harness('w1')
+    harness.submit(one_step_job(n_tasks=2))
+    first, second = harness.starts()
+    harness.accept(first)
+    harness.accept(second)
+    harness.now_s += 0.2
+    harness.end(first, running=[second])
+    assert not harness.effects(dispatch.AnswerJob)
+    harness.end(second, number=2)
+    assert outcome_of(harness).kind is dispatch.OutcomeKind.COMPLETED
+
+
+def test_room_bounds_the_runs_of_a_worker():
+    """Guards against starts that the worker rejects for want of room."""
+    harness = Harness('w1')
+    harness.submit(one_step_job(n_tasks=5))
+    assert len(harness.starts()) == 2
+
+
+def test_steps_run_in_order():
+    harness = Harness('w1')
+    steps = (
+        dispatch.Step(1, dispatch.Room(1_000), 0.1),
+        dispatch.Step(1, dispatch.Room(1_000), 0.1, after=(0,)),
+    )
+    harness.submit(dispatch.Job('b' * 16, QUEUE, '', steps))
+    (first,) = harness.starts()
+    assert first.key.step == 0
+    harness.accept(first)
+    harness.now_s += 0.1
+    harness.end(first)
+    (second,) = harness.starts()
+    assert second.key.step == 1
+
+
+def test_task_fails_its_job_after_max_attempts():
+    """A failed run is repeated on another worker, max_attempts times."""
+    harness = Harness('w1', 'w2')
+    harness.submit(one_step_job())
+    (first,) = harness.starts()
+    harness.accept(first)
+    harness.end(first, dispatch.EndKind.FAILED)
+    (second,) = harness.starts()
+    assert second.worker.id != first.worker.id
+    assert second.run_id > first.run_id
+    harness.accept(second)
+    harness.end(second, dispatch.EndKind.FAILED)
+    assert outcome_of(harness).kind is dispatch.OutcomeKind.FAILED
+
+
+def test_unanswered_start_is_stopped_before_it_is_repeated():
+    """Guards against a second run beside one whose answer was lost."""
+    harness = Harness('w1', 'w2')
+    harness.submit(one_step_job())
+    (start,) = harness.starts()
+    harness.dispatcher.start_unanswered(
+        start.worker.id, start.key, start.run_id, True, harness.now_s
+    )
+    effects = harness.effects()
+    assert [e for e in effects if isinstance(e, dispatch.StopRun)]
+    assert not [e for e in effects if isinstance(e, dispatch.StartRun)]
+    harness.dispatcher.stop_confirmed(
+        start.worker.id, start.key, start.run_id, harness.now_s
+    )
+    assert not harness.starts()
+    # A list that was asked for after the stop shows that it is not there.
+    harness.now_s += 0.002
+    harness.report(start.worker.id)
+    assert len(harness.starts()) == 1
+
+
+def test_unsent_start_is_repeated_at_once():
+    harness = Harness('w1', 'w2')
+    harness.submit(one_step_job())
+    (start,) = harness.starts()
+    harness.dispatcher.start_unanswered(
+        start.worker.id, start.key, start.run_id, False, harness.now_s
+    )
+    assert len(harness.starts()) == 1
+
+
+def test_silent_worker_keeps_its_run_until_the_lease_has_ended():
+    """Guards against a second run while a cut off worker runs on."""
+    harness = Harness('w1', 'w2')
+    harness.submit(one_step_job())
+    (start,) = harness.starts()
+    harness.accept(start)
+    for _ in range(8):
+        harness.dispatcher.report_failed(
+            start.worker.id, 'no answer', harness.now_s
+        )
+        harness.after(0.125)
+        assert not harness.starts()
+    harness.after(0.1)
+    (second,) = harness.starts()
+    assert second.worker.id != start.worker.id
+
+
+def test_handed_over_job_waits_until_every_worker_has_answered():
+    """Guards against a run beside one that an earlier dispatcher started.
+
+    Seen on the platform's bench as two runs at one time after a cut of a
+    data centre had healed.
+    """
+    harness = Harness('w1', 'w2')
+    harness.after(1.0)
+    harness.submit(one_step_job(), last_contact_s=harness.now_s)
+    assert not harness.starts()
+    harness.after(0.1)
+    looks = harness.effects(dispatch.LookAtWorker)
+    assert {look.worker_id for look in looks} == {'w1', 'w2'}
+    harness.report('w1')
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.report('w2')
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
+def test_delisted_worker_counts_as_unconfirmed():
+    """A worker cut off from the store leaves the list and runs on."""
+    harness = Harness('w1', 'w2')
+    harness.after(1.0)
+    harness.dispatcher.set_workers({'w1': harness.infos['w1']}, harness.now_s)
+    harness.submit(one_step_job(), last_contact_s=harness.now_s)
+    harness.now_s += 0.01
+    harness.report('w1')
+    harness.after(0.025)
+    assert not harness.starts()
+    for _ in range(4):
+        harness.after(0.5)
+    assert len(harness.starts()) == 1
+
+
+def test_leader_of_one_data_centre_waits_for_workers_elsewhere():
+    """It cannot see what workers of other data centres still run."""
+    harness = Harness('w1', sees_all=False)
+    harness.submit(one_step_job(), last_contact_s=harness.now_s)
+    harness.now_s += 0.01
+    harness.report('w1')
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.after(1.8)
+    assert len(harness.starts()) == 1
+
+
+def test_run_of_an_earlier_dispatcher_is_adopted():
+    harness = Harness('w1')
+    job = one_step_job()
+    key = dispatch.TaskKey(job.id, 0, 0)
+    harness.report('w1', running=[(key, 9)])
+    harness.submit(job, last_contact_s=harness.now_s)
+    assert not harness.starts()
+    # No lease of this dispatcher covers the run, but the other one's may.
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.now_s += 0.1
+    harness.report(
+        'w1',
+        ended=[dispatch.RunEnd(1, key, 9, dispatch.EndKind.DONE)],
+    )
+    assert outcome_of(harness).kind is dispatch.OutcomeKind.COMPLETED
+
+
+def test_unknown_run_is_stopped_after_a_grace():
+    """A run that no instance asks for must not hold room."""
+    harness = Harness('w1')
+    key = dispatch.TaskKey('c' * 16, 0, 0)
+    harness.report('w1', running=[(key, 9)])
+    assert not harness.effects(dispatch.StopRun)
+    harness.after(0.35)
+    (stop,) = harness.effects(dispatch.StopRun)
+    assert (stop.key, stop.run_id) == (key, 9)
+
+
+def test_raised_token_pauses_jobs_of_other_instances():
+    """Guards against a start for an instance that has left.
+
+    The other dispatcher relies on workers that ignore this one's token.
+    """
+    harness = Harness('w1')
+    harness.dispatcher.raise_token(9, ['e2'])
+    harness.submit(one_step_job('d' * 16), instance_id='e2')
+    assert not harness.starts()
+    harness.submit(one_step_job('e' * 16), instance_id='e1')
+    assert [s.key.job_id for s in harness.starts()] == ['e' * 16]
+    harness.dispatcher.resume_instance('e2', harness.now_s)
+    assert [s.key.job_id for s in harness.starts()] == ['d' * 16]
+
+
+def test_worker_without_room_is_asked_again():
+    harness = Harness('w1')
+    harness.submit(one_step_job())
+    (start,) = harness.starts()
+    harness.dispatcher.start_rejected(
+        'w1',
+        start.key,
+        start.run_id,
+        dispatch.Rejection.NO_ROOM,
+        harness.now_s,
+    )
+    assert not harness.starts()
+    harness.now_s += 0.01
+    harness.report('w1')
+    assert len(harness.starts()) == 1
+
+
+def test_fenced_start_says_that_another_dispatcher_leads():
+    harness = Harness('w1')
+    harness.submit(one_step_job())
+    (start,) = harness.starts()
+    harness.dispatcher.start_rejected(
+        'w1', start.key, start.run_id, dispatch.Rejection.FENCED, harness.now_s
+    )
+    (effect,) = harness.effects(dispatch.Superseded)
+    assert effect.token == 5
+
+
+def test_leaving_worker_gets_no_new_run():
+    harness = Harness('w1')
+    harness.dispatcher.set_workers(
+        {'w1': worker_info('w1', is_leaving=True)}, harness.now_s
+    )
+    harness.submit(one_step_job())
+    assert not harness.starts()
+
+
+def test_new_life_of_a_worker_ends_its_runs():
+    harness = Harness('w1')
+    harness.submit(one_step_job())
+    (start,) = harness.starts()
+    harness.accept(start)
+    harness.now_s += 0.05
+    harness.report('w1', life=2)
+    (second,) = harness.starts()
+    assert second.run_id > start.run_id
+
+
+def test_cancelled_job_stops_its_runs():
+    harness = Harness('w1')
+    job = one_step_job(n_tasks=2)
+    harness.submit(job)
+    for start in harness.starts():
+        harness.accept(start)
+    harness.dispatcher.cancel(job.id, 'e1', 'caller left', harness.now_s)
+    effects = harness.effects()
+    assert len([e for e in effects if isinstance(e, dispatch.StopRun)]) == 2
+    assert not [e for e in effects if isinstance(e, dispatch.AnswerJob)]
+
+
+def test_outcome_of_a_cancelled_job_is_not_kept():
+    """An instance that was out of contact submits its jobs again."""
+    harness = Harness('w1')
+    job = one_step_job()
+    harness.submit(job)
+    harness.dispatcher.forget_instance('e1', 'out of contact', harness.now_s)
+    assert harness.dispatcher.outcome(job.id) is None
+
+
+def test_job_that_cannot_be_served_is_refused_as_not_run():
+    harness = Harness()
+    harness.submit(one_step_job())
+    harness.after(2.0)
+    outcome = outcome_of(harness)
+    assert outcome.kind is dispatch.OutcomeKind.NOT_RUN
+    assert outcome.retry_after_s >= 1.0
+
+
+def test_started_job_is_never_called_not_run():
+    harness = Harness('w1')
+    harness.submit(one_step_job(n_tasks=3))
+    assert harness.starts()
+    harness.after(6.0)
+    assert outcome_of(harness).kind is dispatch.OutcomeKind.UNKNOWN
+
+
+def test_completed_job_is_answered_again():
+    """A copy of a submission after its answer starts nothing."""
+    harness = Harness('w1')
+    job = one_step_job()
+    harness.submit(job)
+    (start,) = harness.starts()
+    harness.accept(start)
+    harness.end(start)
+    harness.effects()
+    harness.submit(job, instance_id='e2')
+    (answer,) = harness.effects(dispatch.AnswerJob)
+    assert answer.instance_id == 'e2'
+    assert answer.outcome.kind is dispatch.OutcomeKind.COMPLETED
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'required_label': 'gpu'},
+        {'max_per_worker': 1},
+    ],
+)
+def test_placement_keeps_the_constraints_of_a_step(fields):
+    harness = Harness('w1')
+    harness.submit(one_step_job(n_tasks=2, **fields))
+    expected = 0 if 'required_label' in fields else 1
+    assert len(harness.starts()) == expected
+
+
+def test_preferred_rack_comes_first():
+    harness = Harness()
+    infos = {
+        'w1': worker_info('w1', labels=('r1',)),
+        'w2': worker_info('w2', labels=('r2',)),
+    }
+    harness.dispatcher.set_workers(infos, harness.now_s)
+    harness.report('w1')
+    harness.report('w2')
+    harness.submit(one_step_job(preferred_rack='r2'))
+    (start,) = harness.starts()
+    assert start.worker.id == 'w2'
+
+
+def test_worker_that_fails_everything_is_suspended():
+    harness = Harness('w1')
+    for number in (1, 2):
+        harness.submit(one_step_job(f'{number:016x}'))
+        (start,) = harness.starts()
+        harness.accept(start)
+        harness.end(start, dispatch.EndKind.FAILED, number)
+        harness.effects()
+        harness.now_s += 0.01
+    harness.submit(one_step_job('f' * 16))
+    assert not harness.starts()
+    harness.after(0.6)
+    # One run at a time until one has ended well.
+    harness.submit(one_step_job('e' * 16))
+    assert len(harness.starts()) == 1
--- /dev/null
+++ b/tests/leadership/test_elector.py
@@ -0,0 +1,138 @@
+"""Elections, event by event."""
+
+from orioleloom import leadership
+
+
+def elector(instance_id, data_centre='dc1', now_s=0.0):
+    return leadership.Elector(
+        instance_id=instance_id,
+        data_centre=data_centre,
+        rank=1.0,
+        now_s=now_s,
+    )
+
+
+def hear_each_other(electors, now_s):
+    for one in electors:
+        for other in electors:
+            if one is not other:
+                one.hear_peer(other.state(), now_s)
+
+
+def run(electors, start_s, end_s, n_members):
+    """Let instances that hear each other elect."""
+    now_s = start_s
+    while now_s < end_s:
+        hear_each_other(electors, now_s)
+        for one in electors:
+            one.tick(now_s, n_members)
+        for leader in [e for e in electors if e.role == 'leading']:
+            for other in electors:
+                if other is not leader:
+                    other.hear_beat(
+                        leader.instance_id,
+                        leader.data_centre,
+                        leader.term,
+                        leader.scope,
+                        [e.instance_id for e in electors],
+                        now_s,
+                    )
+        now_s += 0.05
+    return [e.instance_id for e in electors if e.role == 'leading']
+
+
+def test_one_instance_leads():
+    electors = [elector(f'e{number}') for number in range(5)]
+    assert run(electors, 0.0, 2.0, 5) == ['e4']
+
+
+def test_next_instance_leads_when_the_leader_dies():
+    electors = [elector(f'e{number}') for number in range(5)]
+    run(electors, 0.0, 2.0, 5)
+    survivors = [e for e in electors if e.role != 'leading']
+    assert run(survivors, 2.0, 2.8, 5) == ['e3']
+
+
+def test_minority_does_not_lead_the_fleet():
+    """Guards against an instance that is cut off taking all workers."""
+    electors = [elector(f'e{number}') for number in range(5)]
+    run(electors, 0.0, 2.0, 5)
+    alone = [electors[0]]
+    assert run(alone, 2.0, 3.0, 5) == []
+
+
+def test_data_centre_that_is_cut_off_leads_itself():
+    electors = [elector(f'e{number}') for number in range(5)]
+    run(electors, 0.0, 2.0, 5)
+    alone = electors[:2]
+    for one in alone:
+        one.tick(2.4, 5)
+        one.reach = leadership.Reach.OWN_DATA_CENTRE
+    assert run(alone, 2.5, 3.5, 5) == ['e1']
+    assert electors[1].scope == 'dc1'
+
+
+def test_instance_that_others_lead_without_is_isolated():
+    electors = [elector(f'e{number}') for number in range(3)]
+    run(electors, 0.0, 2.0, 3)
+    one = electors[0]
+    one.tick(2.4, 3)
+    one.reach = leadership.Reach.OTHERS_LEAD
+    one.tick(2.9, 3)
+    assert one.role is leadership.Role.ISOLATED
+
+
+def test_last_instance_leads_when_all_others_are_dead():
+    electors = [elector(f'e{number}') for number in range(5)]
+    run(electors, 0.0, 2.0, 5)
+    one = electors[0]
+    one.tick(2.4, 5)
+    one.reach = leadership.Reach.NOBODY_LEADS
+    assert run([one], 2.5, 6.0, 5) == ['e0']
+    assert one.scope == leadership.FLEET
+
+
+def test_of_two_leaders_with_one_term_one_gives_way():
+    """Guards against two leaders that fence each other for ever.
+
+    Seen on the platform's bench: worst seconds without any service.
+    """
+    one, other = elector('e1'), elector('e2')
+    for each in (one, other):
+        each.lead(leadership.FLEET, 0.0)
+    assert one.term == other.term
+    assert one.hear_beat('e2', 'dc1', other.term, '', ['e2'], 0.1)
+    assert not other.hear_beat('e1', 'dc1', 1, '', ['e1'], 0.1)
+    assert (one.role, other.role) == ('following', 'leading')
+
+
+def test_leader_of_a_data_centre_gives_way_to_the_fleets():
+    one = elector('e9')
+    one.term = 7
+    one.lead('dc1', 0.0)
+    assert one.hear_beat('e1', 'dc2', 2, leadership.FLEET, ['e1'], 0.1)
+    assert one.role is leadership.Role.FOLLOWING
+
+
+def test_leaders_of_two_data_centres_end_after_the_cut():
+    """Neither hears the other as its leader; seed 44 of the histories."""
+    one = elector('e1', 'dc1')
+    one.lead('dc1', 0.0)
+    now_s = 0.0
+    while now_s < 2.0:
+        one.hear_from('dc2', now_s)
+        one.tick(now_s, 4)
+        now_s += 0.1
+    assert one.role is leadership.Role.SEARCHING
+
+
+def test_fresh_instance_that_knows_no_members_does_not_lead():
+    """Guards against a second leader during an outage of the store."""
+    one = elector('e1')
+    assert run([one], 0.0, 3.0, 0) == []
+
+
+def test_stopping_instance_does_not_lead():
+    electors = [elector('e1'), elector('e2')]
+    electors[1].is_stopping = True
+    assert run(electors, 0.0, 2.0, 2) == ['e1']
--- /dev/null
+++ b/tests/node/test_node.py
@@ -0,0 +1,196 @@
+"""Whole nodes on the mock clock, with one trouble at a time."""
+
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from orioleloom import dispatch
+from orioleloom import node
+from orioleloom_standins import leased
+
+QUEUE = dispatch.Queue('check', 'pool', 0, 3, 1.6, 0.06)
+DATA_CENTRES = ['dc0', 'dc0', 'dc1', 'dc1', 'dc2', 'dc3']
+
+
+def make_job(number, n_tasks=2):
+    return dispatch.Job(
+        f'{number:016x}',
+        QUEUE,
+        'payload',
+        (dispatch.Step(n_tasks, dispatch.Room(6_800, 64), 0.2),),
+    )
+
+
+class Site:
+    """A fleet that has elected its leader, and a count of jobs."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.n_jobs = 0
+
+    async def send(self, n_jobs, instance_id=None, every_s=0.05):
+        """Send jobs and return their ids."""
+        ids = []
+        for _ in range(n_jobs):
+            names = sorted(self.fleet.nodes)
+            target = instance_id or names[self.n_jobs % len(names)]
+            job = make_job(self.n_jobs)
+            self.n_jobs += 1
+            self.fleet.submit(target, job, [0.2, 0.2])
+            ids.append(job.id)
+            await trio.sleep(every_s)
+        return ids
+
+    def kinds(self, ids):
+        return [self.fleet.outcomes[i].kind.value for i in ids]
+
+
+@pytest.fixture
+async def site(nursery):
+    fleet = leased.Fleet(
+        nursery,
+        leased.site_workers(),
+        DATA_CENTRES,
+        random_state=random.Random(1),
+    )
+    fleet.store.put('routing', 'config', node.Routing(1, ()))
+    fleet.start()
+    await trio.sleep(2)
+    assert len(fleet.leaders()) == 1
+    return Site(fleet)
+
+
+async def test_jobs_of_all_instances_are_served(site, autojump_clock):
+    ids = await site.send(40)
+    await trio.sleep(2)
+    assert set(site.kinds(ids)) == {'completed'}
+
+
+async def test_death_of_the_leader_loses_no_job_of_others(
+    site, autojump_clock
+):
+    (leader,) = site.fleet.leaders()
+    other = next(n for n in sorted(site.fleet.nodes) if n != leader)
+    before = await site.send(10, other)
+    site.fleet.kill(leader)
+    after = await site.send(20, other)
+    await trio.sleep(4)
+    assert set(site.kinds(before + after)) == {'completed'}
+    assert len(site.fleet.leaders()) == 1
+
+
+async def test_planned_stop_of_the_leader_hands_over_at_once(
+    site, autojump_clock
+):
+    """Guards against the half second that a search takes."""
+    (leader,) = site.fleet.leaders()
+    ids = await site.send(10, leader, every_s=0.01)
+    site.fleet.nodes[leader].begin_stop()
+    await trio.sleep(0.05)
+    (successor,) = site.fleet.leaders()
+    assert successor != leader
+    ids += await site.send(10)
+    await trio.sleep(3)
+    assert set(site.kinds(ids)) == {'completed'}
+
+
+async def test_data_centre_that_is_cut_off_serves_with_its_workers(
+    site, autojump_clock
+):
+    # dc2 has one instance, which is not the leader.
+    instance_id = 'e4'
+    if site.fleet.leaders() == [instance_id]:
+        pytest.fail('the leader is expected in another data centre')
+    site.fleet.network.cut_data_centre('dc2')
+    await trio.sleep(1.0)
+    ids = await site.send(10, instance_id, every_s=0.2)
+    await trio.sleep(1)
+    assert set(site.kinds(ids)) == {'completed'}
+    site.fleet.network.heal()
+    await trio.sleep(2)
+    assert len(site.fleet.leaders()) == 1
+
+
+async def test_instance_that_is_cut_off_from_its_peers_takes_no_work(
+    site, autojump_clock
+):
+    """It must not take the workers from the leader of the others."""
+    (leader,) = site.fleet.leaders()
+    alone = next(n for n in sorted(site.fleet.nodes) if n != leader)
+    for other in site.fleet.nodes:
+        site.fleet.network.cut(alone, other)
+    await trio.sleep(3.0)
+    assert site.fleet.leaders() == [leader]
+    assert not site.fleet.nodes[alone].is_ready()
+    ids = await site.send(2, alone)
+    assert set(site.kinds(ids)) == {'not_run'}
+
+
+async def test_instance_that_starts_during_an_outage_serves(
+    site, autojump_clock
+):
+    """It takes configuration and workers from its peers."""
+    (leader,) = site.fleet.leaders()
+    fresh = next(n for n in sorted(site.fleet.nodes) if n != leader)
+    site.fleet.store.is_down = True
+    site.fleet.kill(fresh)
+    await trio.sleep(0.5)
+    site.fleet.start(fresh)
+    # It knows the leader from the leader's beats.
+    await trio.sleep(2.5)
+    assert site.fleet.nodes[fresh].routing is not None
+    assert site.fleet.nodes[fresh].is_ready()
+    ids = await site.send(5, fresh)
+    await trio.sleep(1)
+    assert set(site.kinds(ids)) == {'completed'}
+
+
+async def test_new_configuration_is_in_force_everywhere(site, autojump_clock):
+    site.fleet.store.put('routing', 'config', node.Routing(7, ()))
+    await trio.sleep(0.1)
+    versions = {n.routing.version for n in site.fleet.nodes.values()}
+    assert versions == {7}
+
+
+async def test_older_configuration_is_never_taken(site, autojump_clock):
+    site.fleet.store.put('routing', 'config', node.Routing(7, ()))
+    await trio.sleep(0.1)
+    site.fleet.store.put('routing', 'config', node.Routing(3, ()))
+    await trio.sleep(0.5)
+    versions = {n.routing.version for n in site.fleet.nodes.values()}
+    assert versions == {7}
+
+
+async def test_all_instances_start_again_within_seconds(site, autojump_clock):
+    for instance_id in list(site.fleet.nodes):
+        site.fleet.kill(instance_id)
+    await trio.sleep(0.5)
+    site.fleet.start()
+    await trio.sleep(1.5)
+    ids = await site.send(10)
+    await trio.sleep(2)
+    assert set(site.kinds(ids)) == {'completed'}
+
+
+async def test_caller_that_leaves_ends_its_job(site, autojump_clock):
+    (leader,) = site.fleet.leaders()
+    other = next(n for n in sorted(site.fleet.nodes) if n != leader)
+    job = make_job(0)
+    site.fleet.submit(other, job, [3.0, 3.0])
+    await trio.sleep(0.2)
+    assert site.fleet.nodes[other].cancel(job.id)
+    await trio.sleep(0.2)
+    assert not any(list(w.running()) for w in site.fleet.workers.values())
+
+
+async def test_worker_that_leaves_gets_no_new_run(site, autojump_clock):
+    worker = site.fleet.workers['w2']
+    site.fleet.store.put(
+        'workers', 'w2', worker.info._replace(is_leaving=True)
+    )
+    await trio.sleep(0.5)
+    n_before = worker.n_starts
+    await site.send(40, every_s=0.01)
+    assert worker.n_starts == n_before
