--- a/src/orioleloom/http1/_client.py
+++ b/src/orioleloom/http1/_client.py
@@ -79,11 +79,13 @@
         target: str,
         body: bytes = b'',
         headers: str = '',
+        host: str = '',
     ) -> Response:
         """Send a request and return its whole answer.
 
         :param address: ``IP:PORT``
         :param headers: further header lines, each ended by CR LF
+        :param host: ``Host`` header, if it is not the address
         :raises NotSentError: no connection could be made
         :raises NoAnswerError: the connection ended before the answer
         """
@@ -91,7 +93,7 @@
         if connection is None:
             connection = await self._connect(address)
         head = (
-            f'{method} {target} HTTP/1.1\r\nHost: {address}\r\n'
+            f'{method} {target} HTTP/1.1\r\nHost: {host or address}\r\n'
             f'Content-Type: application/json\r\n{headers}'
             f'Content-Length: {len(body)}\r\n\r\n'
         )
--- a/src/orioleloom_standins/leased/_worker.py
+++ b/src/orioleloom_standins/leased/_worker.py
@@ -49,9 +49,10 @@
         self.fails_all = False
         self.late_share = 0.0
         self.slowness = 1.0
-        self._begin_life(0.0)
+        self.begin_life(0.0)
 
-    def _begin_life(self, now_s: float) -> None:
+    def begin_life(self, now_s: float) -> None:
+        """Begin to run with empty lists and a clock at zero."""
         self.born_s = now_s
         self.runs: dict[dispatch.TaskKey, _Run] = {}
         self.ends: list[dispatch.RunEnd] = []
@@ -64,7 +65,7 @@
     def restart(self, now_s: float) -> None:
         """Begin a new life that knows nothing."""
         self.info = self.info._replace(life=self.info.life + 1)
-        self._begin_life(now_s)
+        self.begin_life(now_s)
 
     def slow_down(self, factor: float, now_s: float) -> None:
         """Take so many times as long from now on, also for what runs.
--- /dev/null
+++ b/src/orioleloom_standins/soak.py
@@ -0,0 +1,320 @@
+"""Randomized faults on real processes of the platform's program.
+
+Instances are processes of their own on loopback; store and workers are
+the stand-ins of :mod:`orioleloom_standins.wire` in this process, each
+behind a proxy. What callers and workers see is checked.
+"""
+
+import contextlib
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import typing
+
+import msgspec
+import trio
+
+from orioleloom import http1
+from orioleloom_standins import leased
+from orioleloom_standins import wire
+from orioleloom_standins.wire import _proxy
+
+# A caller without an answer sends its job again after this time.
+_RESEND_S = 1.3
+_READY_TIMEOUT_S = 15.0
+_RECOVERY_S = 8.0
+_CALL_TIMEOUT_S = 6.0
+
+
+class SoakReport(typing.NamedTuple):
+    """Result of one run.
+
+    :param statuses: final answers by status; 0 means no answer
+    :param violations: promises that were broken
+    """
+
+    seed: int
+    faults: list[str]
+    n_jobs: int
+    statuses: dict[int, int]
+    violations: list[str]
+
+
+class _Instance:
+    """A process of the platform's program."""
+
+    def __init__(self, site: wire.Site, number: int, n: int, folder: str):
+        self.number = number
+        self.address = f'{site.ip(number)}:8161'
+        self.path = pathlib.Path(folder) / f'instance-{number}.yaml'
+        self.path.write_bytes(msgspec.json.encode(site.settings(number, n)))
+        self.log = pathlib.Path(folder) / f'instance-{number}.log'
+        self.process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        environment = {**os.environ, 'ORIOLELOOM_BOOT': str(self.path)}
+        with self.log.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'orioleloom.platform'],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        # Only a process started here, and not yet waited for, is signalled.
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def wait(self, timeout_s: float) -> int | None:
+        with trio.move_on_after(timeout_s):
+            while self.process.poll() is None:
+                await trio.sleep(0.02)
+        return self.process.poll()
+
+
+class _Soak:
+    def __init__(self, site: wire.Site, rng: random.Random, folder: str):
+        self.site = site
+        self.rng = rng
+        self.instances = [_Instance(site, n, 3, folder) for n in (1, 2, 3)]
+        self.client = http1.Client()
+        self.faults: list[str] = []
+        self.violations: list[str] = []
+        self.statuses: dict[int, int] = {}
+        self.n_jobs = 0
+        self.start_s = trio.current_time()
+        self._watch_violations()
+
+    def _watch_violations(self) -> None:
+        check = self.site.world.worker_changed
+
+        def checked(worker: leased.LeasedWorker) -> None:
+            try:
+                check(worker)
+            except leased.Violation as exc:
+                self.violations.append(str(exc))
+
+        self.site.world.worker_changed = checked
+
+    def note(self, text: str) -> None:
+        self.faults.append(f'{trio.current_time() - self.start_s:.2f} {text}')
+
+    # Callers
+
+    async def post(self, instance: _Instance, path: str, body: bytes) -> int:
+        """Return the status of a submission; 0 if there is no answer."""
+        with trio.move_on_after(_CALL_TIMEOUT_S):
+            try:
+                response = await self.client.request(
+                    instance.address,
+                    'POST',
+                    path,
+                    body,
+                    'X-Orioleloom-Deadline-Ms: 4000\r\n',
+                    host=wire._site.HOST,
+                )
+            except (http1.NotSentError, http1.NoAnswerError):
+                return 0
+            return response.status
+        return 0
+
+    async def send_job(self) -> None:
+        """Send a job, and again after no answer, 502 or 504."""
+        self.n_jobs += 1
+        path = f'/check/{self.n_jobs:016x}'
+        body = wire.submission(
+            self.rng.choice((1, 2, 4)), self.rng.choice((0.05, 0.2, 0.6))
+        )
+        status = 0
+        for _ in range(4):
+            status = await self.post(
+                self.rng.choice(self.instances), path, body
+            )
+            if status not in (0, 502, 504):
+                break
+            await trio.sleep(_RESEND_S)
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    async def send_jobs(self, duration_s: float) -> None:
+        """Send jobs at random times and wait for all of them."""
+        end_s = trio.current_time() + duration_s
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end_s:
+                nursery.start_soon(self.send_job)
+                await trio.sleep(self.rng.expovariate(8.0))
+
+    # Faults
+
+    async def make_trouble(self, duration_s: float) -> None:
+        """Begin faults in series; they overlap."""
+        actions = (
+            self._kill,
+            self._pause,
+            self._stop,
+            self._store_down,
+            self._harm_proxy,
+            self._reset,
+            self._worker_dark,
+            self._answers_lost,
+        )
+        end_s = trio.current_time() + duration_s
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self.rng.expovariate(1.2))
+                if trio.current_time() >= end_s:
+                    break
+                nursery.start_soon(
+                    self.rng.choice(actions), self.rng.uniform(0.2, 3.0)
+                )
+
+    async def _kill(self, for_s: float) -> None:
+        instance = self.rng.choice(self.instances)
+        self.note(f'kill {instance.number}')
+        instance.signal(signal.SIGKILL)
+        await self._restart(instance, for_s)
+
+    async def _restart(self, instance: _Instance, for_s: float) -> None:
+        await instance.wait(7.0)
+        await trio.sleep(for_s / 3)
+        if instance.process.poll() is not None:
+            instance.start()
+
+    async def _pause(self, for_s: float) -> None:
+        instance = self.rng.choice(self.instances)
+        self.note(f'pause {instance.number} for {for_s:.1f}')
+        instance.signal(signal.SIGSTOP)
+        await trio.sleep(for_s)
+        instance.signal(signal.SIGCONT)
+
+    async def _stop(self, for_s: float) -> None:
+        instance = self.rng.choice(self.instances)
+        self.note(f'stop {instance.number}')
+        instance.signal(signal.SIGTERM)
+        await self._restart(instance, for_s)
+
+    async def _store_down(self, for_s: float) -> None:
+        self.note(f'store down for {for_s:.1f}')
+        self.site.store.is_down = True
+        await trio.sleep(for_s)
+        self.site.store.is_down = False
+
+    async def _harm_proxy(self, for_s: float) -> None:
+        proxy = self.rng.choice(self.site.proxies)
+        mode = self.rng.choice(list(_proxy.Mode)[1:])
+        self.note(f'proxy {self.site.proxies.index(proxy)} {mode} {for_s:.1f}')
+        proxy.mode = mode
+        await trio.sleep(for_s)
+        proxy.mode = _proxy.Mode.PASS
+
+    async def _reset(self, for_s: float) -> None:
+        self.note('reset connections')
+        for proxy in self.rng.sample(self.site.proxies, 3):
+            proxy.reset_all()
+
+    async def _worker_dark(self, for_s: float) -> None:
+        served = self.rng.choice(list(self.site.workers.values()))
+        self.note(f'worker {served.worker.info.id} dark for {for_s:.1f}')
+        served.is_dark = True
+        await trio.sleep(for_s)
+        served.is_dark = False
+
+    async def _answers_lost(self, for_s: float) -> None:
+        self.note(f'answers lost for {for_s:.1f}')
+        for served in self.site.workers.values():
+            served.mute_share = 0.1
+        await trio.sleep(for_s)
+        for served in self.site.workers.values():
+            served.mute_share = 0.0
+
+    # One run
+
+    async def start(self) -> None:
+        """Start the instances and wait until one serves."""
+        for instance in self.instances:
+            instance.start()
+        body = wire.submission(1, 0.01)
+        with trio.fail_after(_READY_TIMEOUT_S):
+            while (
+                await self.post(self.instances[0], '/check/' + 16 * 'f', body)
+                != 200
+            ):
+                await trio.sleep(0.1)
+
+    async def check_recovery(self) -> None:
+        """Check that service returns once all faults have ended."""
+        for instance in self.instances:
+            instance.signal(signal.SIGCONT)
+            if instance.process.poll() is not None:
+                instance.start()
+        await trio.sleep(_RECOVERY_S)
+        for instance in self.instances:
+            self.n_jobs += 1
+            status = await self.post(
+                instance,
+                f'/check/{self.n_jobs:016x}',
+                wire.submission(2, 0.05),
+            )
+            if status != 200:
+                self.violations.append(
+                    f'instance {instance.number} answers {status} after all '
+                    'faults have ended'
+                )
+
+    async def end(self) -> None:
+        """Stop the instances and check their exit codes."""
+        for instance in self.instances:
+            instance.signal(signal.SIGTERM)
+        for instance in self.instances:
+            code = await instance.wait(7.0)
+            if code != 0:
+                self.violations.append(
+                    f'instance {instance.number} ended with {code}'
+                )
+
+
+async def _run(
+    seed: int, duration_s: float, folder: str, network: int
+) -> SoakReport:
+    rng = random.Random(seed)
+    async with trio.open_nursery() as nursery:
+        site = wire.Site(nursery, rng, network)
+        await site.start(6)
+        soak = _Soak(site, rng, folder)
+        try:
+            await soak.start()
+            async with trio.open_nursery() as inner:
+                inner.start_soon(soak.send_jobs, duration_s)
+                inner.start_soon(soak.make_trouble, duration_s)
+            await soak.check_recovery()
+            await soak.end()
+        finally:
+            for instance in soak.instances:
+                instance.signal(signal.SIGCONT)
+                instance.signal(signal.SIGKILL)
+        nursery.cancel_scope.cancel()
+    return SoakReport(
+        seed, soak.faults, soak.n_jobs, soak.statuses, soak.violations
+    )
+
+
+def run_soak(
+    seed: int,
+    duration_s: float,
+    log_folder: str | None = None,
+    network: int = 7,
+) -> SoakReport:
+    """Run instances under random faults.
+
+    :param network: second part of the instances' loopback addresses
+    :param log_folder: keeps the logs of the instances, if given
+    """
+    with contextlib.ExitStack() as stack:
+        folder = log_folder or stack.enter_context(
+            tempfile.TemporaryDirectory()
+        )
+        return trio.run(_run, seed, duration_s, folder, network)
--- /dev/null
+++ b/src/orioleloom_standins/wire/_site.py
@@ -0,0 +1,159 @@
+import json
+import random
+import typing
+
+import msgspec
+import trio
+
+from orioleloom import dispatch
+from orioleloom_standins import leased
+from orioleloom_standins.wire import _proxy
+from orioleloom_standins.wire import _store
+from orioleloom_standins.wire import _worker
+
+HOST = 'tasks.example'
+PREFIX = '/check/'
+_INTERNAL_PORT = 7720
+
+
+def submission(
+    n_tasks: int, work_s: float, *, cpu: int = 6_800, poison: bool = False
+) -> bytes:
+    """Return the body of a job whose tasks take ``work_s`` each."""
+    spec = json.dumps({'work_s': work_s, 'cpu': cpu, 'poison': poison})
+    return msgspec.json.encode(
+        {
+            'spec': spec,
+            'phases': [
+                {'count': n_tasks, 'cpu': cpu, 'estimateMs': 1000 * work_s}
+            ],
+            'bestEffort': True,
+        }
+    )
+
+
+class Site:
+    """Store and workers on loopback, and settings for instances.
+
+    Instance N has the address 127.NETWORK.1.N, so that several sites can
+    run beside each other.
+
+    :param network: second part of the instances' addresses
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        random_state: random.Random,
+        network: int = 0,
+    ):
+        self.network = network
+        self.nursery = nursery
+        self.random_state = random_state
+        self.store = _store.WireStore(nursery)
+        self.store_address = ''
+        self.workers: dict[str, _worker.WireWorker] = {}
+        self.version = 0
+        # The store's first, then one for each worker.
+        self.proxies: list[_proxy.Proxy] = []
+        self.world: leased.World | None = None
+
+    async def _serve(self, server: typing.Any) -> str:
+        """Start a server behind a proxy of its own; return its address."""
+        address = await self.nursery.start(server.serve, '127.0.0.1:0')
+        proxy = _proxy.Proxy(address)
+        self.proxies.append(proxy)
+        return await self.nursery.start(proxy.serve)
+
+    async def start(self, n_workers: int = 4) -> None:
+        """Start store and workers."""
+        self.store_address = await self._serve(self.store.server)
+        infos = leased.site_workers(n_workers)
+        world = self.world = leased.World(infos, self.random_state)
+        for worker in infos:
+            served = _worker.WireWorker(self.nursery, worker, world)
+            address = await self._serve(served.server)
+            worker.info = worker.info._replace(
+                address=address, data_centre='dc1'
+            )
+            worker.begin_life(trio.current_time())
+            self.workers[worker.info.id] = served
+            self.list_worker(worker.info.id)
+        self.configure()
+
+    def list_worker(self, worker_id: str, state: str = 'ready') -> None:
+        """Write the entry of a worker."""
+        info = self.workers[worker_id].worker.info
+        self.store.put(
+            'servers',
+            worker_id,
+            {
+                'service': info.upstream,
+                'address': info.address,
+                'zone': info.data_centre,
+                'state': state,
+                'capacity': {'cpu': info.capacity.cpu_millicores},
+                'labels': list(info.labels),
+                'born': info.life,
+                'seq': 1,
+            },
+        )
+
+    def configure(self, prefixes: typing.Sequence[str] = (PREFIX,)) -> None:
+        """Write a new configuration with these routes."""
+        self.version += 3
+        self.store.put(
+            'op',
+            'config',
+            {
+                'version': self.version,
+                'routes': [
+                    {
+                        'name': f'q{prefix}',
+                        'host': HOST,
+                        'pathPrefix': prefix,
+                        'service': 'pool',
+                        'targetLatencyMs': 60,
+                        'maxAttempts': 2,
+                        'slackFactor': 1.6,
+                    }
+                    for prefix in prefixes
+                ],
+                'limits': {'maxHeaderBytes': 4_000, 'maxBodyBytes': 50_000},
+            },
+        )
+
+    def ip(self, number: int) -> str:
+        """Return the address of an instance."""
+        return f'127.{self.network}.1.{number}'
+
+    def settings(self, number: int, n_instances: int) -> dict:
+        """Return the settings file of an instance."""
+        ip = self.ip(number)
+        return {
+            'nodeName': f'edge-{number}',
+            'ip': ip,
+            'zone': 'dc1',
+            'listen': {
+                'frontend': f'{ip}:8161',
+                'readinessAddr': f'{ip}:8167',
+                'control': f'{ip}:8166',
+            },
+            'internalPorts': [_INTERNAL_PORT, _INTERNAL_PORT + 15],
+            'seeds': [
+                f'{self.ip(seed)}:8166'
+                for seed in range(1, min(3, n_instances) + 1)
+            ],
+            'limits': {'cpuShare': 1.0, 'cores': 1, 'maxFds': 1024},
+            'bounds': {'graceS': 6, 'maxHoldMs': 1000},
+            'platform': {'address': self.store_address},
+        }
+
+    def runs(self) -> set[dispatch.TaskKey]:
+        """Return the tasks that run now."""
+        now_s = trio.current_time()
+        found = set()
+        for served in self.workers.values():
+            served.worker.advance(now_s)
+            found.update(key for key, _ in served.worker.running())
+        return found
