Survive the lack of descriptors; carry the list of instances in every tenth beat

Beats carried the ids of all instances ten times a second: 7 KB a second and node at 30 instances.

Change: a connection that cannot be made for want of a descriptor counts as not sent; three idle connections a worker are kept instead of eight. Beats carry the list when it changes and once a second.

--- a/src/orioleloom/http1/_client.py
+++ b/src/orioleloom/http1/_client.py
@@ -6,8 +6,10 @@
 import trio
 
 _READ_BYTES = 65536
-# Idle connections kept to one address; more are closed.
-_MAX_IDLE_PER_ADDRESS = 8
+# Idle connections kept to one address; more are closed. A leader has up to
+# four questions and orders open to a worker at a time; 176 workers times
+# three fit into the 1,438 sockets of the smallest machine.
+_MAX_IDLE_PER_ADDRESS = 3
 
 
 class NotSentError(Exception):
@@ -128,7 +130,11 @@
 
     async def _connect(self, address: str) -> socket.socket:
         host, _, port = address.rpartition(':')
-        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as exc:
+            # The process is out of descriptors.
+            raise NotSentError(f'{address}: {exc}') from exc
         try:
             connection.setblocking(False)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/orioleloom/leadership/_elector.py
+++ b/src/orioleloom/leadership/_elector.py
@@ -151,11 +151,13 @@
         data_centre: str,
         term: int,
         scope: str,
-        alive: typing.Iterable[str],
+        alive: typing.Iterable[str] | None,
         now_s: float,
     ) -> bool:
         """Take note of a leader's beat.
 
+        :param alive: instances in contact with the leader; ``None`` if
+            they are those of an earlier beat
         :returns: whether the sender is followed from now on
         """
         if scope not in (FLEET, self.data_centre):
@@ -171,7 +173,8 @@
         self.leader_data_centre = data_centre
         self.term = term
         self.scope = scope
-        self.alive = frozenset(alive)
+        if alive is not None:
+            self.alive = frozenset(alive)
         self.last_beat_s = now_s
         self.is_first_search = False
         return True
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -37,6 +37,9 @@
 # Beats to an instance that does not answer are sent this many times more
 # seldom, since most of them are gone.
 _SILENT_BEAT_EVERY = 10
+# Of the beats, so many carry the list of instances though it is the same:
+# it grows with the fleet, and a beat may be lost.
+_FULL_BEAT_EVERY = 10
 # Replies to beats older than this many beats are stale.
 _MAX_BEATS_LATE = 6
 
@@ -91,6 +94,7 @@
         )
         self.followers: dict[str, Follower] = {}
         self.sequence = 0
+        self._sent_alive: list[str] | None = None
         self.is_closed = False
         self._token_step = _FIRST_TOKEN_STEP
         self._raised_s = -1e9
@@ -289,7 +293,11 @@
     def beat(self, member_ids: typing.Iterable[str], now_s: float) -> None:
         """Send a sign of life to the other instances."""
         self.sequence += 1
-        alive = self.alive()
+        alive: list[str] | None = self.alive()
+        if alive == self._sent_alive and self.sequence % _FULL_BEAT_EVERY:
+            alive = None
+        else:
+            self._sent_alive = alive
         n_unstarted = self.n_unstarted()
         for number, member_id in enumerate(sorted(member_ids)):
             follower = self.follower(member_id)
@@ -297,7 +305,7 @@
                 (self.sequence + number) % _SILENT_BEAT_EVERY
             ):
                 continue
-            self.send_beat(follower, alive, n_unstarted)
+            self._send_beat(follower, alive, n_unstarted)
 
     def follower(self, member_id: str) -> Follower:
         """Return the record of an instance."""
@@ -307,13 +315,16 @@
             self.followers[member_id] = known
         return known
 
-    def send_beat(
+    def send_beat(self, follower: Follower) -> None:
+        """Send a sign of life to one instance at once."""
+        self._send_beat(follower, self.alive(), self.n_unstarted())
+
+    def _send_beat(
         self,
         follower: Follower,
-        alive: list[str] | None = None,
-        n_unstarted: dict[str, int] | None = None,
+        alive: list[str] | None,
+        n_unstarted: dict[str, int],
     ) -> None:
-        """Send a sign of life to one instance."""
         self.send(
             follower.instance_id,
             _messages.Beat(
@@ -322,8 +333,8 @@
                 follower.session,
                 self.sequence,
                 not follower.is_lost,
-                self.alive() if alive is None else alive,
-                self.n_unstarted() if n_unstarted is None else n_unstarted,
+                alive,
+                n_unstarted,
                 self.dispatcher.token,
             ),
         )
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -41,7 +41,8 @@
         of an earlier session are ignored
     :param sequence: rises with each beat
     :param is_heard: the leader has heard the instance a moment ago
-    :param alive: instances that the leader has heard a moment ago
+    :param alive: instances that the leader has heard a moment ago, or
+        ``None`` if they are those of an earlier beat
     :param n_unstarted: jobs without a started task, by queue
     :param token: fencing token of the leader
     """
@@ -51,7 +52,7 @@
     session: int
     sequence: int
     is_heard: bool
-    alive: list[str]
+    alive: list[str] | None
     n_unstarted: dict[str, int]
     token: int = 0
 
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -25,7 +25,7 @@
 # The last answers leave this long before SIGKILL.
 _EXIT_MARGIN_S = 0.5
 # Descriptors kept for files, peers and workers.
-_RESERVED_FDS = 600
+_RESERVED_FDS = 1000
 _SETTINGS_CHECK_S = 2.0
 _LOG_FLUSH_S = 0.2
 
--- a/tests/http1/test_http1.py
+++ b/tests/http1/test_http1.py
@@ -147,6 +147,17 @@
         await http1.Client().request(f'127.0.0.1:{port}', 'GET', '/')
 
 
+async def test_process_without_descriptors_has_not_sent(monkeypatch):
+    """Guards against an error that ends the leader's whole process."""
+
+    def no_socket(*args):
+        raise OSError(24, 'Too many open files')
+
+    monkeypatch.setattr(socket, 'socket', no_socket)
+    with pytest.raises(http1.NotSentError):
+        await http1.Client().request('127.0.0.1:1', 'GET', '/')
+
+
 async def test_connection_that_ends_leaves_the_outcome_open():
     async with trio.open_nursery() as nursery:
         _, address = await start_server(
