Keep runs over a worker's new life until its own list speaks; lead on strong instances

A lagging list could also bring the older life back. On the grown deployment an instance that had heard only the few that had registered led the fleet, however weak.

Change: lives only rise; at a new life the runs stay until a report of it that was asked for after their start does not list them. A changed capacity changes the free room. Elections wait for 0.25 s at a start, and a leader hands over to a follower with 1.5 times its capacity.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -159,15 +159,18 @@
         """Take over the platform's list of workers."""
         for worker_id, info in listed.items():
             worker = self.workers.get(worker_id)
-            if worker is None or worker.info.life != info.life:
-                if worker is not None:
-                    self._end_life(worker, 'restarted', now_s)
+            if worker is None:
                 worker = self.workers[worker_id] = _workers.Worker(info)
                 self._watch(worker)
+                continue
+            if info.life > worker.info.life:
+                self._new_life(worker, info)
+                self._watch(worker)
             else:
-                worker.info = info
-                worker.is_listed = True
-                worker.delisted_s = math.inf
+                # An older life in the list lags behind the worker's word.
+                worker.update(info._replace(life=worker.info.life))
+            worker.is_listed = True
+            worker.delisted_s = math.inf
         for worker_id, worker in list(self.workers.items()):
             if worker_id in listed:
                 continue
@@ -274,17 +277,11 @@
         worker = self.workers.get(worker_id)
         if worker is None:
             return
-        if (
-            report.life
-            and worker.info.life
-            and (report.life != worker.info.life)
-        ):
-            self._end_life(worker, 'restarted', now_s)
-            info = worker.info._replace(life=report.life)
-            watched = worker.is_watched
-            worker = self.workers[worker_id] = _workers.Worker(info)
-            worker.is_watched = watched
-            self.placement.sort()
+        if 0 < report.life < worker.info.life:
+            # Written before the worker started again.
+            return
+        if report.life > worker.info.life:
+            self._new_life(worker, worker.info._replace(life=report.life))
         worker.set_clock(report.clock_ms, now_s)
         self._changed[worker_id] = worker
         worker.confirmed_s = max(worker.confirmed_s, asked_s)
@@ -341,6 +338,20 @@
                 else None,
             )
 
+    def _new_life(
+        self, worker: _workers.Worker, info: _records.WorkerInfo
+    ) -> None:
+        """Take note that a worker has started again under its id.
+
+        Its next report shows which of the runs are in the new life: a
+        start may have reached that already.
+        """
+        if worker.info.life:
+            self._log(
+                'worker_life_ended', worker=worker.id, reason='restarted'
+            )
+        worker.begin_life(info)
+
     def _end_life(
         self, worker: _workers.Worker, reason: str, now_s: float
     ) -> None:
--- a/src/orioleloom/dispatch/_records.py
+++ b/src/orioleloom/dispatch/_records.py
@@ -122,7 +122,7 @@
 class WorkerInfo(typing.NamedTuple):
     """A worker as the platform lists it.
 
-    :param life: identifies one life of the worker; it changes when the
+    :param life: identifies one life of the worker; it rises when the
         worker starts again under its id
     :param is_leaving: the worker takes no new work
     """
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -108,6 +108,21 @@
         """Return the worker's id."""
         return self.info.id
 
+    def update(self, info: _records.WorkerInfo) -> None:
+        """Take over what the platform lists of the worker."""
+        if info.capacity != self.info.capacity:
+            used = self.info.capacity.minus(self.free)
+            self.free = info.capacity.minus(used)
+        self.info = info
+
+    def begin_life(self, info: _records.WorkerInfo) -> None:
+        """Forget what is only true of the life before."""
+        self.update(info)
+        self.is_known = False
+        self.acked_through = 0
+        self.n_silences = 0
+        self.succeeded()
+
     def add_run(self, run: Run) -> None:
         """Occupy room for a run."""
         self.runs[run.key] = run
--- a/src/orioleloom/leadership/_elector.py
+++ b/src/orioleloom/leadership/_elector.py
@@ -17,6 +17,8 @@
 # A process that has just started waits longer, since its peers may be
 # starting as well.
 _FIRST_SEARCH_S = 0.5
+# Instances that start together have registered after this time.
+_REGISTRATION_S = 0.25
 # The best candidate has this long to begin; then the next one does.
 _CANDIDATE_S = 0.4
 # Without contact to half of the instances last known alive, an instance
@@ -258,7 +260,9 @@
             self.term = max(self.term, peer.term)
         searched_s = now_s - self.search_since_s
         first = _FIRST_SEARCH_S if self.is_first_search else _SEARCH_S
-        if searched_s < first and not self._has_heard_all(heard, n_members):
+        if searched_s < first and not self._has_heard_all(
+            heard, n_members, searched_s
+        ):
             return False
         # A peer with a leader either loses it soon or can pass our state
         # on to nobody: this instance is then out of contact by itself.
@@ -295,12 +299,19 @@
                 self.role = Role.ISOLATED
         return False
 
-    def _has_heard_all(self, heard: list[PeerState], n_members: int) -> bool:
+    def _has_heard_all(
+        self, heard: list[PeerState], n_members: int, searched_s: float
+    ) -> bool:
         """Return whether nobody is left who could still answer."""
         if self.alive:
             lost = {self.instance_id, self._lost_leader_id}
             return self.alive - lost <= {p.instance_id for p in heard}
-        return n_members > 1 and len(heard) + 1 >= n_members
+        # Others may not have registered yet.
+        return (
+            searched_s >= _REGISTRATION_S
+            and n_members > 1
+            and len(heard) + 1 >= n_members
+        )
 
     def _is_best(self, heard: list[PeerState], waited_s: float) -> bool:
         """Return whether no better candidate is left.
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -40,6 +40,10 @@
 # Of the beats, so many carry the list of instances though it is the same:
 # it grows with the fleet, and a beat may be lost.
 _FULL_BEAT_EVERY = 10
+# A follower with so many times the leader's capacity takes over, once both
+# have been in their roles for a while.
+_BETTER_RANK = 1.5
+_SETTLED_S = 2.0
 # Replies to beats older than this many beats are stale.
 _MAX_BEATS_LATE = 6
 
@@ -52,7 +56,9 @@
         self.session = session
         self.last_heard_s = -1e9
         self.is_lost = True
+        self.joined_s = 0.0
         self.is_stopping = False
+        self.rank = 0.0
 
 
 class Leader:
@@ -360,9 +366,11 @@
             return
         if follower.is_lost:
             _log.log('follower_joined', peer=member_id)
+            follower.joined_s = now_s
         follower.is_lost = False
         follower.last_heard_s = now_s
         follower.is_stopping = reply.is_stopping
+        follower.rank = reply.rank
         if reply.sequence >= self._challenge_sequence:
             self.dispatcher.resume_instance(member_id, now_s)
         wanted = set(reply.job_ids)
@@ -414,6 +422,28 @@
             )
             self.carry_out()
 
+    def successors(self) -> list[Follower]:
+        """Return the followers that may lead, the best one first."""
+        return sorted(
+            (
+                f
+                for f in self.followers.values()
+                if not f.is_lost and not f.is_stopping
+            ),
+            key=lambda f: (-f.rank, f.instance_id),
+        )
+
+    def better_leader(self, rank: float, now_s: float) -> Follower | None:
+        """Return a follower that has far more capacity for leading."""
+        for follower in self.successors()[:1]:
+            if (
+                follower.rank > rank * _BETTER_RANK
+                and now_s - follower.joined_s > _SETTLED_S
+                and now_s - self.dispatcher.created_s > _SETTLED_S
+            ):
+                return follower
+        return None
+
     def has_most_followers(self) -> bool:
         """Return whether at least half of the known instances answer."""
         seen = [f for f in self.followers.values() if f.last_heard_s > 0]
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -62,6 +62,7 @@
 
     :param job_ids: every job that the instance waits for
     :param lacks_tables: the instance has not read the store's tables yet
+    :param rank: its capacity for leading
     """
 
     term: int
@@ -70,6 +71,7 @@
     job_ids: list[str]
     is_stopping: bool
     lacks_tables: bool = False
+    rank: float = 0.0
 
 
 class SubmitJob(typing.NamedTuple):
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -256,19 +256,11 @@
         if leader is None:
             return
         now_s = trio.current_time()
-        successor = max(
-            (
-                f
-                for f in leader.followers.values()
-                if not f.is_lost and not f.is_stopping
-            ),
-            key=lambda f: f.last_heard_s,
-            default=None,
-        )
-        if successor is None:
+        successors = leader.successors()
+        if not successors:
             _log.log('no_successor', n_followers=len(leader.followers))
             return
-        self._retire(successor.instance_id, now_s)
+        self._retire(successors[0].instance_id, now_s)
 
     def _retire(self, successor_id: str, now_s: float) -> None:
         leader = self.leader
@@ -491,6 +483,7 @@
                 ],
                 self.is_stopping,
                 self._lacks_tables(),
+                self.settings.rank,
             ),
         )
         for pending in list(self.pending.values()):
@@ -683,8 +676,14 @@
         return leadership.Reach.OTHERS_LEAD
 
     def _beat(self) -> None:
-        if self.leader is not None:
-            self.leader.beat(self.peers, trio.current_time())
+        leader = self.leader
+        if leader is None:
+            return
+        now_s = trio.current_time()
+        leader.beat(self.peers, now_s)
+        better = leader.better_leader(self.settings.rank, now_s)
+        if better is not None and leader.scope == leadership.FLEET:
+            self._retire(better.instance_id, now_s)
 
     def _write_leader_sign(self) -> None:
         if self.leader is not None and self.leader.scope == leadership.FLEET:
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -301,6 +301,8 @@
         self.workers = self.world.workers
         self.nodes: dict[str, node.Node] = {}
         self.outcomes: dict[str, dispatch.Outcome] = {}
+        # Capacity for leading, where it is not 1.
+        self.ranks: dict[str, float] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._data_centres = {
             f'e{number}': name for number, name in enumerate(data_centres)
@@ -333,7 +335,12 @@
         self.network.place(instance_id, data_centre)
         service = timers.TimerService(random_state=random.Random(1))
         instance = node.Node(
-            settings=node.Settings(instance_id, data_centre, address, 1.0),
+            settings=node.Settings(
+                instance_id,
+                data_centre,
+                address,
+                self.ranks.get(instance_id, 1.0),
+            ),
             store=Store(self, instance_id),
             gateway=_Gateway(self, instance_id),
             timer_service=service,
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -365,6 +365,18 @@
     assert second.run_id > start.run_id
 
 
+def test_older_life_in_the_list_does_not_end_runs():
+    """Guards against a second run when the list lags; seed 4007."""
+    harness = Harness('w1', 'w2')
+    harness.report('w1', life=2)
+    harness.submit(one_step_job())
+    (start,) = harness.starts()
+    harness.accept(start)
+    # The list still has the life before.
+    harness.dispatcher.set_workers(harness.infos, harness.now_s)
+    assert not harness.starts()
+
+
 def test_cancelled_job_stops_its_runs():
     harness = Harness('w1')
     job = one_step_job(n_tasks=2)
--- a/tests/leased/test_histories.py
+++ b/tests/leased/test_histories.py
@@ -17,6 +17,8 @@
     93: 'tokens without bound',
     # A stale run of the same task hid a newer one of another leader.
     2019: 'stale run',
+    # The list of workers lagged behind a worker's new life.
+    4007: 'older life in the list',
 }
 
 
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -147,6 +147,20 @@
     assert set(site.kinds(ids)) == {'completed'}
 
 
+async def test_far_stronger_instance_takes_over(site, autojump_clock):
+    """A weak instance must not place the tasks of the whole fleet."""
+    (leader,) = site.fleet.leaders()
+    strong = next(n for n in sorted(site.fleet.nodes) if n != leader)
+    site.fleet.ranks[strong] = 5.0
+    site.fleet.kill(strong)
+    await trio.sleep(1)
+    site.fleet.start(strong)
+    ids = await site.send(60)
+    await trio.sleep(2)
+    assert site.fleet.leaders() == [strong]
+    assert set(site.kinds(ids)) == {'completed'}
+
+
 async def test_new_configuration_is_in_force_everywhere(site, autojump_clock):
     site.fleet.store.put('routing', 'config', node.Routing(7, ()))
     await trio.sleep(0.1)
