Bind handed over jobs to the highest token seen; hand over within a scope

The leader of a cut off data centre was stopped, and its successor led the whole fleet, so that two leaders of the fleet with one term raised their tokens after the cut. A leader may use a raised token on workers that have not seen it; the other one's confirmations of a lower token did not bind it. The end of a leader process during its shutdown failed with code 1, as a timer called into a closing nursery.

Change: a submitted job carries the highest token that its instance has heard; a new leader exceeds it before it asks for confirmations. A successor takes over the scope. A superseded leader sends its beat to all instances at once. The nursery is forgotten when it closes.

--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -116,8 +116,12 @@
         with self._cancel_scope:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                self.carry_out()
-                await trio.sleep_forever()
+                try:
+                    self.carry_out()
+                    await trio.sleep_forever()
+                finally:
+                    # A timer may still call once the nursery is closing.
+                    self._nursery = None
 
     def close(self) -> None:
         """Give no more orders."""
@@ -296,8 +300,13 @@
             *(f.instance_id for f in self.followers.values() if not f.is_lost),
         ]
 
-    def beat(self, member_ids: typing.Iterable[str], now_s: float) -> None:
-        """Send a sign of life to the other instances."""
+    def beat(
+        self, member_ids: typing.Iterable[str], *, everyone: bool = False
+    ) -> None:
+        """Send a sign of life to the other instances.
+
+        :param everyone: also to those that have not answered for long
+        """
         self.sequence += 1
         alive: list[str] | None = self.alive()
         if alive == self._sent_alive and self.sequence % _FULL_BEAT_EVERY:
@@ -307,8 +316,10 @@
         n_unstarted = self.n_unstarted()
         for number, member_id in enumerate(sorted(member_ids)):
             follower = self.follower(member_id)
-            if follower.is_lost and (
-                (self.sequence + number) % _SILENT_BEAT_EVERY
+            if (
+                follower.is_lost
+                and not everyone
+                and ((self.sequence + number) % _SILENT_BEAT_EVERY)
             ):
                 continue
             self._send_beat(follower, alive, n_unstarted)
@@ -402,6 +413,12 @@
         if message.session != follower.session:
             return
         contact_s = message.contact_ago_s
+        if contact_s is not None and message.token_seen > (
+            self.dispatcher.token
+        ):
+            # The earlier leader may use that token where it has not been
+            # seen yet; confirmations of a lower one would not bind it.
+            self.raise_token(message.token_seen + _FIRST_TOKEN_STEP)
         self.dispatcher.submit(
             message.job,
             member_id,
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -81,6 +81,7 @@
     :param remaining_s: time until the caller stops waiting
     :param contact_ago_s: time since the last contact with an earlier
         leader that had the job, or ``None``
+    :param token_seen: highest fencing token that the instance has heard
     """
 
     term: int
@@ -89,6 +90,7 @@
     age_s: float
     remaining_s: float
     contact_ago_s: float | None
+    token_seen: int = 0
 
 
 class CancelJob(typing.NamedTuple):
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -496,9 +496,10 @@
         if sender_id != self.elector.leader_id:
             return
         self._lost_contact_s = now_s
+        scope = self.elector.scope
         self.elector.search(now_s)
         if message.successor_id == self.me.instance_id:
-            self._lead(leadership.FLEET, now_s)
+            self._lead(scope, now_s)
 
     # Leadership
 
@@ -531,7 +532,7 @@
         self._nursery.start_soon(leader.run)
         self._set_workers(now_s)
         self._worker_scope.cancel()
-        leader.beat(self.peers, now_s)
+        leader.beat(self.peers)
         for pending in list(self.pending.values()):
             self._submit_pending(pending, now_s)
 
@@ -549,6 +550,7 @@
         leader.close()
         self._worker_scope.cancel()
         self._lost_contact_s = now_s
+        self._highest_token = max(self._highest_token, leader.dispatcher.token)
         if not following:
             self.elector.step_down(now_s)
         _log.log('leading_ended', term=leader.term)
@@ -561,7 +563,9 @@
         if leader.scope == leadership.FLEET and leader.has_most_followers():
             if leader.may_raise_token(now_s):
                 leader.raise_token(self._new_token())
-                leader.beat(self.peers, now_s)
+                # The other leader gives way, or this one, when they hear
+                # of each other.
+                leader.beat(self.peers, everyone=True)
             return
         _log.log('superseded', term=leader.term, scope=leader.scope)
         self._stop_leading(now_s)
@@ -680,7 +684,7 @@
         if leader is None:
             return
         now_s = trio.current_time()
-        leader.beat(self.peers, now_s)
+        leader.beat(self.peers)
         better = leader.better_leader(self.settings.rank, now_s)
         if better is not None and leader.scope == leadership.FLEET:
             self._retire(better.instance_id, now_s)
@@ -769,6 +773,7 @@
                     now_s - pending.arrived_s,
                     pending.deadline_s - now_s,
                     None if contact_s is None else now_s - contact_s,
+                    self._highest_token,
                 ),
             )
 
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -147,6 +147,23 @@
     assert set(site.kinds(ids)) == {'completed'}
 
 
+async def test_successor_in_a_cut_off_data_centre_keeps_its_scope(
+    site, autojump_clock
+):
+    """Guards against a second leader of the fleet after the cut.
+
+    Seen on the grown deployment: both raised their tokens, and a task ran
+    twice at one time.
+    """
+    site.fleet.network.cut_data_centre('dc1')
+    await trio.sleep(1.0)
+    (leader,) = set(site.fleet.leaders()) & {'e2', 'e3'}
+    site.fleet.nodes[leader].begin_stop()
+    await trio.sleep(0.1)
+    (successor,) = set(site.fleet.leaders()) & {'e2', 'e3'}
+    assert site.fleet.nodes[successor].leader.scope == 'dc1'
+
+
 async def test_far_stronger_instance_takes_over(site, autojump_clock):
     """A weak instance must not place the tasks of the whole fleet."""
     (leader,) = site.fleet.leaders()
