Remove unused attributes of the adapter

Cause: two attributes of the readiness page and one field of the settings were never read; one log line went around the common function. Change: they are removed; behaviour is the same. Result: tests/platform, tests/node and tests/docs pass.

--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -1,7 +1,6 @@
 import random
 import typing
 
-import eliot
 import trio
 
 from orioleloom import dispatch
@@ -37,8 +36,8 @@
 # Beats to an instance that does not answer are sent this many times more
 # seldom, since most of them are gone.
 _SILENT_BEAT_EVERY = 10
-# Of the beats, so many carry the list of instances though it is the same:
-# it grows with the fleet, and a beat may be lost.
+# One beat of so many carries the list of instances though it is unchanged,
+# since a beat may be lost. The list grows with the fleet.
 _FULL_BEAT_EVERY = 10
 # A follower with so many times the leader's capacity takes over, once both
 # have been in their roles for a while.
@@ -486,6 +485,4 @@
         self._token_step = min(2 * self._token_step, _MAX_TOKEN_STEP)
         self._challenge_sequence = self.sequence + 1
         self.dispatcher.raise_token(token, self.followers)
-        eliot.log_message(
-            message_type='token_raised', token=self.dispatcher.token
-        )
+        _log.log('token_raised', token=self.dispatcher.token)
--- a/src/orioleloom/platform/_ingress.py
+++ b/src/orioleloom/platform/_ingress.py
@@ -4,7 +4,6 @@
 import typing
 
 import msgspec
-import trio
 
 from orioleloom import dispatch
 from orioleloom import http1
@@ -166,8 +165,6 @@
 
     def __init__(self, instance: node.Node):
         self.instance = instance
-        self.not_ready_s = 0.0
-        self._since_s = trio.current_time()
 
     def on_request(
         self, connection: http1.Connection, request: http1.Request
--- a/src/orioleloom/platform/_settings.py
+++ b/src/orioleloom/platform/_settings.py
@@ -29,11 +29,9 @@
     """The bounds that this adapter uses.
 
     :param grace_s: time between SIGTERM and SIGKILL
-    :param max_lease_ms: longest lease that a worker grants
     """
 
     grace_s: float = msgspec.field(name='graceS', default=6.0)
-    max_lease_ms: float = msgspec.field(name='maxHoldMs', default=1000.0)
 
 
 class StoreSettings(msgspec.Struct):
