--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -39,7 +39,8 @@
 _CAUTION_ORDERS = 3
 
 # A run that takes so many times as long as expected, and so much longer, is
-# a straggler. At 2.2 times one run in 300 was moved without need (model).
+# a straggler. At 2.2 times the load without trouble lost worth to needless
+# moves; at three times it did not (docs/measurements.md).
 _STRAGGLER_FACTOR = 3.0
 _STRAGGLER_S = 0.05
 # Times that a task is moved away from a slow worker.
