Answer an instance that started again at the address it told

Cause: the red test of an instance that starts during an outage. The state of all instances at its failure showed that three peers had each lent start rate and that the newcomer held none: an instance of the same id had run before, and the grants went to the address that the list still named.

Change: the address that an instance tells itself while the platform is away goes before the list's, until its row changes.

--- a/src/orioleloom/engine/_core.py
+++ b/src/orioleloom/engine/_core.py
@@ -30,7 +30,8 @@
 
     :param now_s: monotonic time of the event being handled
     :param unlisted: peer address of instances that asked for the member
-        list, since they started while the platform was away
+        list, since they started while the platform was away; it goes
+        before the list's until their row changes
     :param jobs: every job that this instance holds or remembers
     :param active: those without a final answer
     :param ended: those with one, in order of their end
@@ -127,7 +128,11 @@
         """
         instance_id = peer_id.partition('/')[0]
         member = self.members.find(instance_id)
-        address = member.peer if member else self.unlisted.get(instance_id)
+        # An instance that was started again while the list lags has told
+        # its new address itself.
+        address = self.unlisted.get(instance_id)
+        if not address:
+            address = member.peer if member else ''
         if not address:
             return False
         self.send_address(instance_id, address, message, message_id)
