Split caution, found runs and stragglers from the dispatcher

Change: Caution (when workers are asked twice at a time), FoundRuns (runs and ends of jobs that are not known yet) and the search for stragglers are modules of their own; `_watch` takes the time.

No behaviour is meant to change.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1,22 +1,19 @@
-import collections
 import math
 import typing
 
+from orioleloom.dispatch import _caution
 from orioleloom.dispatch import _estimates
+from orioleloom.dispatch import _found
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _placement
 from orioleloom.dispatch import _records
+from orioleloom.dispatch import _stragglers
 from orioleloom.dispatch import _workers
 
 # Run numbers rise by this many a second, so that a later dispatcher of the
 # same task uses a higher one without a write.
 _RUN_IDS_PER_S = 4
 
-# Runs of an unknown job that a new dispatcher finds on a worker are stopped
-# after this time, in which the instances hand their jobs to it.
-_ORPHAN_GRACE_S = 0.3
-# Ends without a known job are kept this long for the job to arrive.
-_UNCLAIMED_END_S = 2.0
 # After this time without contact an earlier dispatcher has dropped the jobs
 # of an instance (0.6 s) and their leases have ended (1.07 s).
 _HANDOVER_S = 1.8
@@ -27,27 +24,6 @@
 # Workers that have not confirmed are asked again after this time.
 _CONFIRM_INTERVAL_S = 0.05
 
-# A worker that has runs is asked this often at least; a lease of 1 s then
-# survives several lost answers.
-_REPORT_WAIT_S = 0.2
-# While orders stay unanswered, each worker is asked twice at a time, since
-# a lost answer hides the ends of its runs until the next one.
-_CAUTIOUS_WAIT_S = 0.1
-# An unanswered order counts for this long.
-_CAUTION_S = 1.0
-# Unanswered orders within that time that call for caution, and the least
-# share of the starts. With 176 workers and 1,500 starts a second three are
-# chance, and asking every worker twice at a time is dear.
-_CAUTION_ORDERS = 3
-_CAUTION_SHARE = 0.01
-# Weight of the last tenth of a second in the rate of starts.
-_RATE_WEIGHT = 0.2
-
-# A run that takes so many times as long as expected, and so much longer, is
-# a straggler. At 2.2 times the load without trouble lost worth to needless
-# moves; at three times it did not (docs/measurements.md).
-_STRAGGLER_FACTOR = 3.0
-_STRAGGLER_S = 0.05
 # Times that a task is moved away from a slow worker.
 _MAX_MOVES = 2
 
@@ -113,8 +89,7 @@
         self.run_times = _estimates.RunTimes()
         self.placement = _placement.Placement(self.workers)
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
-        self._orphans: dict[_records.TaskKey, tuple[str, int, float]] = {}
-        self._unclaimed: dict[_records.TaskKey, float] = {}
+        self._found = _found.FoundRuns()
         self._answered: dict[str, tuple[_records.Outcome, float]] = {}
         self._stop_due_s: dict[_workers.Run, float] = {}
         self._effects: list[_records.Effect] = []
@@ -127,14 +102,10 @@
         self._confirm_asked_s = -math.inf
         # Jobs of an earlier dispatcher that wait for confirmations.
         self._held: set[str] = set()
-        self._latest_s = now_s
         self._slow_tick_s = now_s
         # Instances that may have left for another dispatcher.
         self._paused: set[str] = set()
-        # Times of the last orders without an answer.
-        self._unanswered: collections.deque[float] = collections.deque()
-        self._starts_per_s = 0.0
-        self._n_starts_rated = 0
+        self._caution = _caution.Caution()
         self.counters: dict[str, int] = {}
 
     # Effects and bookkeeping
@@ -167,11 +138,11 @@
             worker = self.workers.get(worker_id)
             if worker is None:
                 worker = self.workers[worker_id] = _workers.Worker(info)
-                self._watch(worker)
+                self._watch(worker, now_s)
                 continue
             if info.life > worker.info.life:
                 self._new_life(worker, info)
-                self._watch(worker)
+                self._watch(worker, now_s)
             else:
                 # An older life in the list lags behind the worker's word.
                 worker.update(info._replace(life=worker.info.life))
@@ -198,7 +169,7 @@
         for worker_id, worker in list(self.workers.items()):
             if worker.is_listed or worker.runs:
                 continue
-            if worker_id in self._orphan_workers():
+            if worker_id in self._found.workers():
                 continue
             if (
                 worker.info.is_leaving
@@ -206,34 +177,22 @@
             ):
                 del self.workers[worker_id]
 
-    def _orphan_workers(self) -> set[str]:
-        return {entry[0] for entry in self._orphans.values()}
-
-    def _watch(self, worker: _workers.Worker) -> None:
-        for lane in (0, 1) if self._is_cautious(self._latest_s) else (0,):
+    def _watch(self, worker: _workers.Worker, now_s: float) -> None:
+        lanes = (0, 1) if self._caution.is_called_for(now_s) else (0,)
+        for lane in lanes:
             if not worker.is_watched[lane]:
                 worker.is_watched[lane] = True
                 self._effects.append(_records.WatchWorker(worker.id, lane))
 
     def report_wait_s(self, now_s: float) -> float:
         """Return how long a worker may wait for the end of a run."""
-        return _CAUTIOUS_WAIT_S if self._is_cautious(now_s) else _REPORT_WAIT_S
-
-    def _is_cautious(self, now_s: float) -> bool:
-        unanswered = self._unanswered
-        while unanswered and now_s - unanswered[0] > _CAUTION_S:
-            unanswered.popleft()
-        return len(unanswered) >= max(
-            _CAUTION_ORDERS, _CAUTION_SHARE * self._starts_per_s * _CAUTION_S
-        )
+        return self._caution.report_wait_s(now_s)
 
     def _order_unanswered(self, now_s: float) -> None:
-        was_cautious = self._is_cautious(now_s)
-        self._unanswered.append(now_s)
-        if self._is_cautious(now_s) and not was_cautious:
+        if self._caution.order_unanswered(now_s):
             for worker in self.workers.values():
                 if worker.runs:
-                    self._watch(worker)
+                    self._watch(worker, now_s)
 
     def needs_watch(self, worker_id: str, lane: int, now_s: float) -> bool:
         """Return whether a worker must be asked for its runs again.
@@ -243,12 +202,12 @@
         worker = self.workers.get(worker_id)
         if worker is None:
             return False
-        if lane and not (worker.runs and self._is_cautious(now_s)):
+        if lane and not (worker.runs and self._caution.is_called_for(now_s)):
             worker.is_watched[lane] = False
             return False
         if worker.runs or (worker.is_listed and not worker.is_known):
             return True
-        if worker_id in self._orphan_workers():
+        if worker_id in self._found.workers():
             return True
         if worker.n_silences and worker.is_listed:
             return True
@@ -330,9 +289,7 @@
                 continue
             if known.key not in seen:
                 self._run_over(known, 'missing', now_s)
-        for key, (on_worker, run_id, _) in list(self._orphans.items()):
-            if on_worker == worker_id and seen.get(key) != run_id:
-                del self._orphans[key]
+        self._found.keep_listed(worker_id, seen)
         self._release_held(now_s)
         self._request_pump(now_s)
 
@@ -374,9 +331,7 @@
         self._log('worker_life_ended', worker=worker.id, reason=reason)
         for run in list(worker.runs.values()):
             self._run_over(run, reason, now_s)
-        for key, entry in list(self._orphans.items()):
-            if entry[0] == worker.id:
-                del self._orphans[key]
+        self._found.keep_listed(worker.id, {})
 
     # Runs on workers
 
@@ -403,13 +358,13 @@
             self._run_over(run, 'replaced', now_s)
         # Another dispatcher may have given the run a whole lease just now.
         worker.expect_lease(self.settings.lease_s, now_s)
-        if seen.key in self._orphans:
+        if seen.key in self._found:
             return
         task = self._tasks.get(seen.key)
         if task is not None and task.run is None and not task.is_done:
             self._adopt(task, worker, seen.run_id, now_s)
             return
-        self._orphans[seen.key] = (worker.id, seen.run_id, now_s)
+        self._found.add(seen.key, _found.Orphan(worker.id, seen.run_id, now_s))
 
     def _adopt(
         self,
@@ -437,7 +392,7 @@
         task.last_run_id = max(task.last_run_id, run_id)
         task.job.n_sent += 1
         worker.add_run(run)
-        self._watch(worker)
+        self._watch(worker, now_s)
         self._count('runs_adopted')
 
     def _run_ended(
@@ -445,13 +400,13 @@
     ) -> None:
         run = worker.runs.get(end.key)
         if run is None or run.run_id != end.run_id:
-            self._orphans.pop(end.key, None)
+            self._found.pop(end.key)
             if end.kind is _records.EndKind.DONE:
                 task = self._tasks.get(end.key)
                 if task is not None and task.run is None:
                     self._task_done(task, now_s)
                 else:
-                    self._unclaimed[end.key] = now_s
+                    self._found.add_end(end.key, now_s)
             return
         worker.remove_run(run)
         self._stop_due_s.pop(run, None)
@@ -579,7 +534,7 @@
             # for after this shows whether it is over.
             run.stopped_s = now_s
             self._stop_due_s[run] = now_s + 3 * _STOP_INTERVAL_S
-            self._watch(worker)
+            self._watch(worker, now_s)
             if not run.is_accepted:
                 self._effects.append(_records.LookAtWorker(worker_id))
 
@@ -588,7 +543,6 @@
     def _start(
         self, task: _jobs.TaskState, worker: _workers.Worker, now_s: float
     ) -> None:
-        self._latest_s = now_s
         job = task.job
         run_id = max(
             self.run_id_base + int((now_s - self.created_s) * _RUN_IDS_PER_S),
@@ -622,7 +576,7 @@
                 worker.expires_ms(self.settings.lease_s, now_s),
             )
         )
-        self._watch(worker)
+        self._watch(worker, now_s)
 
     def _find_run(
         self, worker_id: str, key: _records.TaskKey, run_id: int
@@ -691,7 +645,7 @@
             case _records.Rejection.NO_ROOM | _records.Rejection.LATE:
                 # The belief about the worker is wrong: ask it.
                 worker.is_known = False
-                self._watch(worker)
+                self._watch(worker, now_s)
             case _records.Rejection.OTHER_LIFE:
                 worker.is_listed = False
                 self._end_life(worker, 'other life answers', now_s)
@@ -735,7 +689,7 @@
             run.worker.remove_run(run)
             if task is not None and task.run is run:
                 self._requeue(task)
-            self._watch(run.worker)
+            self._watch(run.worker, now_s)
             self._request_pump(now_s)
             return
         # A stop keeps the run from beginning later, so that the task can
@@ -834,13 +788,14 @@
         return max(ends_s)
 
     def _claim_found_runs(self, state: _jobs.JobState, now_s: float) -> None:
-        if not self._orphans and not self._unclaimed:
+        if self._found.is_empty():
             return
         for task in list(state.waiting):
-            found = self._orphans.pop(task.key, None)
-            if found is not None and found[0] in self.workers:
-                self._adopt(task, self.workers[found[0]], found[1], now_s)
-            elif self._unclaimed.pop(task.key, None) is not None:
+            found = self._found.pop(task.key)
+            if found is not None and found.worker_id in self.workers:
+                worker = self.workers[found.worker_id]
+                self._adopt(task, worker, found.run_id, now_s)
+            elif self._found.pop_end(task.key):
                 self._task_done(task, now_s)
 
     def _task_done(self, task: _jobs.TaskState, now_s: float) -> None:
@@ -962,8 +917,8 @@
         if now_s >= self._slow_tick_s:
             self._slow_tick_s = now_s + _SLOW_TICK_S
             self.placement.sort()
-            self._rate_starts()
-            self._find_stragglers(now_s)
+            self._caution.rate(self.counters.get('starts', 0), _SLOW_TICK_S)
+            self._move_stragglers(now_s)
             self._forget_workers(now_s)
         self._all_changed = True
         self._expire_leases(now_s)
@@ -975,19 +930,13 @@
         self._forget_old(now_s)
         self._request_pump(now_s)
 
-    def _rate_starts(self) -> None:
-        n_starts = self.counters.get('starts', 0)
-        per_s = (n_starts - self._n_starts_rated) / _SLOW_TICK_S
-        self._n_starts_rated = n_starts
-        self._starts_per_s += _RATE_WEIGHT * (per_s - self._starts_per_s)
-
     def _expire_leases(self, now_s: float) -> None:
         for worker in self.workers.values():
             if worker.runs and now_s > worker.lease_until_s:
                 for run in list(worker.runs.values()):
                     self._run_over(run, 'lease ended', now_s)
                 worker.is_known = False
-                self._watch(worker)
+                self._watch(worker, now_s)
 
     def _repeat_stops(self, now_s: float) -> None:
         for run, due_s in list(self._stop_due_s.items()):
@@ -997,38 +946,23 @@
                 self._stop_due_s[run] = now_s + 5 * _STOP_INTERVAL_S
             self._stop(run, now_s)
 
-    def _find_stragglers(self, now_s: float) -> None:
-        """Move runs away from workers that stand still or turned slow."""
-        for worker in self.workers.values():
-            for run in list(worker.runs.values()):
-                if not run.is_accepted or run.is_stopping:
-                    continue
-                elapsed_s = now_s - run.started_s
-                expected_s = run.expected_s * worker.factor()
-                if (
-                    elapsed_s < expected_s * _STRAGGLER_FACTOR
-                    or elapsed_s < expected_s + _STRAGGLER_S
-                ):
-                    continue
-                # Where another run has ended since, the task is large and
-                # the worker is sound.
-                if worker.last_done_s > run.started_s:
-                    continue
-                self._straggles(worker, run, now_s)
-
-    def _straggles(
-        self, worker: _workers.Worker, run: _workers.Run, now_s: float
-    ) -> None:
-        if not run.is_overdue:
-            run.is_overdue = True
-            worker.overdue(math.log((now_s - run.started_s) / run.expected_s))
-            self._log(
-                'worker_slow',
-                worker=worker.id,
-                job=run.key.job_id,
-                elapsed_ms=round(1000 * (now_s - run.started_s)),
-                expected_ms=round(1000 * run.expected_s * worker.factor()),
-            )
+    def _move_stragglers(self, now_s: float) -> None:
+        for run in _stragglers.find(self.workers.values(), now_s):
+            if _stragglers.correct_speed(run, now_s):
+                self._log(
+                    'worker_slow',
+                    worker=run.worker.id,
+                    job=run.key.job_id,
+                    elapsed_ms=round(1000 * (now_s - run.started_s)),
+                    expected_ms=round(
+                        1000 * run.expected_s * run.worker.factor()
+                    ),
+                )
+            self._move(run, now_s)
+
+    def _move(self, run: _workers.Run, now_s: float) -> None:
+        """Stop a run so that its task starts on another worker."""
+        worker = run.worker
         task = self._tasks.get(run.key)
         if task is None or task.run is not run or task.n_moves >= _MAX_MOVES:
             return
@@ -1040,7 +974,7 @@
         self._stop(run, now_s)
 
     def _look_for_ends(self, now_s: float) -> None:
-        if not self._is_cautious(now_s):
+        if not self._caution.is_called_for(now_s):
             return
         for worker in self.workers.values():
             if not worker.runs or now_s - worker.looked_s < _LOOK_INTERVAL_S:
@@ -1061,16 +995,16 @@
         return run.is_accepted and now_s > run.started_s + expected_s
 
     def _stop_orphans(self, now_s: float) -> None:
-        for key, (worker_id, run_id, since_s) in list(self._orphans.items()):
-            worker = self.workers.get(worker_id)
-            if worker is None:
-                del self._orphans[key]
-            elif now_s - since_s > _ORPHAN_GRACE_S:
-                self._orphans[key] = (worker_id, run_id, now_s)
-                self._count('orphans_stopped')
-                self._effects.append(
-                    _records.StopRun(worker.info, key, run_id, self.token)
+        for key, orphan in self._found.take_due(self.workers, now_s):
+            self._count('orphans_stopped')
+            self._effects.append(
+                _records.StopRun(
+                    self.workers[orphan.worker_id].info,
+                    key,
+                    orphan.run_id,
+                    self.token,
                 )
+            )
 
     def _expire_jobs(self, now_s: float) -> None:
         for job in list(self.jobs.values()):
@@ -1104,9 +1038,7 @@
         return self.random_state.uniform(*_RETRY_AFTER_S)
 
     def _forget_old(self, now_s: float) -> None:
-        for key, since_s in list(self._unclaimed.items()):
-            if now_s - since_s > _UNCLAIMED_END_S:
-                del self._unclaimed[key]
+        self._found.forget_old_ends(now_s)
         for job_id, (_, since_s) in list(self._answered.items()):
             if now_s - since_s <= 5.0:
                 break
@@ -1118,7 +1050,7 @@
             'token': self.token,
             'age_s': round(now_s - self.created_s, 3),
             'counters': dict(self.counters),
-            'n_orphans': len(self._orphans),
+            'n_orphans': len(self._found),
             'jobs': {
                 job.job.id: {
                     'queue': job.job.queue.name,
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -907,6 +907,8 @@
             'configuration': self.routing.version if self.routing else None,
             'n_pending': len(self.pending),
             'counters': self.counters,
+            'n_calls_for_leader': self.carrier.n_calls,
+            'n_open_calls_for_leader': self.carrier.n_open,
             'dispatcher': self.leader.dispatcher.state(now_s)
             if self.leader
             else None,
