Histories with planned stops and wrong clocks

Change: `run_history(seed, has_stops=True)` adds a planned stop of one instance, of the leader, of all in turn, and clocks up to 30 s off.

--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -303,6 +303,8 @@
         self.outcomes: dict[str, dispatch.Outcome] = {}
         # Capacity for leading, where it is not 1.
         self.ranks: dict[str, float] = {}
+        # Error of an instance's time of day, in seconds.
+        self.clock_errors_s: dict[str, float] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._data_centres = {
             f'e{number}': name for number, name in enumerate(data_centres)
@@ -345,7 +347,11 @@
             gateway=_Gateway(self, instance_id),
             timer_service=service,
             peer_socket=_PeerSocket(self, instance_id, address),
-            wall_time=lambda: _START_UNIX_S + trio.current_time(),
+            wall_time=lambda: (
+                _START_UNIX_S
+                + trio.current_time()
+                + self.clock_errors_s.get(instance_id, 0.0)
+            ),
         )
         instance.random_state.seed(self.random_state.random())
         self.nodes[instance_id] = instance
--- a/src/orioleloom_standins/leased/_history.py
+++ b/src/orioleloom_standins/leased/_history.py
@@ -16,6 +16,10 @@
 # Faults and traffic last this long; then everything heals.
 _TROUBLE_S = 12.0
 _QUIET_S = 9.0
+# An instance that stops as planned serves its callers at most so long.
+_GRACE_S = 3.0
+# Between two instances that are stopped in turn.
+_TURN_S = 1.5
 _QUEUE = dispatch.Queue('lookup', 'pool', 1, 3, 1.6, 0.06)
 
 
@@ -32,7 +36,10 @@
 
 
 class _History:
-    def __init__(self, fleet: _fleet.Fleet, rng: random.Random):
+    def __init__(
+        self, fleet: _fleet.Fleet, rng: random.Random, *, has_stops: bool
+    ):
+        self.has_stops = has_stops
         self.fleet = fleet
         self.rng = rng
         self.faults: list[str] = []
@@ -75,7 +82,16 @@
         if not self.fleet.nodes:
             self.fleet.later(_RESEND_S, lambda: self.send(job))
             return
-        instance_id = self.rng.choice(sorted(self.fleet.nodes))
+        # The balancer sends nothing to an instance that stops.
+        names = [
+            name
+            for name, instance in sorted(self.fleet.nodes.items())
+            if not instance.is_stopping
+        ]
+        if not names:
+            self.fleet.later(_RESEND_S, lambda: self.send(job))
+            return
+        instance_id = self.rng.choice(names)
         self.waiting[job.id] = (job, [], instance_id)
         now_s = trio.current_time()
         self.fleet.nodes[instance_id].submit(
@@ -119,6 +135,13 @@
             self._orders_late,
             self._worker_leaves,
         )
+        if self.has_stops:
+            actions += (
+                self._stop_some,
+                self._stop_leader,
+                self._stop_all_in_turn,
+                self._clock_jumps,
+            )
         while True:
             await trio.sleep(self.rng.expovariate(0.8))
             if trio.current_time() >= end_s:
@@ -148,6 +171,47 @@
             self.kill(instance_id)
             self._restart_later(instance_id, self.rng.uniform(0.5, 1.5))
 
+    def _stop(self, instance_id: str, for_s: float) -> None:
+        """Stop an instance as planned; it ends once no caller waits."""
+        instance = self.fleet.nodes.get(instance_id)
+        if instance is None or instance.is_stopping:
+            return
+        instance.begin_stop()
+        self.fleet.nursery.start_soon(self._end_stop, instance_id, for_s)
+
+    async def _end_stop(self, instance_id: str, for_s: float) -> None:
+        instance = self.fleet.nodes[instance_id]
+        with trio.move_on_after(_GRACE_S):
+            while instance.pending:
+                await trio.sleep(0.05)
+        if self.fleet.nodes.get(instance_id) is instance:
+            self.kill(instance_id)
+            self._restart_later(instance_id, for_s)
+
+    def _stop_some(self, for_s: float) -> None:
+        if self.fleet.nodes:
+            name = self.rng.choice(sorted(self.fleet.nodes))
+            self.note(f'stop {name} for {for_s:.1f}')
+            self._stop(name, for_s)
+
+    def _stop_leader(self, for_s: float) -> None:
+        for name in self.fleet.leaders():
+            self.note(f'stop leader {name} for {for_s:.1f}')
+            self._stop(name, for_s)
+
+    def _stop_all_in_turn(self, for_s: float) -> None:
+        self.note('stop all in turn')
+        for number, name in enumerate(sorted(self.fleet.nodes)):
+            self.fleet.later(
+                number * _TURN_S, lambda name=name: self._stop(name, 0.4)
+            )
+
+    def _clock_jumps(self, for_s: float) -> None:
+        name = f'e{self.rng.randrange(6)}'
+        error_s = self.rng.uniform(-30.0, 30.0)
+        self.note(f'clock of {name} is {error_s:.1f} s off')
+        self.fleet.clock_errors_s[name] = error_s
+
     def _cut_data_centre(self, for_s: float) -> None:
         name = self.rng.choice(('dc0', 'dc1', 'dc2', 'dc3'))
         self.note(f'cut {name} for {for_s:.1f}')
@@ -226,7 +290,7 @@
         )
 
 
-async def _run(seed: int) -> HistoryReport:
+async def _run(seed: int, has_stops: bool) -> HistoryReport:
     rng = random.Random(seed)
     async with trio.open_nursery() as nursery:
         fleet = _fleet.Fleet(
@@ -238,7 +302,7 @@
         fleet.store.put('routing', 'config', node.Routing(1, ()))
         fleet.start()
         await trio.sleep(1.5)
-        history = _History(fleet, rng)
+        history = _History(fleet, rng, has_stops=has_stops)
         async with trio.open_nursery() as inner:
             inner.start_soon(history.send_jobs, _TROUBLE_S)
             inner.start_soon(history.make_trouble, _TROUBLE_S)
@@ -280,9 +344,11 @@
         )
 
 
-def run_history(seed: int) -> HistoryReport:
+def run_history(seed: int, *, has_stops: bool = False) -> HistoryReport:
     """Run one random history on a mock clock.
 
+    :param has_stops: also stop instances as planned, one or all in turn,
+        and set clocks wrong
     :raises Violation: a task ran twice at one time
     :raises UnservedError: the fleet did not recover
     """
@@ -292,5 +358,8 @@
     trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio_run._r.seed(seed)
     return trio.run(
-        _run, seed, clock=trio.testing.MockClock(autojump_threshold=0)
+        _run,
+        seed,
+        has_stops,
+        clock=trio.testing.MockClock(autojump_threshold=0),
     )
--- a/tests/leased/test_histories.py
+++ b/tests/leased/test_histories.py
@@ -27,3 +27,10 @@
     """No two runs of a task at one time; every job ends; service returns."""
     report = leased.run_history(seed)
     assert report.outcomes.get('completed', 0) > report.n_jobs / 2
+
+
+@pytest.mark.parametrize('seed', range(1, 7))
+def test_planned_stops_and_wrong_clocks_keep_the_promises(seed):
+    """Guards against work lost or run twice while leaders hand over."""
+    report = leased.run_history(seed, has_stops=True)
+    assert report.outcomes.get('completed', 0) > report.n_jobs / 2
