Let a planned stop in the histories outlive a kill of its instance

Cause: found on reading: the task that ends a planned stop looked its instance up after it was scheduled; a kill in the same turn would have ended the history with a KeyError.

Change: the instance is handed over.

--- a/src/orioleloom_standins/leased/_history.py
+++ b/src/orioleloom_standins/leased/_history.py
@@ -177,10 +177,13 @@
         if instance is None or instance.is_stopping:
             return
         instance.begin_stop()
-        self.fleet.nursery.start_soon(self._end_stop, instance_id, for_s)
+        self.fleet.nursery.start_soon(
+            self._end_stop, instance_id, instance, for_s
+        )
 
-    async def _end_stop(self, instance_id: str, for_s: float) -> None:
-        instance = self.fleet.nodes[instance_id]
+    async def _end_stop(
+        self, instance_id: str, instance: node.Node, for_s: float
+    ) -> None:
         with trio.move_on_after(_GRACE_S):
             while instance.pending:
                 await trio.sleep(0.05)
