Send no more stops for a start that has not left

Cause: found on reading the change again. A run left its worker in four places, each with its own subset of three steps: remove the run, mark the worker as changed, drop the stop that is due. The place for a start that could not be sent dropped no stop. When its job had been cancelled meanwhile, the stop was repeated every 0.175 s for as long as the leader led, and the run was kept.

Change: one method takes the three steps for all four.

Result: the new test fails without it (stops go on for 2 s); tests of dispatch pass.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -408,8 +408,7 @@
                 else:
                     self._found.add_end(end.key, now_s)
             return
-        worker.remove_run(run)
-        self._stop_due_s.pop(run, None)
+        self._release(run)
         self._count(f'runs_{end.kind}')
         task = self._tasks.get(end.key)
         owns = task is not None and task.run is run
@@ -490,9 +489,7 @@
 
     def _run_over(self, run: _workers.Run, reason: str, now_s: float) -> None:
         """Free a run that is certainly not running any more."""
-        run.worker.remove_run(run)
-        self._changed[run.worker.id] = run.worker
-        self._stop_due_s.pop(run, None)
+        self._release(run)
         self._count('runs_lost')
         task = self._tasks.get(run.key)
         if task is not None and task.run is run:
@@ -507,6 +504,12 @@
             self._requeue(task)
         self._request_pump(now_s)
 
+    def _release(self, run: _workers.Run) -> None:
+        """Give back the room of a run, which needs no more stops."""
+        run.worker.remove_run(run)
+        self._changed[run.worker.id] = run.worker
+        self._stop_due_s.pop(run, None)
+
     def _requeue(self, task: _jobs.TaskState) -> None:
         task.run = None
         task.job.waiting.insert(0, task)
@@ -618,9 +621,7 @@
         if run is None or run.is_accepted:
             return
         worker = run.worker
-        worker.remove_run(run)
-        self._changed[worker.id] = worker
-        self._stop_due_s.pop(run, None)
+        self._release(run)
         task = self._tasks.get(key)
         self._log(
             'start_rejected',
@@ -683,11 +684,10 @@
         )
         if not is_sent:
             run.worker.n_silences += 1
+            self._release(run)
             task = self._tasks.get(key)
             if task is not None and task.run is run:
                 task.job.n_sent -= 1
-            run.worker.remove_run(run)
-            if task is not None and task.run is run:
                 self._requeue(task)
             self._watch(run.worker, now_s)
             self._request_pump(now_s)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -521,3 +521,24 @@
     # One run at a time until one has ended well.
     harness.submit(one_step_job('e' * 16))
     assert len(harness.starts()) == 1
+
+
+def test_start_that_has_not_left_needs_no_stop_any_more():
+    """Guards against stops that are repeated for ever.
+
+    The job was cancelled while its start waited for a connection.
+    """
+    harness = Harness('w1')
+    harness.submit(one_step_job())
+    (start,) = harness.starts()
+    harness.dispatcher.cancel(
+        start.key.job_id, 'e1', 'caller left', harness.now_s
+    )
+    assert len(harness.effects(dispatch.StopRun)) == 1
+    harness.dispatcher.start_unanswered(
+        start.worker.id, start.key, start.run_id, False, harness.now_s
+    )
+    harness.effects()
+    for _ in range(20):
+        harness.after(0.1)
+    assert not harness.effects(dispatch.StopRun)
