Carry out a leader's effects in one place

Cause: `close` repeated the two final cases of the loop over effects, a tuple of types repeated them again, and the nursery was unset for timers that no longer reach it since effects are carried out by one task.

Change: one loop serves both; the final effects come first and the others are left out once the leader is closed. The task is the nursery's body.

--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -50,10 +50,6 @@
 _SILENCE_CHECK_S = 0.02
 
 
-# Effects that are carried out though the leader has just stepped down.
-_FINAL = (dispatch.AnswerJob, dispatch.Decision)
-
-
 class Follower:
     """What a leader knows of another instance."""
 
@@ -125,23 +121,13 @@
         with self._cancel_scope:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(self._carry_out_always)
-                try:
-                    self.carry_out()
-                    await trio.sleep_forever()
-                finally:
-                    # A timer may still call once the nursery is closing.
-                    self._nursery = None
+                self.carry_out()
+                await self._carry_out_always()
 
     def close(self) -> None:
         """Give no more orders; hand over the outcomes that are known."""
         self.is_closed = True
-        for effect in self.dispatcher.take_effects():
-            match effect:
-                case dispatch.AnswerJob():
-                    self._answer(effect)
-                case dispatch.Decision():
-                    _log.log(effect.name, **effect.fields)
+        self._carry_out_effects()
         self._cancel_scope.cancel()
 
     # Effects
@@ -158,16 +144,19 @@
         while True:
             await self._has_effects.wait()
             self._has_effects = trio.Event()
-            self._carry_out()
+            self._check_silence()
+            self._carry_out_effects()
 
-    def _carry_out(self) -> None:
-        if self._nursery is None or self.is_closed:
-            return
-        self._check_silence()
+    def _carry_out_effects(self) -> None:
         for effect in self.dispatcher.take_effects():
-            if self.is_closed and not isinstance(effect, _FINAL):
-                continue
             match effect:
+                case dispatch.AnswerJob():
+                    self._answer(effect)
+                case dispatch.Decision():
+                    _log.log(effect.name, **effect.fields)
+                case _ if self.is_closed:
+                    # One of the effects has ended the leadership.
+                    continue
                 case dispatch.StartRun():
                     self._nursery.start_soon(self._start_run, effect)
                 case dispatch.StopRun():
@@ -178,12 +167,8 @@
                     )
                 case dispatch.LookAtWorker():
                     self._nursery.start_soon(self._look, effect.worker_id)
-                case dispatch.AnswerJob():
-                    self._answer(effect)
                 case dispatch.Superseded():
                     self.on_superseded(effect.token)
-                case dispatch.Decision():
-                    _log.log(effect.name, **effect.fields)
 
     def _answer(self, effect: dispatch.AnswerJob) -> None:
         if effect.instance_id == self.instance_id:
