Say once how a run is accepted, found and stopped

Cause: on reading the change again: acceptance stood in three places, the order to stop in three, the lookup of a run in two, the factor of the fastest worker in two, step and index for logs in five. The workers with found runs were collected into a new set for each question, in the loop over workers that are not listed and at each question to a worker.

Change: Run.accept, _order_stop, _find_run, _fastest_factor and TaskKey.position serve them; FoundRuns.is_any_on makes no set. The counters are a collections.Counter, as in the engine.

Result: tests of dispatch pass; no behaviour is meant to change.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1,3 +1,4 @@
+import collections
 import math
 import typing
 
@@ -106,7 +107,7 @@
         # Instances that may have left for another dispatcher.
         self._paused: set[str] = set()
         self._caution = _caution.Caution()
-        self.counters: dict[str, int] = {}
+        self.counters: collections.Counter[str] = collections.Counter()
 
     # Effects and bookkeeping
 
@@ -118,9 +119,6 @@
         effects, self._effects = self._effects, []
         return effects
 
-    def _count(self, name: str, amount: int = 1) -> None:
-        self.counters[name] = self.counters.get(name, 0) + amount
-
     def _log(self, decision: str, **fields: typing.Any) -> None:
         self._effects.append(_records.Decision(decision, fields))
 
@@ -169,7 +167,7 @@
         for worker_id, worker in list(self.workers.items()):
             if worker.is_listed or worker.runs:
                 continue
-            if worker_id in self._found.workers():
+            if self._found.is_any_on(worker_id):
                 continue
             if (
                 worker.info.is_leaving
@@ -207,7 +205,7 @@
             return False
         if worker.runs or (worker.is_listed and not worker.is_known):
             return True
-        if worker_id in self._found.workers():
+        if self._found.is_any_on(worker_id):
             return True
         if worker.n_silences and worker.is_listed:
             return True
@@ -272,7 +270,7 @@
         if report.clock_ms < worker.reported_ms:
             # A later list has been taken over already. What this one shows
             # as running or missing may have changed since.
-            self._count('reports_out_of_order')
+            self.counters['reports_out_of_order'] += 1
             self._request_pump(now_s)
             return
         worker.reported_ms = report.clock_ms
@@ -340,18 +338,12 @@
     ) -> None:
         run = worker.runs.get(seen.key)
         if run is not None and run.run_id == seen.run_id:
-            if not run.is_accepted:
-                run.is_accepted = True
-                run.accepted_s = now_s
+            run.accept(now_s)
             return
         if run is not None and seen.run_id < run.run_id:
             # The list was written before the later start reached the
             # worker, which may still carry that out.
-            self._effects.append(
-                _records.StopRun(
-                    worker.info, seen.key, seen.run_id, self.token
-                )
-            )
+            self._order_stop(worker, seen.key, seen.run_id)
             return
         if run is not None:
             # Another dispatcher has started the task again meanwhile.
@@ -385,15 +377,13 @@
             now_s,
             math.inf,
         )
-        run.is_accepted = True
-        run.accepted_s = now_s
-        run.stopped_s = math.inf
+        run.accept(now_s)
         task.run = run
         task.last_run_id = max(task.last_run_id, run_id)
         task.job.n_sent += 1
         worker.add_run(run)
         self._watch(worker, now_s)
-        self._count('runs_adopted')
+        self.counters['runs_adopted'] += 1
 
     def _run_ended(
         self, worker: _workers.Worker, end: _records.RunEnd, now_s: float
@@ -409,7 +399,7 @@
                     self._found.add_end(end.key, now_s)
             return
         self._release(run)
-        self._count(f'runs_{end.kind}')
+        self.counters[f'runs_{end.kind}'] += 1
         task = self._tasks.get(end.key)
         owns = task is not None and task.run is run
         match end.kind:
@@ -467,7 +457,7 @@
         self._log(
             'task_failed',
             job=job.job.id,
-            task=f'{task.key.step}.{task.key.index}',
+            task=task.key.position(),
             worker=worker.id,
             run=run.run_id,
             n_failures=task.n_failures,
@@ -479,7 +469,7 @@
                 job,
                 _records.Outcome(
                     _records.OutcomeKind.FAILED,
-                    f'task {task.key.step}.{task.key.index} failed '
+                    f'task {task.key.position()} failed '
                     f'{task.n_failures} times',
                 ),
                 now_s,
@@ -490,13 +480,13 @@
     def _run_over(self, run: _workers.Run, reason: str, now_s: float) -> None:
         """Free a run that is certainly not running any more."""
         self._release(run)
-        self._count('runs_lost')
+        self.counters['runs_lost'] += 1
         task = self._tasks.get(run.key)
         if task is not None and task.run is run:
             self._log(
                 'run_lost',
                 job=run.key.job_id,
-                task=f'{run.key.step}.{run.key.index}',
+                task=run.key.position(),
                 worker=run.worker.id,
                 run=run.run_id,
                 reason=reason,
@@ -522,22 +512,26 @@
         run.stopped_s = math.inf
         run.n_stops += 1
         self._stop_due_s[run] = now_s + _STOP_INTERVAL_S
+        self._order_stop(run.worker, run.key, run.run_id)
+
+    def _order_stop(
+        self, worker: _workers.Worker, key: _records.TaskKey, run_id: int
+    ) -> None:
         self._effects.append(
-            _records.StopRun(run.worker.info, run.key, run.run_id, self.token)
+            _records.StopRun(worker.info, key, run_id, self.token)
         )
 
     def stop_confirmed(
         self, worker_id: str, key: _records.TaskKey, run_id: int, now_s: float
     ) -> None:
         """Take note that a worker has received a stop."""
-        worker = self.workers.get(worker_id)
-        run = worker.runs.get(key) if worker is not None else None
-        if run is not None and run.run_id == run_id:
+        run = self._find_run(worker_id, key, run_id)
+        if run is not None:
             # The run may take a moment to stop; a report that was asked
             # for after this shows whether it is over.
             run.stopped_s = now_s
             self._stop_due_s[run] = now_s + 3 * _STOP_INTERVAL_S
-            self._watch(worker, now_s)
+            self._watch(run.worker, now_s)
             if not run.is_accepted:
                 self._effects.append(_records.LookAtWorker(worker_id))
 
@@ -568,7 +562,7 @@
         if job.first_start_s is None:
             job.first_start_s = now_s
         worker.add_run(run)
-        self._count('starts')
+        self.counters['starts'] += 1
         self._effects.append(
             _records.StartRun(
                 worker.info,
@@ -603,9 +597,7 @@
         if run is None:
             return
         run.worker.set_clock(clock_ms, now_s)
-        if not run.is_accepted:
-            run.is_accepted = True
-            run.accepted_s = now_s
+        run.accept(now_s)
 
     def start_rejected(
         self,
@@ -617,7 +609,7 @@
     ) -> None:
         """Take note that a worker did not start a run."""
         run = self._find_run(worker_id, key, run_id)
-        self._count(f'rejected_{reason}')
+        self.counters[f'rejected_{reason}'] += 1
         if run is None or run.is_accepted:
             return
         worker = run.worker
@@ -626,7 +618,7 @@
         self._log(
             'start_rejected',
             job=key.job_id,
-            task=f'{key.step}.{key.index}',
+            task=key.position(),
             worker=worker_id,
             run=run_id,
             reason=reason,
@@ -670,14 +662,14 @@
         :param is_sent: false if the start has certainly not left
         """
         run = self._find_run(worker_id, key, run_id)
-        self._count('starts_unanswered')
+        self.counters['starts_unanswered'] += 1
         if run is None or run.is_accepted:
             return
         self._order_unanswered(now_s)
         self._log(
             'start_unanswered',
             job=key.job_id,
-            task=f'{key.step}.{key.index}',
+            task=key.position(),
             worker=worker_id,
             run=run_id,
             is_sent=is_sent,
@@ -733,7 +725,7 @@
         state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
         state.set_expected(self._longest_chain_s(job))
         self.jobs[job.id] = state
-        self._count('jobs')
+        self.counters['jobs'] += 1
         for task in state.all_tasks():
             self._tasks[task.key] = task
         if last_contact_s is not None:
@@ -849,7 +841,7 @@
             del self._tasks[task.key]
             if task.run is not None:
                 self._stop(task.run, now_s)
-        self._count(f'jobs_{outcome.kind}')
+        self.counters[f'jobs_{outcome.kind}'] += 1
         self._log(
             'job_ended',
             job=job.job.id,
@@ -917,7 +909,7 @@
         if now_s >= self._slow_tick_s:
             self._slow_tick_s = now_s + _SLOW_TICK_S
             self.placement.sort()
-            self._caution.rate(self.counters.get('starts', 0), _SLOW_TICK_S)
+            self._caution.rate(self.counters['starts'], _SLOW_TICK_S)
             self._move_stragglers(now_s)
             self._forget_workers(now_s)
         self._all_changed = True
@@ -970,7 +962,7 @@
             return
         task.n_moves += 1
         task.avoided.add(worker.id)
-        self._count('runs_moved')
+        self.counters['runs_moved'] += 1
         self._stop(run, now_s)
 
     def _look_for_ends(self, now_s: float) -> None:
@@ -996,14 +988,9 @@
 
     def _stop_orphans(self, now_s: float) -> None:
         for key, orphan in self._found.take_due(self.workers, now_s):
-            self._count('orphans_stopped')
-            self._effects.append(
-                _records.StopRun(
-                    self.workers[orphan.worker_id].info,
-                    key,
-                    orphan.run_id,
-                    self.token,
-                )
+            self.counters['orphans_stopped'] += 1
+            self._order_stop(
+                self.workers[orphan.worker_id], key, orphan.run_id
             )
 
     def _expire_jobs(self, now_s: float) -> None:
--- a/src/orioleloom/dispatch/_found.py
+++ b/src/orioleloom/dispatch/_found.py
@@ -56,9 +56,11 @@
         """Return whether a run of a task has ended well, and forget it."""
         return self._ended_s.pop(key, None) is not None
 
-    def workers(self) -> set[str]:
-        """Return the workers with such runs."""
-        return {orphan.worker_id for orphan in self._orphans.values()}
+    def is_any_on(self, worker_id: str) -> bool:
+        """Return whether a worker has such a run."""
+        return any(
+            orphan.worker_id == worker_id for orphan in self._orphans.values()
+        )
 
     def keep_listed(
         self, worker_id: str, run_ids: typing.Mapping[_records.TaskKey, int]
--- a/src/orioleloom/dispatch/_placement.py
+++ b/src/orioleloom/dispatch/_placement.py
@@ -49,8 +49,7 @@
 
     def fastest_factor(self, job: _jobs.JobState) -> float:
         """Return the run time on the fastest worker against speed 1."""
-        workers = self._by_speed.get(job.job.queue.upstream)
-        return workers[0].factor() if workers else 1.0
+        return _fastest_factor(self._by_speed, job.job.queue.upstream)
 
     def has_room(
         self,
@@ -146,8 +145,7 @@
         upstream = job.job.queue.upstream
         factor = self._factors.get(upstream)
         if factor is None:
-            workers = self._by_speed.get(upstream)
-            factor = workers[0].factor() if workers else 1.0
+            factor = _fastest_factor(self._by_speed, upstream)
             self._factors[upstream] = factor
         return factor
 
@@ -156,6 +154,13 @@
     return worker.log_factor
 
 
+def _fastest_factor(
+    by_speed: dict[str, list[_workers.Worker]], upstream: str
+) -> float:
+    workers = by_speed.get(upstream)
+    return workers[0].factor() if workers else 1.0
+
+
 class _Taken:
     """Room given away by the starts of one round."""
 
@@ -169,7 +174,10 @@
     def is_known_full(
         self, workers: list[_workers.Worker], room: _records.Room
     ) -> bool:
-        """Return whether a smaller task found no room in this round."""
+        """Return whether a task of at most this room found no place.
+
+        Room only shrinks during a round.
+        """
         least = self._no_room.get(id(workers))
         return least is not None and room.holds(least)
 
--- a/src/orioleloom/dispatch/_records.py
+++ b/src/orioleloom/dispatch/_records.py
@@ -97,6 +97,10 @@
     step: int
     index: int
 
+    def position(self) -> str:
+        """Return step and index for logs."""
+        return f'{self.step}.{self.index}'
+
 
 class OutcomeKind(enum.StrEnum):
     """How a job ended for its caller."""
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -69,6 +69,12 @@
         # The worker's speed was corrected for this run already.
         self.is_overdue = False
 
+    def accept(self, now_s: float) -> None:
+        """Take note that the worker has the run."""
+        if not self.is_accepted:
+            self.is_accepted = True
+            self.accepted_s = now_s
+
 
 class Worker:
     """What the dispatcher believes of one worker."""
