--- a/src/orioleloom/http1/_client.py
+++ b/src/orioleloom/http1/_client.py
@@ -5,7 +5,9 @@
 import httptools
 import trio
 
-_READ_BYTES = 65536
+from orioleloom.http1 import _sockets
+
+
 # Idle connections kept to one address; more are closed. A leader has up to
 # four questions and orders open to a worker at a time; 176 workers times
 # three fit into the 1,438 sockets of the smallest machine.
@@ -101,10 +103,10 @@
         )
         keep = False
         try:
-            await _send_all(connection, head.encode() + body)
+            await _sockets.send_all(connection, head.encode() + body)
             parser = _Parser()
             while not parser.is_complete:
-                data = await _receive(connection)
+                data = await _sockets.receive(connection)
                 if not data:
                     raise NoAnswerError(f'{address} closed the connection')
                 parser.feed(data)
@@ -173,22 +175,3 @@
         """Close all idle connections."""
         for address in list(self._idle):
             self.forget_idle(address)
-
-
-async def _send_all(connection: socket.socket, data: bytes) -> None:
-    while data:
-        try:
-            n_sent = connection.send(data)
-        except BlockingIOError:
-            await trio.lowlevel.wait_writable(connection)
-            continue
-        data = data[n_sent:]
-
-
-async def _receive(connection: socket.socket) -> bytes:
-    while True:
-        await trio.lowlevel.wait_readable(connection)
-        try:
-            return connection.recv(_READ_BYTES)
-        except BlockingIOError:
-            continue
--- a/src/orioleloom/http1/_server.py
+++ b/src/orioleloom/http1/_server.py
@@ -1,4 +1,4 @@
-import collections.abc
+import collections
 import errno
 import socket
 import typing
@@ -7,7 +7,8 @@
 import httptools
 import trio
 
-_READ_BYTES = 65536
+from orioleloom.http1 import _sockets
+
 _BACKLOG = 1024
 # Pause after the process ran out of descriptors, in seconds.
 _ACCEPT_PAUSE_S = 0.1
@@ -172,12 +173,7 @@
             else limits.idle_timeout_s
         )
         with trio.move_on_after(timeout_s):
-            while True:
-                await trio.lowlevel.wait_readable(self._socket)
-                try:
-                    return self._socket.recv(_READ_BYTES)
-                except BlockingIOError:
-                    continue
+            return await _sockets.receive(self._socket)
         return None
 
     def _feed(self, data: bytes) -> None:
@@ -191,7 +187,7 @@
             self._reject(400)
 
     def _reject(self, status: int) -> None:
-        self.server.count('malformed_requests')
+        self.server.counters['malformed_requests'] += 1
         self._keep_alive = False
         self._write(_encode(status, b'', 'Connection: close\r\n'))
         self.close()
@@ -235,7 +231,7 @@
                 return
         except OSError:
             pass
-        self.server.count('broken_answers')
+        self.server.counters['broken_answers'] += 1
         self.close()
 
     def close(self) -> None:
@@ -290,11 +286,7 @@
         self.max_connections = max_connections
         self.is_draining = False
         self.connections: set[Connection] = set()
-        self.counters: dict[str, int] = {}
-
-    def count(self, name: str) -> None:
-        """Count an event."""
-        self.counters[name] = self.counters.get(name, 0) + 1
+        self.counters: collections.Counter[str] = collections.Counter()
 
     def handle(self, connection: Connection, request: Request) -> None:
         """Pass a request on; an error in the handler is answered."""
@@ -338,12 +330,12 @@
             except BlockingIOError:
                 return
             except OSError as exc:
-                self.count('failed_accepts')
+                self.counters['failed_accepts'] += 1
                 if exc.errno in _OUT_OF_DESCRIPTORS:
                     await trio.sleep(_ACCEPT_PAUSE_S)
                 return
             if len(self.connections) >= self.max_connections:
-                self.count('refused_connections')
+                self.counters['refused_connections'] += 1
                 sock.close()
                 continue
             sock.setblocking(False)
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -1,3 +1,4 @@
+import collections
 import random
 import secrets
 import time
@@ -134,7 +135,7 @@
         self.routing: _ports.Routing | None = None
         self.pending: dict[str, Pending] = {}
         self.peers: dict[str, _ports.MemberInfo] = {}
-        self.counters: dict[str, int] = {}
+        self.counters: collections.Counter[str] = collections.Counter()
         self.is_stopping = False
         self.on_routing: typing.Callable[[_ports.Routing], None] = lambda _: (
             None
@@ -701,13 +702,10 @@
                 )
         except (_ports.StoreError, trio.TooSlowError):
             # The watch of the routing logs the loss of the store.
-            self._count('leader_signs_failed')
+            self.counters['leader_signs_failed'] += 1
 
     # Jobs
 
-    def _count(self, name: str, amount: int = 1) -> None:
-        self.counters[name] = self.counters.get(name, 0) + amount
-
     def is_ready(self) -> bool:
         """Return whether callers should be sent here."""
         return (
@@ -729,7 +727,7 @@
         on_outcome: typing.Callable[[dispatch.Outcome], None],
     ) -> None:
         """Take a job of a caller; its outcome comes by callback."""
-        self._count('jobs')
+        self.counters['jobs'] += 1
         earlier = self.pending.pop(job.id, None)
         pending = Pending(job, arrived_s, deadline_s, on_outcome)
         if earlier is not None:
@@ -782,7 +780,7 @@
         pending = self.pending.get(job_id)
         if pending is None or pending.on_outcome is not on_outcome:
             return
-        self._count('callers_left')
+        self.counters['callers_left'] += 1
         self.cancel(job_id)
 
     def cancel(self, job_id: str) -> bool:
@@ -822,7 +820,7 @@
     def _outcome(self, job_id: str, outcome: dispatch.Outcome) -> None:
         pending = self.pending.pop(job_id, None)
         if pending is not None:
-            self._count(f'outcomes_{outcome.kind}')
+            self.counters[f'outcomes_{outcome.kind}'] += 1
             self.on_latency(
                 outcome.kind, trio.current_time() - pending.arrived_s
             )
--- a/src/orioleloom/platform/_ingress.py
+++ b/src/orioleloom/platform/_ingress.py
@@ -31,9 +31,7 @@
         """Answer a request, or hand its job to the node."""
         routing = self.instance.routing
         if routing is None:
-            self._unavailable(
-                connection, 'no configuration', _NO_CONFIGURATION_RETRY_S
-            )
+            _refuse(connection, 'no configuration', _NO_CONFIGURATION_RETRY_S)
             return
         host = request.headers.get('host', '').partition(':')[0].lower()
         route = routing.find(host, request.path)
@@ -114,16 +112,6 @@
             job_id, on_outcome = connection.context
             self.instance.caller_left(job_id, on_outcome)
 
-    def _unavailable(
-        self, connection: http1.Connection, reason: str, retry_after_s: int
-    ) -> None:
-        _respond(
-            connection,
-            503,
-            {'error': reason},
-            f'Retry-After: {retry_after_s}\r\n',
-        )
-
 
 def _deadline_s(request: http1.Request) -> float:
     text = request.headers.get(_DEADLINE_HEADER, '')
@@ -139,18 +127,19 @@
         case dispatch.OutcomeKind.COMPLETED | dispatch.OutcomeKind.FAILED:
             _respond(connection, 200, {'state': outcome.kind.value})
         case dispatch.OutcomeKind.NOT_RUN:
-            retry_after_s = max(1, math.ceil(outcome.retry_after_s))
-            _respond(
-                connection,
-                503,
-                {'error': outcome.reason},
-                f'Retry-After: {retry_after_s}\r\n',
-            )
+            _refuse(connection, outcome.reason, outcome.retry_after_s)
         case dispatch.OutcomeKind.UNKNOWN:
             status = 504 if outcome.reason == 'deadline' else 502
             _respond(connection, status, {'error': outcome.reason})
 
 
+def _refuse(
+    connection: http1.Connection, reason: str, retry_after_s: float
+) -> None:
+    seconds = max(1, math.ceil(retry_after_s))
+    _respond(connection, 503, {'error': reason}, f'Retry-After: {seconds}\r\n')
+
+
 def _respond(
     connection: http1.Connection,
     status: int,
--- a/src/orioleloom_standins/soak.py
+++ b/src/orioleloom_standins/soak.py
@@ -21,7 +21,6 @@
 from orioleloom import http1
 from orioleloom_standins import leased
 from orioleloom_standins import wire
-from orioleloom_standins.wire import _proxy
 
 # A caller without an answer sends its job again after this time.
 _RESEND_S = 1.3
@@ -116,7 +115,7 @@
                     path,
                     body,
                     'X-Orioleloom-Deadline-Ms: 4000\r\n',
-                    host=wire._site.HOST,
+                    host=wire.HOST,
                 )
             except (http1.NotSentError, http1.NoAnswerError):
                 return 0
@@ -205,11 +204,11 @@
 
     async def _harm_proxy(self, for_s: float) -> None:
         proxy = self.rng.choice(self.site.proxies)
-        mode = self.rng.choice(list(_proxy.Mode)[1:])
+        mode = self.rng.choice(list(wire.Mode)[1:])
         self.note(f'proxy {self.site.proxies.index(proxy)} {mode} {for_s:.1f}')
         proxy.mode = mode
         await trio.sleep(for_s)
-        proxy.mode = _proxy.Mode.PASS
+        proxy.mode = wire.Mode.PASS
 
     async def _reset(self, for_s: float) -> None:
         self.note('reset connections')
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -26,16 +26,12 @@
     async def call(self, method, path, body=b'', headers=''):
         with trio.fail_after(5):
             response = await self.client.request(
-                self.address, method, path, body, headers, host=wire_host()
+                self.address, method, path, body, headers, host=wire.HOST
             )
         decoded = msgspec.json.decode(response.body or b'null')
         return response.status, decoded
 
 
-def wire_host():
-    return wire._site.HOST
-
-
 @pytest.fixture
 async def site(nursery):
     site = wire.Site(nursery, random.Random(1))
