Log an unreadable row once a version

Cause: found on reading the change again. Only the last unreadable row was remembered, so that two of them logged a line each at every reading of the table: every 20 s at the leader, every 4 s elsewhere.

Change: the logged version is kept by key, until the row is readable or removed.

Result: the new test logs a, b once (six lines before).

--- a/src/orioleloom/platform/_store.py
+++ b/src/orioleloom/platform/_store.py
@@ -42,7 +42,8 @@
         self._table = table
         self._decode = decode
         self._only_key = only_key
-        self._unreadable: set[tuple[str, int]] = set()
+        # Version of each unreadable row that was logged.
+        self._unreadable: dict[str, int] = {}
 
     async def read(self) -> node.Snapshot[_T]:
         """Return all rows."""
@@ -84,15 +85,17 @@
                 continue
             if row.deleted:
                 decoded[row.key] = None
+                self._unreadable.pop(row.key, None)
                 continue
             try:
                 value = base64.b64decode(row.value, validate=True)
                 decoded[row.key] = self._decode(row.key, value)
+                self._unreadable.pop(row.key, None)
             except (_wire.WireError, binascii.Error) as exc:
                 # Other writers may leave anything in a table.
                 decoded[row.key] = None
-                if (row.key, row.ver) not in self._unreadable:
-                    self._unreadable = {(row.key, row.ver)}
+                if self._unreadable.get(row.key) != row.ver:
+                    self._unreadable[row.key] = row.ver
                     node.log(
                         'row_unreadable',
                         table=self._table,
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,47 @@
+"""Rows of the store that other writers left."""
+
+import base64
+
+import pytest
+
+from orioleloom import node
+from orioleloom.platform import _store
+from orioleloom.platform import _wire
+
+
+class Rows:
+    """A store that answers each read with the same rows."""
+
+    def __init__(self, rows):
+        self.rows = rows
+
+    async def read_rows(self, path, query):
+        return _wire.StoreRows(self.rows, ver=9)
+
+
+def row(key, version, value='not a worker'):
+    return _wire.StoreRow(
+        key, base64.b64encode(value.encode()).decode(), version
+    )
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        node, 'log', lambda name, **fields: lines.append(fields['key'])
+    )
+    return lines
+
+
+async def test_unreadable_rows_are_logged_once_a_version(logged):
+    """Guards against a line for each row at each reading of the table."""
+    store = Rows([row('a', 1), row('b', 1)])
+    table = _store._StoreTable(store, 'servers', _wire.decode_worker)
+    for _ in range(3):
+        snapshot = await table.read()
+        assert snapshot.rows == {'a': None, 'b': None}
+    assert logged == ['a', 'b']
+    store.rows = [row('a', 2), row('b', 1)]
+    await table.read()
+    assert logged == ['a', 'b', 'a']
