Let a stopping instance lead where no other one can, refuse early without a leader

A stopping instance took no part in elections, so its 30 callers waited a second each and were refused, or were told after two seconds that the outcome is unknown.

Change: stopping instances are the last candidates instead of none, and hand over as soon as another instance follows. A job that no leader has got is refused as soon as the search has lasted a second or the start would come too late, and the instance is then not ready, so that the balancer sends callers elsewhere.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -2,6 +2,7 @@
 
 from orioleloom.dispatch._dispatcher import Dispatcher
 from orioleloom.dispatch._dispatcher import Settings
+from orioleloom.dispatch._jobs import latest_useful_start_s
 from orioleloom.dispatch._records import AnswerJob
 from orioleloom.dispatch._records import Effect
 from orioleloom.dispatch._records import EndedRun
@@ -48,4 +49,5 @@
     'TaskKey',
     'WorkerInfo',
     'WorkerReport',
+    'latest_useful_start_s',
 ]
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -766,7 +766,9 @@
             )
             return
         state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
-        state.set_expected_run_time(self._critical_path_s(job))
+        state.set_expected_run_time(
+            _jobs.critical_path_s(job, self.run_times)
+        )
         self.jobs[job.id] = state
         self.counters['jobs'] += 1
         for task in state.all_tasks():
@@ -817,16 +819,6 @@
                 if worker.confirmed_s < newest_handover_s:
                     self._effects.append(_records.PollWorkerOnce(worker.id))
 
-    def _critical_path_s(self, job: _records.Job) -> float:
-        step_ends_s: list[float] = []
-        for step in job.steps:
-            start_s = max((step_ends_s[n] for n in step.after), default=0.0)
-            step_ends_s.append(
-                start_s
-                + self.run_times.expected_s(job.queue.name, step.estimate_s)
-            )
-        return max(step_ends_s)
-
     def _claim_foreign_runs(self, state: _jobs.JobState, now_s: float) -> None:
         if self._foreign_runs.is_empty():
             return
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -1,5 +1,6 @@
 import typing
 
+from orioleloom.dispatch import _estimates
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _workers
 
@@ -8,6 +9,39 @@
 _LATE_FACTOR = 3.0
 
 
+def critical_path_s(
+    job: _records.Job, run_times: _estimates.RunTimeEstimator
+) -> float:
+    """Return the expected run time of the longest chain of steps.
+
+    :returns: seconds on workers of speed 1
+    """
+    step_ends_s: list[float] = []
+    for step in job.steps:
+        start_s = max((step_ends_s[n] for n in step.after), default=0.0)
+        step_ends_s.append(
+            start_s + run_times.expected_s(job.queue.name, step.estimate_s)
+        )
+    return max(step_ends_s)
+
+
+def allowed_time_s(queue: _records.Queue, expected_s: float) -> float:
+    """Return how long a job may take to meet its queue's objective."""
+    return queue.slack_factor * expected_s + queue.target_latency_s
+
+
+def latest_useful_start_s(
+    job: _records.Job, *, arrived_s: float, deadline_s: float
+) -> float:
+    """Return until when a start can still be of use to the caller.
+
+    Uses the declared run times only, for instances that have no statistics.
+    """
+    expected_s = critical_path_s(job, _estimates.RunTimeEstimator())
+    useful_s = _LATE_FACTOR * allowed_time_s(job.queue, expected_s)
+    return min(arrived_s + useful_s, deadline_s) - expected_s
+
+
 class TaskState:
     """State of one task."""
 
@@ -116,9 +150,8 @@
         :param expected_s: expected run time of the critical path on
             workers of speed 1, in seconds
         """
-        queue = self.job.queue
         self.expected_s = expected_s
-        allowed_s = queue.slack_factor * expected_s + queue.target_latency_s
+        allowed_s = allowed_time_s(self.job.queue, expected_s)
         self.objective_s = self.arrived_s + allowed_s
         self.useful_until_s = min(
             self.arrived_s + _LATE_FACTOR * allowed_s, self.deadline_s
--- a/src/orioleloom/leadership/_elector.py
+++ b/src/orioleloom/leadership/_elector.py
@@ -254,7 +254,7 @@
             return False
         if self.role is Role.LEADING and self._is_partition_healed(now_s):
             self.start_search(now_s)
-        if self.role is Role.LEADING or self.is_stopping:
+        if self.role is Role.LEADING:
             return False
         return self._advance_search(now_s, n_members)
 
@@ -342,14 +342,17 @@
         """Return whether this instance is the best remaining candidate.
 
         Candidates become eligible one after another, the best one first.
+        Instances in a planned stop come last: they lead only if no other one
+        can, as in a data centre that is cut off while its only instance
+        stops.
 
         :param waited_s: time since the best candidate became eligible
         """
         n_better = sum(
             1
             for peer in heard
-            if not peer.is_stopping
-            and (peer.rank, peer.instance_id) > (self.rank, self.instance_id)
+            if (not peer.is_stopping, peer.rank, peer.instance_id)
+            > (not self.is_stopping, self.rank, self.instance_id)
         )
         return n_better == 0 or waited_s >= n_better * _CANDIDATE_TIMEOUT_S
 
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -527,13 +527,21 @@
             key=lambda f: (-f.rank, f.instance_id),
         )
 
-    def find_stronger_follower(
-        self, rank: float, now_s: float
+    def find_successor(
+        self, rank: float, now_s: float, *, is_stopping: bool
     ) -> Follower | None:
-        """Return a follower with a much higher rank, if there is one."""
+        """Return a follower that should lead instead, if there is one.
+
+        :param rank: rank of this instance
+        :param is_stopping: this instance is in a planned stop, so that any
+            other one should lead
+        """
         for follower in self.rank_successors()[:1]:
+            if is_stopping:
+                return follower
             if (
-                follower.rank > rank * _TAKEOVER_RANK_FACTOR
+                self.scope == leadership.FLEET
+                and follower.rank > rank * _TAKEOVER_RANK_FACTOR
                 and now_s - follower.joined_s > _MIN_ROLE_AGE_S
                 and now_s - self.dispatcher.created_s > _MIN_ROLE_AGE_S
             ):
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -29,7 +29,8 @@
 _CONNECT_CHECK_TIMEOUT_S = 0.15
 _REACHABILITY_CHECK_PAUSE_S = 0.2
 _N_CONNECT_CHECK_WORKERS = 4
-# A job is given up when no leader has been found for this long.
+# A search for a leader that takes longer has failed: new jobs are refused, and
+# the load balancer is told to send callers elsewhere.
 _LEADER_WAIT_TIMEOUT_S = 1.0
 _RETRY_AFTER_S = (1.0, 3.0)
 # Followers also read workers and members, so that their copies are recent
@@ -77,6 +78,7 @@
         'assigned_leader',
         'deadline_s',
         'job',
+        'latest_useful_start_s',
         'on_outcome',
         'was_submitted',
     )
@@ -91,6 +93,9 @@
         self.job = job
         self.arrived_s = arrived_s
         self.deadline_s = deadline_s
+        self.latest_useful_start_s = dispatch.latest_useful_start_s(
+            job, arrived_s=arrived_s, deadline_s=deadline_s
+        )
         self.on_outcome = on_outcome
         # Id and term of the leader that the job was submitted to.
         self.assigned_leader: tuple[str, int] | None = None
@@ -274,8 +279,8 @@
     def begin_stop(self) -> None:
         """Begin a planned stop.
 
-        Hands over leadership, if this instance leads, and no longer stands
-        as a candidate in elections.
+        Hands over leadership, if this instance leads and another one can,
+        and is the last choice in later elections.
         """
         self.is_stopping = True
         self.elector.is_stopping = True
@@ -732,8 +737,10 @@
             return
         now_s = trio.current_time()
         leader.send_heartbeats(self.peers)
-        successor = leader.find_stronger_follower(self.settings.rank, now_s)
-        if successor is not None and leader.scope == leadership.FLEET:
+        successor = leader.find_successor(
+            self.settings.rank, now_s, is_stopping=self.is_stopping
+        )
+        if successor is not None:
             self._hand_over_leadership(successor.instance_id, now_s)
 
     def _schedule_store_heartbeat(self) -> None:
@@ -760,11 +767,20 @@
             and self.routing is not None
             and self.elector.role is not leadership.Role.ISOLATED
             and not (
-                self.elector.is_first_search
-                and self.elector.role is leadership.Role.SEARCHING
+                self.elector.role is leadership.Role.SEARCHING
+                and (
+                    self.elector.is_first_search
+                    or self._is_search_long(trio.current_time())
+                )
             )
         )
 
+    def _is_search_long(self, now_s: float) -> bool:
+        """Return whether a leader has been searched for without result."""
+        return (
+            now_s - self.elector.search_started_s > _LEADER_WAIT_TIMEOUT_S
+        )
+
     def submit(
         self,
         job: dispatch.Job,
@@ -912,14 +928,28 @@
                 self._give_up(pending, 'instance out of contact')
             elif now_s > pending.deadline_s + 0.05:
                 self._give_up(pending, 'deadline')
-            elif (
-                role is leadership.Role.SEARCHING
-                and now_s - pending.arrived_s > _LEADER_WAIT_TIMEOUT_S
-                and now_s - self.elector.search_started_s
-                > _LEADER_WAIT_TIMEOUT_S
+            elif role is leadership.Role.SEARCHING and (
+                self._has_waited_long(pending, now_s)
             ):
                 self._give_up(pending, 'no leader found')
 
+    def _has_waited_long(self, pending: PendingJob, now_s: float) -> bool:
+        """Return whether a job must not wait longer for a leader.
+
+        A job that was not submitted to any leader is refused as soon as the
+        search has failed or the answer would come too late, so that its
+        caller can try another instance. The outcome of the others may still
+        become known.
+        """
+        if pending.was_submitted:
+            return (
+                self._is_search_long(now_s)
+                and now_s - pending.arrived_s > _LEADER_WAIT_TIMEOUT_S
+            )
+        return self._is_search_long(now_s) or (
+            now_s > pending.latest_useful_start_s
+        )
+
     def count_unstarted(self, queue: str) -> int:
         """Return the number of jobs of a queue without a started task."""
         if self.leader is not None:
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -228,3 +228,62 @@
     n_before = worker.n_starts
     await site.submit_jobs(40, interval_s=0.01)
     assert worker.n_starts == n_before
+
+
+@pytest.mark.parametrize('site', [1], indirect=True)
+async def test_stopping_instance_serves_a_data_centre_that_has_no_other(
+    site, autojump_clock
+):
+    """Guards against callers waiting for a leader that cannot come.
+
+    On tsion-loom trouble-1, the only instance of a data centre was in a
+    planned stop when that data centre was cut off. It took no part in the
+    election and held each request for a second before it refused it.
+    """
+    instance_id = 'e4'
+    site.fleet.nodes[instance_id].begin_stop()
+    site.fleet.network.cut_data_centre('dc2')
+    await trio.sleep(1.5)
+    ids = await site.submit_jobs(10, instance_id, interval_s=0.2)
+    await trio.sleep(1)
+    assert set(site.outcome_kinds(ids)) == {'completed'}
+    site.fleet.network.heal()
+    await trio.sleep(2)
+    assert instance_id not in site.fleet.leaders()
+
+
+async def test_all_instances_stopping_at_once_still_serve(
+    site, autojump_clock
+):
+    """The accepted jobs need a leader until the last instance has stopped."""
+    ids = await site.submit_jobs(12, interval_s=0.01)
+    for instance in site.fleet.nodes.values():
+        instance.begin_stop()
+    ids += await site.submit_jobs(12)
+    await trio.sleep(3)
+    assert set(site.outcome_kinds(ids)) == {'completed'}
+
+
+async def test_job_without_a_leader_is_refused_while_it_can_still_be_retried(
+    site, autojump_clock
+):
+    """An instance that has long searched refuses a new job at once.
+
+    Guards against callers that wait a second for an answer that is already
+    known, while another instance could serve them.
+    """
+    site.fleet.store.is_down = True
+    (leader,) = site.fleet.leaders()
+    isolated = next(n for n in sorted(site.fleet.nodes) if n != leader)
+    for other in site.fleet.nodes:
+        site.fleet.network.cut(isolated, other)
+    await trio.sleep(2.0)
+    assert not site.fleet.nodes[isolated].is_ready()
+    started_s = trio.current_time()
+    ids = await site.submit_jobs(1, isolated, interval_s=0.0)
+    while ids[0] not in site.fleet.outcomes:
+        await trio.sleep(0.005)
+    assert trio.current_time() - started_s < 0.1
+    outcome = site.fleet.outcomes[ids[0]]
+    assert outcome.kind is dispatch.OutcomeKind.NOT_RUN
+    assert outcome.retry_after_s > 0
