Replace stalled connections between instances after a partition

The leader's connection to a lost instance waits up to 5 s between attempts.

Change: a searching instance replaces the connections to peers that do not answer, at most every 0.5 s, and the leader that of a lost instance before each heartbeat to it. In the stand-in, a connection that is used during a partition now delivers nothing for 3 s unless it is replaced, and instances have seeds.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -766,9 +766,7 @@
             )
             return
         state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
-        state.set_expected_run_time(
-            _jobs.critical_path_s(job, self.run_times)
-        )
+        state.set_expected_run_time(_jobs.critical_path_s(job, self.run_times))
         self.jobs[job.id] = state
         self.counters['jobs'] += 1
         for task in state.all_tasks():
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -81,6 +81,7 @@
         this instance
     :param on_superseded: called with the rejected token when a worker
         accepts only another leader's higher token
+    :param reconnect: replaces the connection to an instance
     :param random_state: source of the random numbers of its dispatcher
     """
 
@@ -96,6 +97,7 @@
         send: typing.Callable[[str, _messages.Message], None],
         deliver_local: typing.Callable[[str, dispatch.Outcome], None],
         on_superseded: typing.Callable[[int], None],
+        reconnect: typing.Callable[[str], None],
         now_s: float,
         random_state: random.Random,
     ):
@@ -106,6 +108,7 @@
         self.send = send
         self.deliver_local = deliver_local
         self.on_superseded = on_superseded
+        self.reconnect = reconnect
         self.dispatcher = dispatch.Dispatcher(
             token=token,
             run_id_base=run_id_base,
@@ -390,6 +393,10 @@
                 and ((self.sequence + index) % _LOST_FOLLOWER_HEARTBEAT_RATIO)
             ):
                 continue
+            if follower.is_out_of_contact:
+                # The connection may have stalled while the instance was
+                # unreachable, for longer than the instance was.
+                self.reconnect(member_id)
             self._send_heartbeat(follower, alive, n_unstarted)
 
     def get_or_add_follower(self, member_id: str) -> Follower:
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -461,9 +461,17 @@
             self._apply_workers(tables.workers, 0)
         self._add_members({m.instance_id: m for m in tables.members}, 0)
 
+    def _reconnect_member(self, member_id: str) -> None:
+        peer = self.peers.get(member_id)
+        if peer is not None:
+            self._reconnect(peer.address, trio.current_time())
+
     def _reconnect(self, address: str, now_s: float) -> None:
-        # A peer that has lost its leader may not receive what is sent to it,
-        # because the connection may be half-open and never recover.
+        """Replace the connection to a peer that is out of contact.
+
+        It may be half-open and never recover, or wait for seconds between
+        attempts to connect.
+        """
         if (
             now_s - self._reconnected_s.get(address, -1e9)
             > _MIN_RECONNECT_INTERVAL_S
@@ -561,6 +569,7 @@
             send=self.send,
             deliver_local=self._deliver_outcome,
             on_superseded=self._handle_superseded,
+            reconnect=self._reconnect_member,
             now_s=now_s,
             random_state=self.random_state,
         )
@@ -670,10 +679,18 @@
         probe = _messages.Probe(
             self.elector.state(), True, self._lacks_tables()
         )
+        heard_ids = {p.instance_id for p in self.elector.recent_peers(now_s)}
+        heard_addresses = {
+            peer.address
+            for peer in self.peers.values()
+            if peer.instance_id in heard_ids
+        }
         for address in {
             *(peer.address for peer in self.peers.values()),
             *self.settings.seed_peers,
         } - {self.local_sender.address}:
+            if address not in heard_addresses:
+                self._reconnect(address, now_s)
             self._send_to(address, probe)
         lacks_quorum = not self.elector.has_half_of_members(
             len(self.elector.recent_peers(now_s)), self._n_members()
@@ -777,9 +794,7 @@
 
     def _is_search_long(self, now_s: float) -> bool:
         """Return whether a leader has been searched for without result."""
-        return (
-            now_s - self.elector.search_started_s > _LEADER_WAIT_TIMEOUT_S
-        )
+        return now_s - self.elector.search_started_s > _LEADER_WAIT_TIMEOUT_S
 
     def submit(
         self,
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -20,6 +20,12 @@
 _LATENCY_S = 0.0005
 _STORE_LATENCY_S = 0.004
 _LATE_DELAY_RANGE_S = (2.0, 6.0)
+# A connection that is opened or used during a partition delivers nothing for
+# this long, unless its owner replaces it: the kernel repeats lost packets at
+# growing intervals.
+_STALLED_CONNECTION_S = 3.0
+# Number of instances whose addresses are in the settings of all.
+_N_SEEDS = 3
 # Unix time at the start of the mock clock.
 _START_UNIX_S = 1_750_000_000.0
 
@@ -35,6 +41,10 @@
     trio_run._r.seed(seed)
 
 
+def _peer_address(instance_id: str) -> str:
+    return f'tcp://10.9.0.{instance_id[1:]}:7000'
+
+
 class Network:
     """Reachability between instances, workers and the store.
 
@@ -90,11 +100,20 @@
             collections.deque()
         )
         self._arrived = trio.Event()
+        self._stalled_until_s: dict[str, float] = {}
         fleet.sockets[address] = self
 
     def send(self, address: str, frame: bytes) -> bool:
         target = self.fleet.sockets.get(address)
-        if target is not None:
+        now_s = trio.current_time()
+        if target is None or not self.fleet.network.reaches(
+            self.instance_id, target.instance_id
+        ):
+            self._stalled_until_s.setdefault(
+                address, now_s + _STALLED_CONNECTION_S
+            )
+        elif now_s >= self._stalled_until_s.get(address, 0.0):
+            self._stalled_until_s.pop(address, None)
             target._arrivals.append(
                 (trio.current_time() + _LATENCY_S, self.instance_id, frame)
             )
@@ -114,7 +133,8 @@
             await self._arrived.wait()
 
     def disconnect(self, address: str) -> None:
-        """Do nothing, as the simulated network keeps no connections."""
+        """Replace the connection to a peer."""
+        self._stalled_until_s.pop(address, None)
 
     def close(self) -> None:
         if self.fleet.sockets.get(self.address) is self:
@@ -364,7 +384,7 @@
 
     async def _run(self, instance_id: str) -> None:
         data_centre = self._data_centres[instance_id]
-        address = f'tcp://10.9.0.{instance_id[1:]}:7000'
+        address = _peer_address(instance_id)
         self.network.set_data_centre(instance_id, data_centre)
         random_state = random.Random(self.random_state.random())
         service = timers.TimerService(random_state=random.Random(1))
@@ -375,6 +395,10 @@
                 data_centre,
                 address,
                 self.ranks.get(instance_id, 1.0),
+                tuple(
+                    _peer_address(name)
+                    for name in list(self._data_centres)[:_N_SEEDS]
+                ),
             ),
             store=Store(self, instance_id),
             gateway=_Gateway(self, instance_id),
--- a/tests/node/test_leader.py
+++ b/tests/node/test_leader.py
@@ -57,6 +57,7 @@
             send=lambda member_id, message: None,
             deliver_local=lambda job_id, outcome: None,
             on_superseded=lambda token: None,
+            reconnect=lambda member_id: None,
             now_s=trio.current_time(),
             random_state=random.Random(1),
         )
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -287,3 +287,31 @@
     outcome = site.fleet.outcomes[ids[0]]
     assert outcome.kind is dispatch.OutcomeKind.NOT_RUN
     assert outcome.retry_after_s > 0
+
+
+async def test_instance_serves_soon_after_its_data_centre_is_reachable_again(
+    site, autojump_clock
+):
+    """Guards against waiting for stalled connections after a partition.
+
+    On tsion-loom trouble-1 an instance that started during a partition was
+    out of contact for 1.3 s after its end: its connection to the leader was
+    opened while packets were lost and was not replaced.
+    """
+    # The leader is an instance that e4 knows from its settings.
+    site.fleet.ranks['e0'] = 5.0
+    site.fleet.kill('e0')
+    await trio.sleep(0.5)
+    site.fleet.start('e0')
+    await trio.sleep(5.0)
+    assert site.fleet.leaders() == ['e0']
+    site.fleet.kill('e4')
+    site.fleet.network.cut_data_centre('dc2')
+    site.fleet.start('e4')
+    await trio.sleep(1.2)
+    site.fleet.network.heal()
+    await trio.sleep(0.7)
+    assert site.fleet.nodes['e4'].is_ready()
+    ids = await site.submit_jobs(4, 'e4')
+    await trio.sleep(1)
+    assert set(site.outcome_kinds(ids)) == {'completed'}
