Keep an instance running after malformed input and unexpected errors

Cause: found by fuzzing whole nodes. A peer or a row of the member table whose address is not an IP address raised on the next send, a negative run time estimate raised a domain error when the task had run, a submission with a huge number of tasks kept the leader busy without end, and any unexpected error of the worker or store client ended the process. All callers of the process lost their jobs, and the next leader got the same input.

Change: dispatch.check_job checks the numbers of a job for callers and peers. Peer addresses are checked when they are learnt. Tasks of a leader, handlers of messages and table watches log internal_error and go on; a start with an unexpected error counts as unanswered.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -4,6 +4,7 @@
 from orioleloom.dispatch._dispatcher import Settings
 from orioleloom.dispatch._jobs import latest_useful_start_s
 from orioleloom.dispatch._records import AnswerJob
+from orioleloom.dispatch._records import check_job
 from orioleloom.dispatch._records import Effect
 from orioleloom.dispatch._records import EndedRun
 from orioleloom.dispatch._records import EndKind
@@ -49,5 +50,6 @@
     'TaskKey',
     'WorkerInfo',
     'WorkerReport',
+    'check_job',
     'latest_useful_start_s',
 ]
--- a/src/orioleloom/dispatch/_estimates.py
+++ b/src/orioleloom/dispatch/_estimates.py
@@ -52,7 +52,7 @@
         """Return the expected run time on a worker of speed 1."""
         statistics = self._queues.get(queue)
         if statistics is None:
-            return declared_s or _DEFAULT_RUN_TIME_S
+            return declared_s if declared_s > 0 else _DEFAULT_RUN_TIME_S
         if declared_s <= 0:
             return math.exp(statistics.mean_log_s)
         log_declared_s = math.log(declared_s) + statistics.declared_offset
--- a/src/orioleloom/dispatch/_records.py
+++ b/src/orioleloom/dispatch/_records.py
@@ -61,6 +61,11 @@
     target_latency_s: float = 0.0
 
 
+_MAX_JOB_TASKS = 10_000
+# One day; tasks are expected to take less than a second.
+_MAX_ESTIMATE_S = 86_400
+
+
 class Step(typing.NamedTuple):
     """A group of identical tasks of a job.
 
@@ -94,6 +99,35 @@
     steps: tuple[Step, ...]
 
 
+def check_job(job: Job) -> None:
+    """Check the numbers of a job from outside the process.
+
+    :raises ValueError: names the step, the value and what is accepted
+    """
+    if not job.steps:
+        raise ValueError('the job has no steps; accepted is 1 or more')
+    for number, step in enumerate(job.steps):
+        if step.n_tasks < 1:
+            raise ValueError(
+                f'step {number}: {step.n_tasks} tasks; accepted is 1 or more'
+            )
+        if any(not 0 <= earlier < number for earlier in step.after):
+            raise ValueError(
+                f'step {number}: depends on {step.after}; accepted are '
+                'earlier steps'
+            )
+        if min(step.room) < 0:
+            raise ValueError(f'step {number}: negative room {step.room}')
+        # The comparison is also false for a value that is not a number.
+        if not 0 <= step.estimate_s <= _MAX_ESTIMATE_S:
+            raise ValueError(
+                f'step {number}: estimated run time {step.estimate_s} s; '
+                f'accepted is 0 to {_MAX_ESTIMATE_S}'
+            )
+    if sum(step.n_tasks for step in job.steps) > _MAX_JOB_TASKS:
+        raise ValueError(f'more than {_MAX_JOB_TASKS} tasks')
+
+
 class TaskKey(typing.NamedTuple):
     """Identifies a task across all jobs."""
 
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -161,8 +161,19 @@
         while True:
             await self._effects_available.wait()
             self._effects_available = trio.Event()
-            self._expire_followers_if_due()
-            self._process_effects()
+            try:
+                self._expire_followers_if_due()
+                self._process_effects()
+            except Exception:
+                _log.log_unexpected_error('effects')
+
+    def _start_task(
+        self,
+        name: str,
+        function: typing.Callable[..., typing.Any],
+        *args: typing.Any,
+    ) -> None:
+        self._nursery.start_soon(_log.run_guarded, name, function, *args)
 
     def _process_effects(self) -> None:
         for effect in self.dispatcher.take_effects():
@@ -175,16 +186,19 @@
                     # An earlier effect in this batch has closed the leader.
                     continue
                 case dispatch.StartRun():
-                    self._nursery.start_soon(self._start_run, effect)
+                    self._start_task('start', self._start_run, effect)
                 case dispatch.StopRun():
-                    self._nursery.start_soon(self._stop_run, effect)
+                    self._start_task('stop', self._stop_run, effect)
                 case dispatch.PollWorker():
-                    self._nursery.start_soon(
-                        self._poll_worker, effect.worker_id, effect.loop_index
+                    self._start_task(
+                        'poll',
+                        self._poll_worker,
+                        effect.worker_id,
+                        effect.loop_index,
                     )
                 case dispatch.PollWorkerOnce():
-                    self._nursery.start_soon(
-                        self._poll_worker_once, effect.worker_id
+                    self._start_task(
+                        'poll', self._poll_worker_once, effect.worker_id
                     )
                 case dispatch.Superseded():
                     self.on_superseded(effect.token)
@@ -217,6 +231,12 @@
             dispatcher.handle_start_unanswered(
                 *run_args, True, trio.current_time()
             )
+        except Exception:
+            # The request may have been sent.
+            _log.log_unexpected_error('start')
+            dispatcher.handle_start_unanswered(
+                *run_args, True, trio.current_time()
+            )
         else:
             dispatcher.handle_start_accepted(
                 *run_args, clock_ms, trio.current_time()
@@ -308,6 +328,13 @@
             )
             self.schedule_effects()
             return False
+        except Exception:
+            _log.log_unexpected_error('report')
+            self.dispatcher.handle_poll_failure(
+                worker_id, 'internal error', trio.current_time()
+            )
+            self.schedule_effects()
+            return False
         self.dispatcher.handle_report(
             worker_id, report, requested_s, trio.current_time()
         )
--- a/src/orioleloom/node/_log.py
+++ b/src/orioleloom/node/_log.py
@@ -1,9 +1,11 @@
 import os
 import time
+import traceback
 import typing
 
 import eliot
 import msgspec
+import trio
 
 # Average and burst rate limits of log lines. The leader of a large site
 # finishes 500 jobs a second and logs a line for each; a limit of 300 lines
@@ -12,6 +14,39 @@
 _BURST_LINES = 1600.0
 # Maximum size of the lines buffered for a slow reader of the log.
 _MAX_BUFFER_BYTES = 256 * 1024
+# Delay before a task that ended unexpectedly runs again.
+_RESTART_DELAY_S = 0.1
+
+
+async def run_guarded(
+    name: str, function: typing.Callable[..., typing.Any], *args: typing.Any
+) -> None:
+    """Await a function and log an unexpected error instead of raising it.
+
+    An instance serves many callers. An error in the handling of one message
+    or request must not end the others.
+    """
+    try:
+        await function(*args)
+    except Exception:
+        log_unexpected_error(name)
+
+
+async def run_forever(
+    name: str, function: typing.Callable[[], typing.Any]
+) -> typing.NoReturn:
+    """Await a function again and again, also after unexpected errors."""
+    while True:
+        await run_guarded(name, function)
+        await trio.sleep(_RESTART_DELAY_S)
+
+
+def log_unexpected_error(name: str) -> None:
+    """Log the exception that is being handled.
+
+    :param name: part of the program whose work was abandoned
+    """
+    log('internal_error', part=name, traceback=traceback.format_exc())
 
 
 class LogWriter:
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -1,5 +1,6 @@
 """Messages between instances and their MessagePack encoding."""
 
+import math
 import typing
 
 import msgspec
@@ -182,6 +183,21 @@
     try:
         envelope = _ENVELOPE_DECODER.decode(frame)
         decoder = _DECODERS[envelope.kind]
-        return envelope.sender, decoder.decode(envelope.payload)
-    except (msgspec.MsgspecError, KeyError) as exc:
+        message = decoder.decode(envelope.payload)
+        if isinstance(message, SubmitJob):
+            _check_submission(message)
+    except (msgspec.MsgspecError, KeyError, ValueError) as exc:
         raise MalformedError(str(exc)) from exc
+    return envelope.sender, message
+
+
+def _check_submission(message: SubmitJob) -> None:
+    """Check the numbers of a submission.
+
+    :raises ValueError: a number is not accepted
+    """
+    dispatch.check_job(message.job)
+    for name in ('age_s', 'remaining_s'):
+        value = getattr(message, name)
+        if not math.isfinite(value):
+            raise ValueError(f'{name} is {value}; accepted is a finite number')
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -7,6 +7,7 @@
 import trio
 
 from orioleloom import dispatch
+from orioleloom import errors
 from orioleloom import leadership
 from orioleloom.node import _leader
 from orioleloom.node import _log
@@ -214,9 +215,12 @@
                 self._schedule_store_heartbeat,
             )
             nursery.start_soon(self._receive)
-            nursery.start_soon(self.routing_watch.run)
-            nursery.start_soon(self._watch_workers)
-            nursery.start_soon(self._watch_members)
+            for name, function in (
+                ('routing watch', self.routing_watch.run),
+                ('worker watch', self._watch_workers),
+                ('member watch', self._watch_members),
+            ):
+                nursery.start_soon(_log.run_forever, name, function)
             nursery.start_soon(self._register)
             nursery.start_soon(self.timer_service.run)
             task_status.started()
@@ -349,8 +353,26 @@
         self, rows: dict[str, _ports.MemberInfo], version: int
     ) -> None:
         for key, member in rows.items():
-            if key != self.local_sender.instance_id:
-                self.peers.setdefault(key, member)
+            if (
+                key != self.local_sender.instance_id
+                and key not in self.peers
+                and self._has_valid_address(member)
+            ):
+                self.peers[key] = member
+
+    @staticmethod
+    def _has_valid_address(member: _ports.MemberInfo) -> bool:
+        """Return whether an instance can be sent to, or log that not."""
+        try:
+            peer_api.check_peer_address(member.address)
+        except errors.DispatchError as exc:
+            _log.log(
+                'malformed_message',
+                peer=member.instance_id[:80],
+                reason=str(exc),
+            )
+            return False
+        return True
 
     # Messages
 
@@ -374,12 +396,18 @@
                 continue
             if sender.instance_id == self.local_sender.instance_id:
                 continue
+            member = _ports.MemberInfo(
+                sender.instance_id, sender.address, sender.data_centre
+            )
             peer = self.peers.get(sender.instance_id)
             if peer is None or peer.address != sender.address:
-                self.peers[sender.instance_id] = _ports.MemberInfo(
-                    sender.instance_id, sender.address, sender.data_centre
-                )
-            self._handle_message(sender, message, trio.current_time())
+                if not self._has_valid_address(member):
+                    continue
+                self.peers[sender.instance_id] = member
+            try:
+                self._handle_message(sender, message, trio.current_time())
+            except Exception:
+                _log.log_unexpected_error(f'{type(message).__name__} message')
 
     def _handle_message(
         self, sender: _messages.Sender, message: typing.Any, now_s: float
@@ -701,7 +729,9 @@
             and now_s - self.elector.search_started_s > 2 * _PROBE_INTERVAL_S
         ):
             self._is_checking_reachability = True
-            self._nursery.start_soon(self._update_reachability)
+            self._nursery.start_soon(
+                _log.run_guarded, 'reachability', self._update_reachability
+            )
 
     async def _update_reachability(self) -> None:
         """Determine why most instances are out of contact."""
@@ -762,7 +792,12 @@
 
     def _schedule_store_heartbeat(self) -> None:
         if self.leader is not None and self.leader.scope == leadership.FLEET:
-            self._nursery.start_soon(self._write_store_heartbeat, self.leader)
+            self._nursery.start_soon(
+                _log.run_guarded,
+                'store heartbeat',
+                self._write_store_heartbeat,
+                self.leader,
+            )
 
     async def _write_store_heartbeat(self, leader: _leader.Leader) -> None:
         try:
--- a/src/orioleloom/platform/_wire.py
+++ b/src/orioleloom/platform/_wire.py
@@ -187,7 +187,6 @@
 
 _JOB_DECODER = msgspec.json.Decoder(_JobFields)
 _JOB_ID_PATTERN = re.compile(r'[0-9a-fA-F]{16}')
-_MAX_TASKS = 10_000
 
 
 class UnsupportedError(WireError):
@@ -211,13 +210,16 @@
         fields = _JOB_DECODER.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
         raise WireError(f'job: {exc}') from exc
-    steps = tuple(
-        _decode_step(number, step) for number, step in enumerate(fields.phases)
+    job = dispatch.Job(
+        job_id,
+        queue,
+        fields.spec,
+        tuple(_decode_step(step) for step in fields.phases),
     )
-    if not steps:
-        raise WireError('job: phases is empty; accepted is 1 or more')
-    if sum(step.n_tasks for step in steps) > _MAX_TASKS:
-        raise WireError(f'job: more than {_MAX_TASKS} tasks')
+    try:
+        dispatch.check_job(job)
+    except ValueError as exc:
+        raise WireError(f'job: {exc}') from exc
     if (
         not fields.best_effort
         or fields.long_running
@@ -228,16 +230,10 @@
         )
     ):
         raise UnsupportedError('job: only repeatable jobs are served')
-    return dispatch.Job(job_id, queue, fields.spec, steps)
+    return job
 
 
-def _decode_step(number: int, fields: _StepFields) -> dispatch.Step:
-    if fields.count < 1:
-        raise WireError(f'step {number}: count is {fields.count}')
-    if any(not 0 <= earlier < number for earlier in fields.after):
-        raise WireError(f'step {number}: after is {fields.after}')
-    if min(fields.cpu, fields.mem_mb, fields.gpu) < 0:
-        raise WireError(f'step {number}: negative room')
+def _decode_step(fields: _StepFields) -> dispatch.Step:
     return dispatch.Step(
         fields.count,
         dispatch.Resources(fields.cpu, fields.mem_mb, fields.gpu),
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -13,6 +13,7 @@
 
 from orioleloom import dispatch
 from orioleloom import node
+from orioleloom import peer_api
 from orioleloom import timers
 from orioleloom_standins.leased import _worker
 from orioleloom_standins.leased import _world
@@ -104,6 +105,7 @@
         fleet.sockets[address] = self
 
     def send(self, address: str, frame: bytes) -> bool:
+        peer_api.check_peer_address(address)
         target = self.fleet.sockets.get(address)
         now_s = trio.current_time()
         if target is None or not self.fleet.network.reaches(
@@ -114,12 +116,16 @@
             )
         elif now_s >= self._stalled_until_s.get(address, 0.0):
             self._stalled_until_s.pop(address, None)
-            target._arrivals.append(
-                (trio.current_time() + _LATENCY_S, self.instance_id, frame)
-            )
-            target._arrived.set()
+            target.deliver(self.instance_id, frame)
         return True
 
+    def deliver(self, sender: str, frame: bytes) -> None:
+        """Deliver a frame to this socket after the network's latency."""
+        self._arrivals.append(
+            (trio.current_time() + _LATENCY_S, sender, frame)
+        )
+        self._arrived.set()
+
     async def receive(self) -> collections.abc.AsyncIterator[bytes]:
         while True:
             while self._arrivals:
@@ -437,6 +443,12 @@
     ) -> None:
         """Submit a job to an instance and record its outcome."""
         self.world.declare(job, work_s)
+        self.submit_declared(instance_id, job, deadline_s)
+
+    def submit_declared(
+        self, instance_id: str, job: dispatch.Job, deadline_s: float
+    ) -> None:
+        """Submit a job whose tasks are known to the simulated workers."""
         now_s = trio.current_time()
         self.nodes[instance_id].submit(
             job,
--- a/src/orioleloom_standins/leased/_world.py
+++ b/src/orioleloom_standins/leased/_world.py
@@ -342,8 +342,18 @@
         """Set the actual duration of each task of a one-step job."""
         for index, seconds in enumerate(work_s):
             key = dispatch.TaskKey(job.id, 0, index)
-            self.task_work[key] = _TaskWork(seconds, is_poison)
-            self.task_rooms[key] = job.steps[0].room
+            self.set_task(key, seconds, job.steps[0].room, is_poison)
+
+    def set_task(
+        self,
+        key: dispatch.TaskKey,
+        work_s: float,
+        room: dispatch.Resources,
+        is_poison: bool = False,
+    ) -> None:
+        """Set the actual duration and resources of a task."""
+        self.task_work[key] = _TaskWork(work_s, is_poison)
+        self.task_rooms[key] = room
 
     def check_duplicate_runs(self, worker: _worker.LeasedWorker) -> None:
         """Check that no run of a worker is a duplicate of one elsewhere.
