Keep elections and reading of tables cheap in large fleets

Every searching instance probed all others 16 times a second, each of them answered, and sent all tables while the sender lacked them (1,977 copies in the 2 s after the start of 97 instances).

Change: a search contacts the best candidates of the fleet and of its data centre first, twice as many after each quarter of a second. One peer at a time is asked for the tables, and a copy is sent at most every 0.5 s. Followers read what has changed. Copies of tables carry the version that they were read at; a leader that hands over sends its copy of the workers, which is newer than the successor's by up to 4 s. The configuration is polled for half of the time in which it must be in force.

--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -122,11 +122,15 @@
 
 
 class Tables(typing.NamedTuple):
-    """Copies of the store's tables for a peer that could not read them."""
+    """Copies of the store's tables for a peer that could not read them.
+
+    :param workers_version: version of the store that ``workers`` shows
+    """
 
     routing: _ports.Routing | None
     workers: dict[str, dispatch.WorkerInfo]
     members: list[_ports.MemberInfo]
+    workers_version: int = 0
 
 
 class Handover(typing.NamedTuple):
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -7,11 +7,11 @@
 import trio
 
 from orioleloom import dispatch
-from orioleloom import errors
 from orioleloom import leadership
 from orioleloom.node import _leader
 from orioleloom.node import _log
 from orioleloom.node import _messages
+from orioleloom.node import _peers
 from orioleloom.node import _ports
 from orioleloom.node import _tables
 from orioleloom import peer_api
@@ -38,11 +38,12 @@
 # when they become leader.
 _FOLLOWER_READ_INTERVAL_S = 4.0
 _LEADER_WORKER_READ_INTERVAL_S = 0.2
+# A copy that was not confirmed by the store for this long may be replaced by
+# a peer's. It exceeds all intervals of reading.
+_STALE_COPY_S = 5.0
 _LEADER_MEMBER_READ_INTERVAL_S = 1.0
 # Interval for reading members while no leader is known.
 _SEARCH_MEMBER_READ_INTERVAL_S = 0.2
-# Minimum time between two reconnections to the same peer.
-_MIN_RECONNECT_INTERVAL_S = 0.5
 # A fencing token is the Unix time in milliseconds times this factor, plus a
 # hash of the instance id. Tokens thus increase without a write to the store,
 # and the hash keeps two instances from using the same token.
@@ -59,6 +60,8 @@
         values
     :param seed_peers: peer addresses to contact before the member list has
         been read
+    :param config_apply_s: time in which a change of the configuration must
+        be in force
     """
 
     instance_id: str
@@ -66,6 +69,7 @@
     peer_bind: str
     rank: float
     seed_peers: tuple[str, ...] = ()
+    config_apply_s: float = 2.0
 
 
 class PendingJob:
@@ -155,7 +159,11 @@
         self.leader: _leader.Leader | None = None
         self.routing: _ports.Routing | None = None
         self.pending: dict[str, PendingJob] = {}
-        self.peers: dict[str, _ports.MemberInfo] = {}
+        self.peers = _peers.PeerDirectory(
+            local_sender=self.local_sender,
+            socket=self.peer_socket,
+            seed_addresses=settings.seed_peers,
+        )
         self.counters: collections.Counter[str] = collections.Counter()
         self.is_stopping = False
         self.on_routing: typing.Callable[[_ports.Routing], None] = lambda _: (
@@ -170,7 +178,8 @@
         # Highest fencing token received from any leader.
         self._highest_token = 0
         self._workers: dict[str, dispatch.WorkerInfo] = {}
-        self._reconnected_s: dict[str, float] = {}
+        # Version of the store that the copy of the workers was read at.
+        self._workers_version = 0
         self._last_probe_s = -1e9
         self._last_leader_contact_s = 0.0
         self._is_checking_reachability = False
@@ -179,6 +188,7 @@
             'routing',
             store.routing,
             self._apply_routing,
+            wait_s=settings.config_apply_s / 2,
             random_state=self.random_state,
         )
         self.worker_watch = _tables.TableWatch(
@@ -231,6 +241,7 @@
             self.local_sender.instance_id,
             self.local_sender.address,
             self.local_sender.data_centre,
+            self.settings.rank,
         )
         while True:
             try:
@@ -247,8 +258,7 @@
                 with trio.CancelScope() as self._worker_watch_scope:
                     await self.worker_watch.run()
             else:
-                await self.worker_watch.read()
-                self.worker_watch.is_current = False
+                await self.worker_watch.refresh()
                 with trio.move_on_after(_FOLLOWER_READ_INTERVAL_S) as scope:
                     self._worker_watch_scope = scope
                     await trio.sleep_forever()
@@ -259,7 +269,7 @@
             now_s = trio.current_time()
             if now_s - last_read_s >= self._member_read_interval_s():
                 last_read_s = now_s
-                await self.member_watch.read()
+                await self.member_watch.refresh()
             await trio.sleep(
                 _SEARCH_MEMBER_READ_INTERVAL_S
                 * self.random_state.uniform(0.7, 1.3)
@@ -301,6 +311,8 @@
     def _hand_over_leadership(self, successor_id: str, now_s: float) -> None:
         leader = self.leader
         _log.log('leadership_handed_over', successor=successor_id)
+        # The successor's own copy of the workers may be seconds old.
+        self._send_tables(successor_id, now_s)
         for member_id in leader.instances_in_contact():
             if member_id != self.local_sender.instance_id:
                 self.send(
@@ -331,7 +343,11 @@
     def _apply_workers(
         self, rows: dict[str, dispatch.WorkerInfo], version: int
     ) -> None:
-        if {**rows} == self._workers:
+        if version < self._workers_version:
+            # A peer's copy may be older than the own one, or newer.
+            return
+        self._workers_version = version
+        if rows == self._workers:
             return
         self._workers = dict(rows)
         if self.leader is not None:
@@ -352,40 +368,14 @@
     def _add_members(
         self, rows: dict[str, _ports.MemberInfo], version: int
     ) -> None:
-        for key, member in rows.items():
-            if (
-                key != self.local_sender.instance_id
-                and key not in self.peers
-                and self._has_valid_address(member)
-            ):
-                self.peers[key] = member
-
-    @staticmethod
-    def _has_valid_address(member: _ports.MemberInfo) -> bool:
-        """Return whether an instance can be sent to, or log that not."""
-        try:
-            peer_api.check_peer_address(member.address)
-        except errors.DispatchError as exc:
-            _log.log(
-                'malformed_message',
-                peer=member.instance_id[:80],
-                reason=str(exc),
-            )
-            return False
-        return True
+        for member in rows.values():
+            self.peers.add_listed(member)
 
     # Messages
 
     def send(self, member_id: str, message: _messages.Message) -> None:
         """Queue a message to an instance whose address is known."""
-        peer = self.peers.get(member_id)
-        if peer is not None:
-            self._send_to(peer.address, message)
-
-    def _send_to(self, address: str, message: _messages.Message) -> None:
-        self.peer_socket.send(
-            address, _messages.encode(self.local_sender, message)
-        )
+        self.peers.send(member_id, message)
 
     async def _receive(self) -> None:
         async for frame in self.peer_socket.receive():
@@ -396,14 +386,8 @@
                 continue
             if sender.instance_id == self.local_sender.instance_id:
                 continue
-            member = _ports.MemberInfo(
-                sender.instance_id, sender.address, sender.data_centre
-            )
-            peer = self.peers.get(sender.instance_id)
-            if peer is None or peer.address != sender.address:
-                if not self._has_valid_address(member):
-                    continue
-                self.peers[sender.instance_id] = member
+            if not self.peers.observe_sender(sender):
+                continue
             try:
                 self._handle_message(sender, message, trio.current_time())
             except Exception:
@@ -423,7 +407,7 @@
                 if leader is not None and message.term == leader.term:
                     leader.handle_heartbeat_reply(sender_id, message, now_s)
                     if message.lacks_tables:
-                        self._send_tables(sender_id)
+                        self._send_tables(sender_id, now_s)
             case _messages.SubmitJob():
                 if leader is not None and message.term == leader.term:
                     leader.handle_submission(sender_id, message, now_s)
@@ -451,61 +435,64 @@
         self.elector.handle_probe(probe.state, now_s)
         if not probe.wants_answer:
             return
-        self._reconnect(sender.address, now_s)
+        self.peers.reconnect(sender.address, now_s)
         if self.leader is not None:
             self.leader.send_heartbeat(
                 self.leader.get_or_add_follower(sender.instance_id)
             )
-        self._send_to(
+        self.peers.send_to(
             sender.address, _messages.Probe(self.elector.state(), False)
         )
         if probe.lacks_tables:
-            self._send_tables(sender.instance_id)
+            self._send_tables(sender.instance_id, now_s)
 
     def _lacks_tables(self) -> bool:
         return self.routing is None or not self._workers
 
-    def _send_tables(self, member_id: str) -> None:
-        if self._lacks_tables():
+    def _send_tables(self, member_id: str, now_s: float) -> None:
+        if self._lacks_tables() or not self.peers.may_send_tables(
+            member_id, now_s
+        ):
             return
         self.send(
             member_id,
             _messages.Tables(
-                self.routing, self._workers, list(self.peers.values())
+                self.routing,
+                self._workers,
+                list(self.peers.members.values()),
+                self._workers_version,
             ),
         )
 
     def _handle_tables(self, sender_id: str, tables: _messages.Tables) -> None:
-        """Use a peer's copies of tables that this instance has not read."""
+        """Use a peer's copies of tables where the own ones may be old.
+
+        That is while this instance cannot read them from the store, and for
+        the workers in a handover by the leader.
+        """
         _log.log(
             'tables_received',
             peer=sender_id,
             version=tables.routing.version if tables.routing else None,
             n_workers=len(tables.workers),
+            workers_version=tables.workers_version,
         )
-        if self.routing is None and tables.routing is not None:
+        now_s = trio.current_time()
+        if tables.routing is not None and (
+            self.routing is None or self._is_stale(self.routing_watch, now_s)
+        ):
             self._apply_routing({'': tables.routing}, 0)
-        if not self._workers:
-            self._apply_workers(tables.workers, 0)
-        self._add_members({m.instance_id: m for m in tables.members}, 0)
-
-    def _reconnect_member(self, member_id: str) -> None:
-        peer = self.peers.get(member_id)
-        if peer is not None:
-            self._reconnect(peer.address, trio.current_time())
-
-    def _reconnect(self, address: str, now_s: float) -> None:
-        """Replace the connection to a peer that is out of contact.
-
-        It may be half-open and never recover, or wait for seconds between
-        attempts to connect.
-        """
         if (
-            now_s - self._reconnected_s.get(address, -1e9)
-            > _MIN_RECONNECT_INTERVAL_S
+            not self._workers
+            or self._is_stale(self.worker_watch, now_s)
+            or sender_id == self.elector.leader_id
         ):
-            self._reconnected_s[address] = now_s
-            self.peer_socket.disconnect(address)
+            self._apply_workers(tables.workers, tables.workers_version)
+        self._add_members({m.instance_id: m for m in tables.members}, 0)
+
+    @staticmethod
+    def _is_stale(watch: _tables.TableWatch, now_s: float) -> bool:
+        return now_s - watch.last_success_s > _STALE_COPY_S
 
     def _handle_heartbeat(
         self, sender: _messages.Sender, beat: _messages.Beat, now_s: float
@@ -546,8 +533,8 @@
                     self._last_leader_contact_s, last_heartbeat_s
                 )
         if not beat.is_heard:
-            self._reconnect(sender.address, now_s)
-        self._send_to(
+            self.peers.reconnect(sender.address, now_s)
+        self.peers.send_to(
             sender.address,
             _messages.BeatReply(
                 beat.term,
@@ -597,7 +584,9 @@
             send=self.send,
             deliver_local=self._deliver_outcome,
             on_superseded=self._handle_superseded,
-            reconnect=self._reconnect_member,
+            reconnect=lambda member_id: self.peers.reconnect_member(
+                member_id, trio.current_time()
+            ),
             now_s=now_s,
             random_state=self.random_state,
         )
@@ -612,7 +601,7 @@
         self._nursery.start_soon(leader.run)
         self._update_dispatcher_workers(now_s)
         self._worker_watch_scope.cancel()
-        leader.send_heartbeats(self.peers)
+        leader.send_heartbeats(self.peers.members)
         for pending in list(self.pending.values()):
             self._submit_pending(pending, now_s)
 
@@ -652,7 +641,7 @@
                 leader.raise_token(self._new_token())
                 # One of the two leaders steps down when it receives the
                 # other's heartbeat.
-                leader.send_heartbeats(self.peers, include_lost=True)
+                leader.send_heartbeats(self.peers.members, include_lost=True)
             return
         _log.log('superseded', term=leader.term, scope=leader.scope)
         self._stop_leading(now_s)
@@ -698,28 +687,37 @@
         self._expire_pending(now_s)
 
     def _n_members(self) -> int:
-        return len(self.peers) + 1 if self.member_watch.version else 0
+        return len(self.peers.members) + 1 if self.member_watch.version else 0
 
     def _probe_peers(self, now_s: float) -> None:
         if now_s - self._last_probe_s < _PROBE_INTERVAL_S:
             return
         self._last_probe_s = now_s
-        probe = _messages.Probe(
-            self.elector.state(), True, self._lacks_tables()
+        addresses = self.peers.addresses_to_probe(
+            self.elector.last_known_alive,
+            now_s - self.elector.search_started_s,
         )
         heard_ids = {p.instance_id for p in self.elector.recent_peers(now_s)}
         heard_addresses = {
             peer.address
-            for peer in self.peers.values()
+            for peer in self.peers.members.values()
             if peer.instance_id in heard_ids
         }
-        for address in {
-            *(peer.address for peer in self.peers.values()),
-            *self.settings.seed_peers,
-        } - {self.local_sender.address}:
+        # One peer at a time is asked for the tables, which are large.
+        tables_address = (
+            self.random_state.choice(addresses)
+            if addresses and self._lacks_tables()
+            else None
+        )
+        for address in addresses:
             if address not in heard_addresses:
-                self._reconnect(address, now_s)
-            self._send_to(address, probe)
+                self.peers.reconnect(address, now_s)
+            self.peers.send_to(
+                address,
+                _messages.Probe(
+                    self.elector.state(), True, address == tables_address
+                ),
+            )
         lacks_quorum = not self.elector.has_half_of_members(
             len(self.elector.recent_peers(now_s)), self._n_members()
         )
@@ -783,7 +781,7 @@
         if leader is None:
             return
         now_s = trio.current_time()
-        leader.send_heartbeats(self.peers)
+        leader.send_heartbeats(self.peers.members)
         successor = leader.find_successor(
             self.settings.rank, now_s, is_stopping=self.is_stopping
         )
@@ -1017,7 +1015,7 @@
             'term': self.elector.term,
             'scope': self.elector.scope,
             'beat_ago_s': round(now_s - self.elector.last_heartbeat_s, 3),
-            'peers': sorted(self.peers),
+            'peers': sorted(self.peers.members),
             'configuration': self.routing.version if self.routing else None,
             'n_pending': len(self.pending),
             'counters': self.counters,
--- a/src/orioleloom/node/_ports.py
+++ b/src/orioleloom/node/_ports.py
@@ -55,11 +55,13 @@
     """Entry of an instance in the member table.
 
     :param address: ``tcp://IP:PORT`` on which peers connect
+    :param rank: suitability as leader; 0 if unknown
     """
 
     instance_id: str
     address: str
     data_centre: str
+    rank: float = 0.0
 
 
 class StoreError(Exception):
--- a/src/orioleloom/node/_tables.py
+++ b/src/orioleloom/node/_tables.py
@@ -58,7 +58,7 @@
             if not self.is_current or started_s > self._next_full_read_s:
                 await self.read()
             else:
-                await self._poll_changes()
+                await self._poll_changes(self.wait_s)
             if self.min_interval_s:
                 await trio.sleep_until(started_s + self.min_interval_s)
 
@@ -90,11 +90,18 @@
             self.on_change(self.rows, self.version)
         return True
 
-    async def _poll_changes(self) -> None:
+    async def refresh(self) -> None:
+        """Read once what has changed since the last read."""
+        if self.is_current:
+            await self._poll_changes(0.0)
+        else:
+            await self.read()
+
+    async def _poll_changes(self, wait_s: float) -> None:
         try:
             self.n_calls += 1
-            with trio.fail_after(self.wait_s + _CHANGES_TIMEOUT_MARGIN_S):
-                changes = await self.table.changes(self.version, self.wait_s)
+            with trio.fail_after(wait_s + _CHANGES_TIMEOUT_MARGIN_S):
+                changes = await self.table.changes(self.version, wait_s)
         except _ports.HistoryLostError:
             _log.log('history_lost', table=self.name, after=self.version)
             self.is_current = False
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -55,6 +55,7 @@
                 peer_bind=settings.peer_address(settings.ip),
                 rank=settings.limits.cpu_share * settings.limits.cores,
                 seed_peers=settings.seed_peers(),
+                config_apply_s=settings.bounds.config_apply_ms / 1000,
             ),
             store=self.store,
             gateway=_workers.WorkerClient(self.client),
@@ -154,9 +155,7 @@
             return
         self.settings = settings
         self.store.address = settings.store.address
-        self.node.settings = self.node.settings._replace(
-            seed_peers=settings.seed_peers()
-        )
+        self.node.peers.seed_addresses = settings.seed_peers()
         node.log('reloaded', n_seeds=len(settings.seeds))
 
     async def _drain(self) -> None:
--- a/src/orioleloom/platform/_settings.py
+++ b/src/orioleloom/platform/_settings.py
@@ -33,9 +33,11 @@
     """Time limits of the platform that this adapter uses.
 
     :param grace_s: time between SIGTERM and SIGKILL
+    :param config_apply_ms: time in which a configuration must be in force
     """
 
     grace_s: float = msgspec.field(name='graceS', default=6.0)
+    config_apply_ms: float = msgspec.field(name='configApplyMs', default=2000)
 
 
 class StoreSettings(msgspec.Struct):
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -105,6 +105,8 @@
         fleet.sockets[address] = self
 
     def send(self, address: str, frame: bytes) -> bool:
+        self.fleet.n_frames += 1
+        self.fleet.n_frame_bytes += len(frame)
         peer_api.check_peer_address(address)
         target = self.fleet.sockets.get(address)
         now_s = trio.current_time()
@@ -157,6 +159,7 @@
     async def read(self) -> node.Snapshot:
         await self.store.call()
         rows = self.store.data.tables.get(self.name, {})
+        self.store.data.n_rows_read += len(rows)
         return node.Snapshot(
             self.store.data.version,
             {k: v for k, (v, _) in rows.items() if v is not None},
@@ -170,6 +173,7 @@
             changed = {k: v for k, (v, ver) in rows.items() if ver > after}
             if changed or trio.current_time() >= deadline_s:
                 await self.store.call()
+                self.store.data.n_rows_read += len(changed)
                 return node.Snapshot(self.store.data.version, changed)
             with trio.move_on_at(deadline_s):
                 await self.store.data.changed.wait()
@@ -183,6 +187,7 @@
         self.version = 0
         self.changed = trio.Event()
         self.is_down = False
+        self.n_rows_read = 0
         # Ids of instances whose calls fail.
         self.rejected_instances: set[str] = set()
         self.leader_heartbeat = ''
@@ -361,6 +366,9 @@
         self.clock_errors_s: dict[str, float] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._n_starts = 0
+        # Messages between instances, for tests of their cost.
+        self.n_frames = 0
+        self.n_frame_bytes = 0
         self._data_centres = {
             f'e{number}': name for number, name in enumerate(data_centres)
         }
