Pass finished work on to the next leader, and tell it what was not answered

Cause: found by counting starts over ten planned handovers with all instances alive. Workers forget an end once a leader has acknowledged it, so the next leader started tasks again that were done, of every job that was only partly done. A job whose instance was lost could be submitted again elsewhere and be refused as not run although its tasks had run. A job whose answer was lost ran again if the leader had changed in between.

Change: a leader that hands over sends its successor the tasks that are done and the recent outcomes. Instances send their recent outcomes to a new leader. A dispatcher remembers for 5 s which jobs ended unknown after a start.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Dispatch of repeatable jobs to workers that run tasks under leases."""
 
 from orioleloom.dispatch._dispatcher import Dispatcher
+from orioleloom.dispatch._dispatcher import OUTCOME_RETENTION_S
 from orioleloom.dispatch._dispatcher import Settings
 from orioleloom.dispatch._jobs import latest_useful_start_s
 from orioleloom.dispatch._records import AnswerJob
@@ -33,6 +34,7 @@
     'EndedRun',
     'EndKind',
     'Job',
+    'OUTCOME_RETENTION_S',
     'LogDecision',
     'Outcome',
     'OutcomeKind',
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -27,6 +27,10 @@
 # Interval between polls of workers that have not reported since a handover.
 _CONFIRM_POLL_INTERVAL_S = 0.05
 
+# How long outcomes are kept for callers whose answer was lost, and who submit
+# the job again, usually after 1.3 s.
+OUTCOME_RETENTION_S = 5.0
+
 # How often one task may be moved away from a slow worker.
 _MAX_MOVES = 2
 
@@ -98,6 +102,9 @@
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
         self._foreign_runs = _foreign_runs.ForeignRuns()
         self._recent_outcomes: dict[str, tuple[_records.Outcome, float]] = {}
+        # Jobs that ended with an unknown outcome after a task was sent, and
+        # when. Their callers may submit them again, at any instance.
+        self._unknown_ended_s: dict[str, float] = {}
         self._stop_due_s: dict[_workers.Run, float] = {}
         self._effects: list[_records.Effect] = []
         self._needs_placement = False
@@ -766,6 +773,9 @@
             )
             return
         state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
+        # Tasks of an earlier submission may have run, so that this one must
+        # not be refused as not run.
+        state.may_have_run_elsewhere = job.id in self._unknown_ended_s
         state.set_expected_run_time(_jobs.critical_path_s(job, self.run_times))
         self.jobs[job.id] = state
         self.counters['jobs'] += 1
@@ -784,6 +794,39 @@
         recent = self._recent_outcomes.get(job_id)
         return recent[0] if recent is not None else None
 
+    def progress(
+        self,
+    ) -> tuple[list[_records.TaskKey], dict[str, _records.Outcome]]:
+        """Return the finished work, for :meth:`add_progress` of another one.
+
+        :returns: the tasks that are done, of jobs that are not; and the
+            recent outcomes by job id
+        """
+        completed = [key for key, task in self._tasks.items() if task.is_done]
+        outcomes = {
+            job_id: outcome
+            for job_id, (outcome, _) in self._recent_outcomes.items()
+        }
+        return completed, outcomes
+
+    def add_progress(
+        self,
+        completed: typing.Iterable[_records.TaskKey],
+        outcomes: typing.Mapping[str, _records.Outcome],
+        now_s: float,
+    ) -> None:
+        """Use an earlier dispatcher's knowledge of finished work."""
+        for key in completed:
+            task = self._tasks.get(key)
+            if task is None:
+                self._foreign_runs.add_completion(key, now_s)
+            elif task.run is None:
+                self._complete_task(task, now_s)
+        for job_id, outcome in outcomes.items():
+            if job_id not in self.jobs:
+                self._recent_outcomes.setdefault(job_id, (outcome, now_s))
+        self._request_placement(now_s)
+
     def _release_held_jobs(self, now_s: float) -> None:
         """Release handed over jobs once all workers have reported.
 
@@ -897,6 +940,9 @@
             total_ms=round((now_s - job.arrived_s) * 1000),
             objective_ms=round((job.objective_s - job.arrived_s) * 1000),
         )
+        if outcome.kind is _records.OutcomeKind.UNKNOWN and job.may_have_run():
+            self._unknown_ended_s.pop(job.job.id, None)
+            self._unknown_ended_s[job.job.id] = now_s
         if send_answer:
             self._recent_outcomes[job.job.id] = (outcome, now_s)
             self._effects.append(
@@ -1081,9 +1127,13 @@
     def _drop_old_results(self, now_s: float) -> None:
         self._foreign_runs.drop_old_completions(now_s)
         for job_id, (_, ended_s) in list(self._recent_outcomes.items()):
-            if now_s - ended_s <= 5.0:
+            if now_s - ended_s <= OUTCOME_RETENTION_S:
                 break
             del self._recent_outcomes[job_id]
+        for job_id, ended_s in list(self._unknown_ended_s.items()):
+            if now_s - ended_s <= OUTCOME_RETENTION_S:
+                break
+            del self._unknown_ended_s[job_id]
 
     def state(self, now_s: float) -> dict[str, typing.Any]:
         """Return the dispatcher's state for operators."""
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -494,6 +494,8 @@
         follower.rank = reply.rank
         if reply.sequence >= self._first_sequence_of_token:
             self.dispatcher.resume_instance(member_id, now_s)
+        if reply.outcomes:
+            self.dispatcher.add_progress((), reply.outcomes, now_s)
         pending_ids = set(reply.job_ids)
         for job_id in pending_ids - self.dispatcher.jobs.keys():
             outcome = self.dispatcher.outcome(job_id)
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -68,6 +68,7 @@
     :param is_stopping: the instance is in a planned stop and cannot lead
     :param lacks_tables: the instance has not read the store's tables yet
     :param rank: suitability of the instance as leader; higher is better
+    :param outcomes: recent outcomes by job id, in the first reply to a leader
     """
 
     term: int
@@ -77,6 +78,7 @@
     is_stopping: bool
     lacks_tables: bool = False
     rank: float = 0.0
+    outcomes: dict[str, dispatch.Outcome] = {}
 
 
 class SubmitJob(typing.NamedTuple):
@@ -133,6 +135,19 @@
     workers_version: int = 0
 
 
+class Progress(typing.NamedTuple):
+    """What a leader knows of finished work, for its successor.
+
+    Workers forget the ends of runs that were reported to a leader.
+
+    :param completed: tasks that are done, of jobs that are not
+    :param outcomes: recent outcomes by job id
+    """
+
+    completed: list[dispatch.TaskKey]
+    outcomes: dict[str, dispatch.Outcome]
+
+
 class Handover(typing.NamedTuple):
     """Announces that the leader steps down in favour of a successor."""
 
@@ -149,6 +164,7 @@
     | JobEnded
     | JobUnknown
     | Tables
+    | Progress
     | Handover
 )
 
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -175,6 +175,10 @@
         )
         self._worker_watch_scope = trio.CancelScope()
         self._leader_session = 0
+        self._received_progress = _messages.Progress([], {})
+        # Outcomes that callers may ask for again elsewhere, if the answer was
+        # lost on its way to them.
+        self._delivered: dict[str, tuple[dispatch.Outcome, float]] = {}
         # Highest fencing token received from any leader.
         self._highest_token = 0
         self._workers: dict[str, dispatch.WorkerInfo] = {}
@@ -313,6 +317,9 @@
         _log.log('leadership_handed_over', successor=successor_id)
         # The successor's own copy of the workers may be seconds old.
         self._send_tables(successor_id, now_s)
+        self.send(
+            successor_id, _messages.Progress(*leader.dispatcher.progress())
+        )
         for member_id in leader.instances_in_contact():
             if member_id != self.local_sender.instance_id:
                 self.send(
@@ -426,6 +433,9 @@
                     self._submit_pending(pending, now_s)
             case _messages.Tables():
                 self._handle_tables(sender_id, message)
+            case _messages.Progress():
+                if sender_id == self.elector.leader_id:
+                    self._received_progress = message
             case _messages.Handover():
                 self._handle_handover(sender_id, message, now_s)
 
@@ -549,6 +559,9 @@
                 self.is_stopping,
                 self._lacks_tables(),
                 self.settings.rank,
+                self._recent_outcomes()
+                if (sender.instance_id, beat.term) != previous_leader
+                else {},
             ),
         )
         for pending in list(self.pending.values()):
@@ -564,15 +577,21 @@
         scope = self.elector.scope
         self.elector.start_search(now_s)
         if message.successor_id == self.local_sender.instance_id:
-            self._become_leader(scope, now_s)
+            self._become_leader(scope, now_s, self._received_progress)
 
     # Leadership
 
-    def _become_leader(self, scope: str, now_s: float) -> None:
+    def _become_leader(
+        self, scope: str, now_s: float, progress: _messages.Progress
+    ) -> None:
         self.elector.become_leader(scope, now_s)
-        self._start_leading(now_s)
+        self._start_leading(now_s, progress)
 
-    def _start_leading(self, now_s: float) -> None:
+    def _start_leading(
+        self,
+        now_s: float,
+        progress: _messages.Progress = _messages.Progress([], {}),
+    ) -> None:
         now_ms = int(self.wall_time() * 1000)
         leader = self.leader = _leader.Leader(
             instance_id=self.local_sender.instance_id,
@@ -599,6 +618,11 @@
             workers_age_s=round(now_s - self.worker_watch.last_success_s, 3),
         )
         self._nursery.start_soon(leader.run)
+        leader.dispatcher.add_progress(
+            progress.completed,
+            {**progress.outcomes, **self._recent_outcomes()},
+            now_s,
+        )
         self._update_dispatcher_workers(now_s)
         self._worker_watch_scope.cancel()
         leader.send_heartbeats(self.peers.members)
@@ -685,6 +709,7 @@
         if self.leader is not None:
             self.leader.tick(now_s)
         self._expire_pending(now_s)
+        self._recent_outcomes()
 
     def _n_members(self) -> int:
         return len(self.peers.members) + 1 if self.member_watch.version else 0
@@ -946,6 +971,19 @@
                 outcome.kind, trio.current_time() - pending.arrived_s
             )
             pending.on_outcome(outcome)
+            if pending.was_submitted:
+                self._delivered[job_id] = (outcome, trio.current_time())
+
+    def _recent_outcomes(self) -> dict[str, dispatch.Outcome]:
+        """Return what was recently answered here, for a new leader."""
+        now_s = trio.current_time()
+        for job_id, (_, delivered_s) in list(self._delivered.items()):
+            if now_s - delivered_s <= dispatch.OUTCOME_RETENTION_S:
+                break
+            del self._delivered[job_id]
+        return {
+            job_id: outcome for job_id, (outcome, _) in self._delivered.items()
+        }
 
     def _give_up(self, pending: PendingJob, reason: str) -> None:
         """End a job without an outcome from a leader."""
--- a/src/orioleloom_standins/leased/__init__.py
+++ b/src/orioleloom_standins/leased/__init__.py
@@ -6,9 +6,12 @@
 """
 
 from orioleloom_standins.leased._fleet import Fleet
+from orioleloom_standins.leased._fleet import PAUSE_POINTS
+from orioleloom_standins.leased._fleet import PlannedPause
 from orioleloom_standins.leased._fleet import seed_scheduler
 from orioleloom_standins.leased._history import HistoryReport
 from orioleloom_standins.leased._history import run_history
+from orioleloom_standins.leased._history import run_pause
 from orioleloom_standins.leased._history import UnservedError
 from orioleloom_standins.leased._load import JobKind
 from orioleloom_standins.leased._load import LoadReport
@@ -23,10 +26,13 @@
     'HistoryReport',
     'UnservedError',
     'run_history',
+    'run_pause',
     'Fleet',
     'JobKind',
     'LeasedWorker',
     'LoadReport',
+    'PAUSE_POINTS',
+    'PlannedPause',
     'SITE_KINDS',
     'Violation',
     'World',
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -87,6 +87,98 @@
         )
 
 
+class PlannedPause(typing.NamedTuple):
+    """A pause of the leader's process, as by a frozen machine.
+
+    :param point: place in the process at which the pause begins, one of
+        :data:`PAUSE_POINTS`
+    :param n_passes: number of times that the leader passes the place before
+    :param duration_s: duration of the pause
+    """
+
+    point: str
+    n_passes: int
+    duration_s: float
+
+
+# Each place where a process waits for something outside of it: before it sends
+# a request, and when the answer has arrived.
+PAUSE_POINTS = (
+    'start sent',
+    'start answered',
+    'stop sent',
+    'stop answered',
+    'report sent',
+    'report answered',
+    'store call sent',
+    'store call answered',
+    'message received',
+    'timer due',
+)
+
+
+class _Pauses:
+    """Holds back everything that paused processes would receive or send."""
+
+    def __init__(self) -> None:
+        self.planned: PlannedPause | None = None
+        self.on_begin: typing.Callable[[str], None] = lambda _: None
+        self._n_passed = 0
+        self._until_s: dict[str, float] = {}
+
+    def begin(self, instance_id: str, duration_s: float) -> None:
+        """Pause an instance."""
+        self._until_s[instance_id] = trio.current_time() + duration_s
+        self.on_begin(instance_id)
+
+    def is_paused(self, instance_id: str) -> bool:
+        """Return whether an instance is paused."""
+        return trio.current_time() < self._until_s.get(instance_id, 0.0)
+
+    def pass_point(self, instance_id: str, point: str, leads: bool) -> None:
+        """Begin the planned pause if this is its place."""
+        planned = self.planned
+        if planned is None or planned.point != point or not leads:
+            return
+        self._n_passed += 1
+        if self._n_passed > planned.n_passes:
+            self.planned = None
+            self.begin(instance_id, planned.duration_s)
+
+    async def wait(self, instance_id: str) -> None:
+        """Wait until an instance is not paused.
+
+        Time-outs expire during a pause, but take effect only afterwards.
+        """
+        with trio.CancelScope(shield=True):
+            while self.is_paused(instance_id):
+                await trio.sleep_until(self._until_s[instance_id])
+
+
+class _TimerService(timers.TimerService):
+    """Timer service of a process that may be paused."""
+
+    def __init__(self, fleet: 'Fleet', instance_id: str):
+        super().__init__(random_state=random.Random(1))
+        self.fleet = fleet
+        self.instance_id = instance_id
+
+    def subscribe(
+        self,
+        name: str,
+        interval_s: float,
+        callback: typing.Callable[[], None],
+        *,
+        jitter: float = 0.0,
+    ) -> None:
+        def call_unless_paused() -> None:
+            self.fleet.pass_pause_point(self.instance_id, 'timer due')
+            if not self.fleet.pauses.is_paused(self.instance_id):
+                callback()
+
+        super().subscribe(name, interval_s, call_unless_paused, jitter=jitter)
+
+
 class _PeerSocket:
     """In-memory replacement for :class:`orioleloom.peer_api.PeerSocket`.
 
@@ -135,6 +227,9 @@
                 if due_s > trio.current_time():
                     await trio.sleep_until(due_s)
                 self._arrivals.popleft()
+                await self.fleet.reach_pause_point(
+                    self.instance_id, 'message received'
+                )
                 if self.fleet.network.reaches(sender, self.instance_id):
                     yield frame
             self._arrived = trio.Event()
@@ -218,7 +313,11 @@
 
         :raises StoreError: the store is down or rejects this instance
         """
+        await self.fleet.reach_pause_point(self.instance_id, 'store call sent')
         await trio.sleep(_STORE_LATENCY_S)
+        await self.fleet.reach_pause_point(
+            self.instance_id, 'store call answered'
+        )
         if not self.fleet.network.reaches(self.instance_id, 'store'):
             await trio.sleep_forever()
         if (
@@ -271,6 +370,7 @@
             )
 
     async def start(self, command: dispatch.StartRun) -> int:
+        await self.fleet.reach_pause_point(self.instance_id, 'start sent')
         worker = await self._reach(command.worker.id)
         work = self.fleet.world.task_work[command.key]
 
@@ -283,6 +383,16 @@
                 work.is_poison,
                 trio.current_time(),
             )
+            self.fleet.starts.append(
+                ExecutedStart(
+                    trio.current_time(),
+                    self.instance_id,
+                    command.worker.id,
+                    command.key,
+                    command.token,
+                    rejection,
+                )
+            )
             self.fleet.world.check_duplicate_runs(worker)
             return rejection
 
@@ -294,14 +404,17 @@
             await trio.sleep_forever()
         rejection = execute()
         await self._return_answer(command.worker.id)
+        await self.fleet.reach_pause_point(self.instance_id, 'start answered')
         if rejection is not None:
             raise node.RejectedError(rejection)
         return worker.clock_ms(trio.current_time())
 
     async def stop(self, command: dispatch.StopRun) -> None:
+        await self.fleet.reach_pause_point(self.instance_id, 'stop sent')
         worker = await self._reach(command.worker.id)
         worker.stop(command, trio.current_time())
         await self._return_answer(command.worker.id)
+        await self.fleet.reach_pause_point(self.instance_id, 'stop answered')
 
     async def report(
         self,
@@ -311,6 +424,7 @@
         acked_through: int,
         wait_s: float,
     ) -> dispatch.WorkerReport:
+        await self.fleet.reach_pause_point(self.instance_id, 'report sent')
         worker = await self._reach(info.id)
         if self.fleet.random_state.random() < worker.late_share:
             await trio.sleep_forever()
@@ -329,6 +443,7 @@
             )
         report = worker.report(trio.current_time())
         await self._return_answer(info.id)
+        await self.fleet.reach_pause_point(self.instance_id, 'report answered')
         return report
 
     async def can_connect(self, worker: dispatch.WorkerInfo) -> bool:
@@ -336,6 +451,21 @@
         return True
 
 
+class ExecutedStart(typing.NamedTuple):
+    """A start command that a worker has received.
+
+    :param instance_id: sender of the command
+    :param rejection: why the worker refused it, or ``None``
+    """
+
+    time_s: float
+    instance_id: str
+    worker_id: str
+    key: dispatch.TaskKey
+    token: int
+    rejection: dispatch.Rejection | None
+
+
 class Fleet:
     """Simulated site with instances, workers and a store.
 
@@ -366,6 +496,8 @@
         self.clock_errors_s: dict[str, float] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._n_starts = 0
+        self.pauses = _Pauses()
+        self.starts: list[ExecutedStart] = []
         # Messages between instances, for tests of their cost.
         self.n_frames = 0
         self.n_frame_bytes = 0
@@ -382,6 +514,17 @@
         """Copy trio's time to the world that checks the invariants."""
         self.world.now_s = trio.current_time()
 
+    def pass_pause_point(self, instance_id: str, point: str) -> None:
+        """Begin the planned pause of the leader if this is its place."""
+        instance = self.nodes.get(instance_id)
+        leads = instance is not None and instance.leader is not None
+        self.pauses.pass_point(instance_id, point, leads)
+
+    async def reach_pause_point(self, instance_id: str, point: str) -> None:
+        """Wait at a place in a process for as long as it is paused."""
+        self.pass_pause_point(instance_id, point)
+        await self.pauses.wait(instance_id)
+
     def call_after(self, delay_s: float, call: typing.Callable) -> None:
         """Call a function after a delay."""
 
@@ -401,7 +544,7 @@
         address = _peer_address(instance_id)
         self.network.set_data_centre(instance_id, data_centre)
         random_state = random.Random(self.random_state.random())
-        service = timers.TimerService(random_state=random.Random(1))
+        service = _TimerService(self, instance_id)
         self._n_starts += 1
         instance = node.Node(
             settings=node.Settings(
--- a/src/orioleloom_standins/leased/_history.py
+++ b/src/orioleloom_standins/leased/_history.py
@@ -78,6 +78,19 @@
             self.fleet.world.declare(job, [work_s] * n_tasks)
             self.send(job)
 
+    async def cancel_some_jobs(self, duration_s: float) -> None:
+        """Let callers leave while their jobs run."""
+        end_s = trio.current_time() + duration_s
+        while trio.current_time() < end_s:
+            await trio.sleep(0.1)
+            for job_id, (_, _, holder) in list(self.waiting.items())[:1]:
+                instance = self.fleet.nodes.get(holder)
+                if instance is not None and not (
+                    self.fleet.pauses.is_paused(holder)
+                ):
+                    del self.waiting[job_id]
+                    instance.cancel(job_id)
+
     def send(self, job: dispatch.Job) -> None:
         """Submit a job to a random instance that accepts jobs."""
         if not self.fleet.nodes:
@@ -88,6 +101,7 @@
             name
             for name, instance in sorted(self.fleet.nodes.items())
             if not instance.is_stopping
+            and not self.fleet.pauses.is_paused(name)
         ]
         if not names:
             self.fleet.call_after(_RESEND_S, lambda: self.send(job))
@@ -120,6 +134,18 @@
                     _RESEND_S, lambda job=job: self.send(job)
                 )
 
+    def resend_jobs_of(self, instance_id: str) -> None:
+        """Resubmit elsewhere the jobs that an instance does not answer."""
+        for job, _, holder in list(self.waiting.values()):
+            if holder == instance_id:
+                self.fleet.call_after(
+                    _RESEND_S, lambda job=job: self._resend(job, instance_id)
+                )
+
+    def _resend(self, job: dispatch.Job, instance_id: str) -> None:
+        if job.id in self.waiting and self.fleet.pauses.is_paused(instance_id):
+            self.send(job)
+
     # Faults
 
     async def inject_faults(self, duration_s: float) -> None:
@@ -353,6 +379,54 @@
         )
 
 
+async def _run_pause(seed: int, pause: _fleet.PlannedPause) -> _fleet.Fleet:
+    rng = random.Random(seed)
+    async with trio.open_nursery() as nursery:
+        fleet = _fleet.Fleet(
+            nursery,
+            _load.site_workers(12),
+            ['dc0', 'dc1', 'dc2', 'dc3'],
+            random_state=rng,
+        )
+        fleet.store.put('routing', 'config', node.Routing(1, ()))
+        fleet.start()
+        await trio.sleep(1.5)
+        history = _History(fleet, rng, has_stops=False)
+        fleet.pauses.on_begin = history.resend_jobs_of
+        fleet.pauses.planned = pause
+        async with trio.open_nursery() as inner:
+            inner.start_soon(history.send_jobs, 3.0)
+            # Stops are sent only for jobs that callers leave.
+            inner.start_soon(history.cancel_some_jobs, 3.0)
+        await trio.sleep(pause.duration_s)
+        if fleet.pauses.planned is not None:
+            raise UnservedError(f'the leader never passed {pause.point!r}')
+        n_jobs_before = history.n_jobs
+        await history.send_jobs(1.0, per_s=4.0)
+        await trio.sleep(_RECOVERY_S)
+        _check_recovery(seed, history, n_jobs_before)
+        nursery.cancel_scope.cancel()
+    return fleet
+
+
+def run_pause(seed: int, pause: _fleet.PlannedPause) -> _fleet.Fleet:
+    """Run a fleet whose leader is paused once, on a mock clock.
+
+    Callers of the paused instance resubmit their jobs elsewhere.
+
+    :raises Violation: a task ran on two workers at the same time
+    :raises UnservedError: the fleet did not recover, or the leader did not
+        reach the place of the pause
+    """
+    _fleet.seed_scheduler(seed)
+    return trio.run(
+        _run_pause,
+        seed,
+        pause,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+
+
 def run_history(seed: int, *, has_stops: bool = False) -> HistoryReport:
     """Run a fleet under random faults on a mock clock.
 
