Send changes of workers and configurations from the leader to its followers

And an instance that the store refuses kept a withdrawn configuration for as long as that lasted, although its leader had the new one.

Change: followers read the workers every 20 s. The leader sends changes at most once a second to the best candidate of each data centre. Heartbeats name the leader's version of the configuration; a follower that the store has not answered for the time in which a configuration must be in force asks for it.

--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -118,6 +118,8 @@
         )
         self.followers: dict[str, Follower] = {}
         self.sequence = 0
+        # Version of the configuration in force here.
+        self.routing_version = 0
         # Send times of recent heartbeats, by sequence number.
         self._heartbeat_sent_s: dict[int, float] = {}
         self._followers_checked_s = -1e9
@@ -459,6 +461,7 @@
                 alive,
                 n_unstarted,
                 self.dispatcher.token,
+                self.routing_version,
             ),
         )
 
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -47,6 +47,7 @@
         list has not changed since an earlier heartbeat
     :param n_unstarted: number of jobs without a started task, by queue
     :param token: fencing token of the leader
+    :param routing_version: version of the leader's configuration; 0 if none
     """
 
     term: int
@@ -57,6 +58,7 @@
     alive: list[str] | None
     n_unstarted: dict[str, int]
     token: int = 0
+    routing_version: int = 0
 
 
 class BeatReply(typing.NamedTuple):
@@ -66,7 +68,8 @@
     :param job_ids: all jobs that the instance has submitted to the leader
         and awaits an outcome for
     :param is_stopping: the instance is in a planned stop and cannot lead
-    :param lacks_tables: the instance has not read the store's tables yet
+    :param lacks_tables: the instance has not read the store's tables yet, or
+        cannot read a configuration that the leader has
     :param rank: suitability of the instance as leader; higher is better
     :param outcomes: recent outcomes by job id, in the first reply to a leader
     """
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -34,13 +34,15 @@
 # the load balancer is told to send callers elsewhere.
 _LEADER_WAIT_TIMEOUT_S = 1.0
 _RETRY_AFTER_S = (1.0, 3.0)
-# Followers also read workers and members, so that their copies are recent
-# when they become leader.
+# Followers also read members, so that their copies are recent when they become
+# leader.
 _FOLLOWER_READ_INTERVAL_S = 4.0
+# They rarely read workers: every entry changes with each heartbeat of its
+# worker, so that a read is as large as the list. The leader sends changes to
+# its likely successors at most this often.
+_FOLLOWER_WORKER_READ_INTERVAL_S = 20.0
+_SUCCESSOR_UPDATE_INTERVAL_S = 1.0
 _LEADER_WORKER_READ_INTERVAL_S = 0.2
-# A copy that was not confirmed by the store for this long may be replaced by
-# a peer's. It exceeds all intervals of reading.
-_STALE_COPY_S = 5.0
 _LEADER_MEMBER_READ_INTERVAL_S = 1.0
 # Interval for reading members while no leader is known.
 _SEARCH_MEMBER_READ_INTERVAL_S = 0.2
@@ -184,6 +186,8 @@
         self._workers: dict[str, dispatch.WorkerInfo] = {}
         # Version of the store that the copy of the workers was read at.
         self._workers_version = 0
+        self._must_update_successors = False
+        self._successors_updated_s = -1e9
         self._last_probe_s = -1e9
         self._last_leader_contact_s = 0.0
         self._is_checking_reachability = False
@@ -263,7 +267,9 @@
                     await self.worker_watch.run()
             else:
                 await self.worker_watch.refresh()
-                with trio.move_on_after(_FOLLOWER_READ_INTERVAL_S) as scope:
+                with trio.move_on_after(
+                    _FOLLOWER_WORKER_READ_INTERVAL_S
+                ) as scope:
                     self._worker_watch_scope = scope
                     await trio.sleep_forever()
 
@@ -339,6 +345,8 @@
         ):
             return
         self.routing = newest
+        if self.leader is not None:
+            self.leader.routing_version = newest.version
         _log.log(
             'configuration_in_force',
             version=newest.version,
@@ -357,6 +365,7 @@
         if rows == self._workers:
             return
         self._workers = dict(rows)
+        self._must_update_successors = True
         if self.leader is not None:
             self._update_dispatcher_workers(trio.current_time())
 
@@ -478,7 +487,7 @@
         """Use a peer's copies of tables where the own ones may be old.
 
         That is while this instance cannot read them from the store, and for
-        the workers in a handover by the leader.
+        the workers if the leader sends them.
         """
         _log.log(
             'tables_received',
@@ -489,20 +498,19 @@
         )
         now_s = trio.current_time()
         if tables.routing is not None and (
-            self.routing is None or self._is_stale(self.routing_watch, now_s)
+            self.routing is None or self._is_routing_stale(now_s)
         ):
             self._apply_routing({'': tables.routing}, 0)
-        if (
-            not self._workers
-            or self._is_stale(self.worker_watch, now_s)
-            or sender_id == self.elector.leader_id
-        ):
+        if not self._workers or sender_id == self.elector.leader_id:
             self._apply_workers(tables.workers, tables.workers_version)
         self._add_members({m.instance_id: m for m in tables.members}, 0)
 
-    @staticmethod
-    def _is_stale(watch: _tables.TableWatch, now_s: float) -> bool:
-        return now_s - watch.last_success_s > _STALE_COPY_S
+    def _is_routing_stale(self, now_s: float) -> bool:
+        """Return whether the store has long not confirmed the routing."""
+        return (
+            now_s - self.routing_watch.last_success_s
+            > self.settings.config_apply_s
+        )
 
     def _handle_heartbeat(
         self, sender: _messages.Sender, beat: _messages.Beat, now_s: float
@@ -557,7 +565,11 @@
                     == (sender.instance_id, beat.term)
                 ],
                 self.is_stopping,
-                self._lacks_tables(),
+                self._lacks_tables()
+                or (
+                    self.routing.version < beat.routing_version
+                    and self._is_routing_stale(now_s)
+                ),
                 self.settings.rank,
                 self._recent_outcomes()
                 if (sender.instance_id, beat.term) != previous_leader
@@ -617,6 +629,7 @@
             n_workers=len(self._workers),
             workers_age_s=round(now_s - self.worker_watch.last_success_s, 3),
         )
+        leader.routing_version = self.routing.version if self.routing else 0
         self._nursery.start_soon(leader.run)
         leader.dispatcher.add_progress(
             progress.completed,
@@ -807,12 +820,40 @@
             return
         now_s = trio.current_time()
         leader.send_heartbeats(self.peers.members)
+        self._update_successors(leader, now_s)
         successor = leader.find_successor(
             self.settings.rank, now_s, is_stopping=self.is_stopping
         )
         if successor is not None:
             self._hand_over_leadership(successor.instance_id, now_s)
 
+    def _update_successors(self, leader: _leader.Leader, now_s: float) -> None:
+        """Send changes of the workers to those who may lead next.
+
+        Without them, a new leader could use workers that have left if the
+        store is away when it begins to lead. The next leader is the best
+        candidate of the fleet, or that of a data centre that is cut off.
+        """
+        if (
+            not self._must_update_successors
+            or now_s - self._successors_updated_s
+            < _SUCCESSOR_UPDATE_INTERVAL_S
+        ):
+            return
+        best_by_data_centre: dict[str, str] = {}
+        for follower in leader.rank_successors():
+            member = self.peers.members.get(follower.instance_id)
+            if member is not None:
+                best_by_data_centre.setdefault(
+                    member.data_centre, member.instance_id
+                )
+        if not best_by_data_centre:
+            return
+        self._must_update_successors = False
+        self._successors_updated_s = now_s
+        for member_id in best_by_data_centre.values():
+            self._send_tables(member_id, now_s)
+
     def _schedule_store_heartbeat(self) -> None:
         if self.leader is not None and self.leader.scope == leadership.FLEET:
             self._nursery.start_soon(
--- /dev/null
+++ b/tests/node/test_stale_tables.py
@@ -0,0 +1,96 @@
+"""What an instance uses of the platform's tables after a change of leader.
+
+Guards against a worker that has left, or a queue that was withdrawn, being in
+use again because another process with an older copy took over.
+"""
+
+import random
+
+import pytest
+import trio
+
+from orioleloom import dispatch
+from orioleloom import node
+from orioleloom_standins import leased
+
+QUEUE = dispatch.Queue('check', 'pool', 0, 3, 1.6, 0.06)
+
+
+@pytest.fixture
+async def fleet(nursery):
+    leased.seed_scheduler(1)
+    fleet = leased.Fleet(
+        nursery,
+        leased.site_workers(),
+        ['dc0', 'dc0', 'dc1', 'dc1', 'dc2', 'dc3'],
+        random_state=random.Random(1),
+    )
+    fleet.store.put('routing', 'config', node.Routing(1, ()))
+    fleet.start()
+    await trio.sleep(3)
+    return fleet
+
+
+async def submit_jobs(fleet, n_jobs=40):
+    names = sorted(fleet.nodes)
+    for number in range(n_jobs):
+        job = dispatch.Job(
+            f'{number:016x}',
+            QUEUE,
+            'payload',
+            (dispatch.Step(2, dispatch.Resources(6_800, 64), 0.2),),
+        )
+        fleet.submit(names[number % len(names)], job, [0.1, 0.1])
+        await trio.sleep(0.02)
+
+
+@pytest.mark.parametrize('is_planned', [True, False])
+@pytest.mark.parametrize('is_removed', [True, False])
+async def test_worker_that_left_is_not_used_by_the_next_leader(
+    fleet, autojump_clock, is_planned, is_removed
+):
+    """The store is away when the next leader takes over."""
+    worker = fleet.workers['w2']
+    info = worker.info._replace(is_leaving=True)
+    fleet.store.put('workers', 'w2', None if is_removed else info)
+    await trio.sleep(1.5)
+    fleet.store.is_down = True
+    n_starts = worker.n_starts
+    (leader,) = fleet.leaders()
+    if is_planned:
+        fleet.nodes[leader].begin_stop()
+        await trio.sleep(0.3)
+    fleet.kill(leader)
+    await trio.sleep(1.5)
+    await submit_jobs(fleet)
+    assert worker.n_starts == n_starts
+    kinds = {o.kind for o in fleet.outcomes.values()}
+    assert kinds == {dispatch.OutcomeKind.COMPLETED}
+
+
+async def test_configuration_withdrawn_while_an_instance_was_down(
+    fleet, autojump_clock
+):
+    """It starts again while the store refuses it, and has only its peers."""
+    (leader,) = fleet.leaders()
+    name = next(n for n in sorted(fleet.nodes) if n != leader)
+    fleet.kill(name)
+    fleet.store.put('routing', 'config', node.Routing(2, ()))
+    await trio.sleep(0.5)
+    fleet.store.rejected_instances.add(name)
+    fleet.start(name)
+    await trio.sleep(3.0)
+    assert fleet.nodes[name].routing.version == 2
+
+
+async def test_configuration_withdrawn_while_the_store_refuses_an_instance(
+    fleet, autojump_clock
+):
+    """Only that instance is refused; its leader has the new configuration."""
+    (leader,) = fleet.leaders()
+    name = next(n for n in sorted(fleet.nodes) if n != leader)
+    fleet.store.rejected_instances.add(name)
+    await trio.sleep(1.0)
+    fleet.store.put('routing', 'config', node.Routing(2, ()))
+    await trio.sleep(8.0)
+    assert fleet.nodes[name].routing.version == 2
