Do not hold handed over jobs until their deadline when there is no room

Cause: a job that an earlier leader may have started was tried until its deadline, however late, since it cannot be refused as not run.

Change: 0.3 s after its hold such a job ends as unknown if it is too late to be of use and nothing was started.

Measured: test_lost_answers.py, one new test (waited 5 s for the deadline before, now under 2.5 s).

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -31,6 +31,10 @@
 # the job again, usually after 1.3 s.
 OUTCOME_RETENTION_S = 5.0
 
+# How long a handed over job is tried after it was held back, if it is late by
+# then.
+_LATE_TRIAL_S = 0.3
+
 # How often one task may be moved away from a slow worker.
 _MAX_MOVES = 2
 
@@ -1107,20 +1111,34 @@
                     _records.Outcome(kind, 'deadline', self._retry_after_s()),
                     now_s,
                 )
-            elif not may_have_started and now_s > (
-                job.useful_until_s
-                - job.expected_s * self.placement.lowest_run_time_ratio(job)
-            ):
+            elif not job.n_sent and self._is_too_late(job, now_s):
                 self._finish_job(
                     job,
                     _records.Outcome(
-                        _records.OutcomeKind.NOT_RUN,
+                        _records.OutcomeKind.UNKNOWN
+                        if may_have_started
+                        else _records.OutcomeKind.NOT_RUN,
                         'no room in time',
                         self._retry_after_s(),
                     ),
                     now_s,
                 )
 
+    def _is_too_late(self, job: _jobs.JobState, now_s: float) -> bool:
+        """Return whether a start now is of no use to the caller.
+
+        A job that another dispatcher may have started was held back in the
+        meantime. It is tried late, but does not wait for room that long.
+        """
+        if job.may_have_run_elsewhere and (
+            now_s < max(job.held_until_s, job.accepted_s) + _LATE_TRIAL_S
+        ):
+            return False
+        return now_s > (
+            job.useful_until_s
+            - job.expected_s * self.placement.lowest_run_time_ratio(job)
+        )
+
     def _retry_after_s(self) -> float:
         return self.random_state.uniform(*_RETRY_AFTER_S)
 
--- a/tests/dispatch/test_lost_answers.py
+++ b/tests/dispatch/test_lost_answers.py
@@ -164,3 +164,23 @@
     harness.report(harness.dispatcher, running)
     harness.wait(0.025)
     assert not harness.take(dispatch.StartRun)
+
+
+def test_handed_over_job_does_not_wait_for_its_deadline_without_room():
+    """Pattern: the leader changes while the fleet is full.
+
+    On harrowgate-loom-large scale-1, jobs that an earlier leader might have
+    started waited until their deadline without being tried. Their callers
+    could not ask again in time.
+    """
+    harness = Harness()
+    harness.dispatcher.set_workers({}, harness.now_s)
+    harness.submit(make_job(), last_contact_s=harness.now_s)
+    started_s = harness.now_s
+    answers = []
+    while not answers:
+        harness.wait(0.05)
+        answers = harness.take(dispatch.AnswerJob)
+    assert answers[0].outcome.kind is dispatch.OutcomeKind.UNKNOWN
+    # The hold after a handover is 1.8 s, and the deadline 5 s.
+    assert harness.now_s - started_s < 2.5
