Send finished work with the handover, and only results

Cause: found in reading the change. Progress was a message of its own, which could be lost or be that of an earlier handover; it and the first replies to a new leader also carried outcomes that are no results. A caller who had asked again after "unknown" could then be given the earlier answer.

Change: the successor's copy of Handover has the finished tasks and results. Only completed and failed jobs are passed on.

A new test: an answer is lost, the leader is killed, the caller asks another instance: no task starts again.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -768,10 +768,7 @@
             known.deadline_s = max(known.deadline_s, deadline_s)
             return
         recent = self._recent_outcomes.get(job.id)
-        if recent is not None and recent[0].kind in (
-            _records.OutcomeKind.COMPLETED,
-            _records.OutcomeKind.FAILED,
-        ):
+        if recent is not None and recent[0].is_result():
             self._effects.append(
                 _records.AnswerJob(job.id, instance_id, recent[0])
             )
@@ -804,12 +801,13 @@
         """Return the finished work, for :meth:`add_progress` of another one.
 
         :returns: the tasks that are done, of jobs that are not; and the
-            recent outcomes by job id
+            recent results of jobs by id
         """
         completed = [key for key, task in self._tasks.items() if task.is_done]
         outcomes = {
             job_id: outcome
             for job_id, (outcome, _) in self._recent_outcomes.items()
+            if outcome.is_result()
         }
         return completed, outcomes
 
--- a/src/orioleloom/dispatch/_records.py
+++ b/src/orioleloom/dispatch/_records.py
@@ -160,6 +160,10 @@
     reason: str = ''
     retry_after_s: float = 0.0
 
+    def is_result(self) -> bool:
+        """Return whether the job has run to its end."""
+        return self.kind in (OutcomeKind.COMPLETED, OutcomeKind.FAILED)
+
 
 class WorkerInfo(typing.NamedTuple):
     """A worker as the platform lists it.
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -71,7 +71,8 @@
     :param lacks_tables: the instance has not read the store's tables yet, or
         cannot read a configuration that the leader has
     :param rank: suitability of the instance as leader; higher is better
-    :param outcomes: recent outcomes by job id, in the first reply to a leader
+    :param outcomes: recent results of jobs by id, in the first reply to a
+        leader
     """
 
     term: int
@@ -138,24 +139,20 @@
     workers_version: int = 0
 
 
-class Progress(typing.NamedTuple):
-    """What a leader knows of finished work, for its successor.
+class Handover(typing.NamedTuple):
+    """Announces that the leader steps down in favour of a successor.
 
-    Workers forget the ends of runs that were reported to a leader.
+    The successor's copy tells what work is finished, since workers forget
+    the ends of runs that were reported to a leader.
 
     :param completed: tasks that are done, of jobs that are not
-    :param outcomes: recent outcomes by job id
+    :param outcomes: recent results of jobs by id
     """
 
-    completed: list[dispatch.TaskKey]
-    outcomes: dict[str, dispatch.Outcome]
-
-
-class Handover(typing.NamedTuple):
-    """Announces that the leader steps down in favour of a successor."""
-
     term: int
     successor_id: str
+    completed: list[dispatch.TaskKey] = []
+    outcomes: dict[str, dispatch.Outcome] = {}
 
 
 Message = (
@@ -167,7 +164,6 @@
     | JobEnded
     | JobUnknown
     | Tables
-    | Progress
     | Handover
 )
 
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -177,9 +177,8 @@
         )
         self._worker_watch_scope = trio.CancelScope()
         self._leader_session = 0
-        self._received_progress = _messages.Progress([], {})
-        # Outcomes that callers may ask for again elsewhere, if the answer was
-        # lost on its way to them.
+        # Results that callers may ask for again elsewhere, if the answer was
+        # lost on its way to them, and when they were delivered.
         self._delivered: dict[str, tuple[dispatch.Outcome, float]] = {}
         # Highest fencing token received from any leader.
         self._highest_token = 0
@@ -323,15 +322,14 @@
         _log.log('leadership_handed_over', successor=successor_id)
         # The successor's own copy of the workers may be seconds old.
         self._send_tables(successor_id, now_s)
-        self.send(
-            successor_id, _messages.Progress(*leader.dispatcher.progress())
-        )
         for member_id in leader.instances_in_contact():
-            if member_id != self.local_sender.instance_id:
-                self.send(
-                    member_id,
-                    _messages.Handover(leader.term, successor_id),
+            if member_id == successor_id:
+                message = _messages.Handover(
+                    leader.term, successor_id, *leader.dispatcher.progress()
                 )
+            else:
+                message = _messages.Handover(leader.term, successor_id)
+            self.send(member_id, message)
         self._stop_leading(now_s)
 
     # Tables of the store
@@ -442,9 +440,6 @@
                     self._submit_pending(pending, now_s)
             case _messages.Tables():
                 self._handle_tables(sender_id, message)
-            case _messages.Progress():
-                if sender_id == self.elector.leader_id:
-                    self._received_progress = message
             case _messages.Handover():
                 self._handle_handover(sender_id, message, now_s)
 
@@ -571,7 +566,7 @@
                     and self._is_routing_stale(now_s)
                 ),
                 self.settings.rank,
-                self._recent_outcomes()
+                self._recent_results()
                 if (sender.instance_id, beat.term) != previous_leader
                 else {},
             ),
@@ -589,21 +584,18 @@
         scope = self.elector.scope
         self.elector.start_search(now_s)
         if message.successor_id == self.local_sender.instance_id:
-            self._become_leader(scope, now_s, self._received_progress)
+            self.elector.become_leader(scope, now_s)
+            self._start_leading(now_s, message)
 
     # Leadership
 
-    def _become_leader(
-        self, scope: str, now_s: float, progress: _messages.Progress
-    ) -> None:
-        self.elector.become_leader(scope, now_s)
-        self._start_leading(now_s, progress)
-
     def _start_leading(
-        self,
-        now_s: float,
-        progress: _messages.Progress = _messages.Progress([], {}),
+        self, now_s: float, handover: _messages.Handover | None = None
     ) -> None:
+        """Begin to lead.
+
+        :param handover: message of the earlier leader, if it handed over
+        """
         now_ms = int(self.wall_time() * 1000)
         leader = self.leader = _leader.Leader(
             instance_id=self.local_sender.instance_id,
@@ -631,11 +623,11 @@
         )
         leader.routing_version = self.routing.version if self.routing else 0
         self._nursery.start_soon(leader.run)
-        leader.dispatcher.add_progress(
-            progress.completed,
-            {**progress.outcomes, **self._recent_outcomes()},
-            now_s,
-        )
+        leader.dispatcher.add_progress((), self._recent_results(), now_s)
+        if handover is not None:
+            leader.dispatcher.add_progress(
+                handover.completed, handover.outcomes, now_s
+            )
         self._update_dispatcher_workers(now_s)
         self._worker_watch_scope.cancel()
         leader.send_heartbeats(self.peers.members)
@@ -722,7 +714,6 @@
         if self.leader is not None:
             self.leader.tick(now_s)
         self._expire_pending(now_s)
-        self._recent_outcomes()
 
     def _n_members(self) -> int:
         return len(self.peers.members) + 1 if self.member_watch.version else 0
@@ -1012,20 +1003,26 @@
                 outcome.kind, trio.current_time() - pending.arrived_s
             )
             pending.on_outcome(outcome)
-            if pending.was_submitted:
+            if outcome.is_result():
+                self._drop_old_results()
+                self._delivered.pop(job_id, None)
                 self._delivered[job_id] = (outcome, trio.current_time())
 
-    def _recent_outcomes(self) -> dict[str, dispatch.Outcome]:
+    def _recent_results(self) -> dict[str, dispatch.Outcome]:
         """Return what was recently answered here, for a new leader."""
-        now_s = trio.current_time()
-        for job_id, (_, delivered_s) in list(self._delivered.items()):
-            if now_s - delivered_s <= dispatch.OUTCOME_RETENTION_S:
-                break
-            del self._delivered[job_id]
+        self._drop_old_results()
         return {
             job_id: outcome for job_id, (outcome, _) in self._delivered.items()
         }
 
+    def _drop_old_results(self) -> None:
+        limit_s = trio.current_time() - dispatch.OUTCOME_RETENTION_S
+        while self._delivered:
+            job_id, (_, delivered_s) = next(iter(self._delivered.items()))
+            if delivered_s > limit_s:
+                break
+            del self._delivered[job_id]
+
     def _give_up(self, pending: PendingJob, reason: str) -> None:
         """End a job without an outcome from a leader."""
         kind = (
--- a/tests/node/test_handover.py
+++ b/tests/node/test_handover.py
@@ -106,3 +106,33 @@
         if names[0] != leader_id:
             assert leader_id not in names, key
         assert len(names) <= 2, key
+
+
+async def test_answer_lost_before_an_unplanned_change_of_leader(
+    nursery, autojump_clock
+):
+    """The caller asks elsewhere, and the job must not run again."""
+    leased.seed_scheduler(1)
+    fleet = leased.Fleet(
+        nursery,
+        leased.site_workers(),
+        ['dc0', 'dc0', 'dc1', 'dc2'],
+        random_state=random.Random(1),
+    )
+    fleet.store.put('routing', 'config', node.Routing(1, ()))
+    fleet.start()
+    await trio.sleep(2)
+    (leader_id,) = fleet.leaders()
+    first, second, *_ = [n for n in sorted(fleet.nodes) if n != leader_id]
+    submit_jobs(fleet, 0, 4, [first])
+    await trio.sleep(0.5)
+    assert len(fleet.outcomes) == 4
+    n_starts = len(fleet.starts)
+    fleet.outcomes.clear()
+    fleet.kill(leader_id)
+    await trio.sleep(1.3)
+    submit_jobs(fleet, 0, 4, [second])
+    await trio.sleep(2)
+    kinds = collections.Counter(o.kind for o in fleet.outcomes.values())
+    assert kinds == {dispatch.OutcomeKind.COMPLETED: 4}
+    assert len(fleet.starts) == n_starts
