Limit the polls that confirm handovers, and read again after a lost history

Each regained follower hands its jobs over again, and each handover polled all workers that had not reported since, every 0.05 s: up to 10,800 polls a second with 540 workers, which kept the leader late. The same log shows followers that read the workers' table every 20 s, as long as the store keeps its history: half of their reads found it gone.

Change: at most 1,000 of these polls a second (the interval stays 0.05 s up to 50 workers). Followers read every 15 s, and at once when the history is lost.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -24,8 +24,11 @@
 # be partitioned and still run tasks; network partitions commonly last some
 # seconds.
 _DELISTED_RETENTION_S = 30.0
-# Interval between polls of workers that have not reported since a handover.
-_CONFIRM_POLL_INTERVAL_S = 0.05
+# Interval between polls of workers that have not reported since a handover. In
+# large fleets it is longer, so that a leader that is late and loses followers
+# again and again is not made later by these polls.
+_MIN_CONFIRM_POLL_INTERVAL_S = 0.05
+_MAX_CONFIRM_POLLS_PER_S = 1000.0
 
 # How long outcomes are kept for callers whose answer was lost, and who submit
 # the job again, usually after 1.3 s.
@@ -853,9 +856,13 @@
                 self.jobs[job_id].held_until_s = 0.0
                 self._held_job_ids.discard(job_id)
         newest_handover_s = max(handed_over_s.values())
+        interval_s = max(
+            _MIN_CONFIRM_POLL_INTERVAL_S,
+            len(workers) / _MAX_CONFIRM_POLLS_PER_S,
+        )
         if (
             self._held_job_ids
-            and now_s - self._last_confirm_poll_s > _CONFIRM_POLL_INTERVAL_S
+            and now_s - self._last_confirm_poll_s > interval_s
         ):
             self._last_confirm_poll_s = now_s
             for worker in workers:
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -38,9 +38,11 @@
 # leader.
 _FOLLOWER_READ_INTERVAL_S = 4.0
 # They rarely read workers: every entry changes with each heartbeat of its
-# worker, so that a read is as large as the list. The leader sends changes to
-# its likely successors at most this often.
-_FOLLOWER_WORKER_READ_INTERVAL_S = 20.0
+# worker, so that a read is as large as the list. The interval is below the
+# 20 s of history that the store keeps.
+_FOLLOWER_WORKER_READ_INTERVAL_S = 15.0
+# The leader sends changes of the workers to its likely successors at most this
+# often.
 _SUCCESSOR_UPDATE_INTERVAL_S = 1.0
 _LEADER_WORKER_READ_INTERVAL_S = 0.2
 _LEADER_MEMBER_READ_INTERVAL_S = 1.0
--- a/src/orioleloom/node/_tables.py
+++ b/src/orioleloom/node/_tables.py
@@ -94,7 +94,8 @@
         """Read once what has changed since the last read."""
         if self.is_current:
             await self._poll_changes(0.0)
-        else:
+        if not self.is_current:
+            # Also if the store no longer has the history since the last read.
             await self.read()
 
     async def _poll_changes(self, wait_s: float) -> None:
--- a/tests/node/test_stale_tables.py
+++ b/tests/node/test_stale_tables.py
@@ -94,3 +94,20 @@
     fleet.store.put('routing', 'config', node.Routing(2, ()))
     await trio.sleep(8.0)
     assert fleet.nodes[name].routing.version == 2
+
+
+async def test_follower_reads_again_when_the_history_is_lost(
+    fleet, autojump_clock, monkeypatch
+):
+    """Seen on harrowgate-loom-large: it read only at its next turn."""
+    (leader,) = fleet.leaders()
+    name = next(n for n in sorted(fleet.nodes) if n != leader)
+    watch = fleet.nodes[name].worker_watch
+
+    async def lose_history(after, wait_s):
+        raise node.HistoryLostError('history')
+
+    monkeypatch.setattr(watch.table, 'changes', lose_history)
+    fleet.store.put('workers', 'w2', None)
+    await watch.refresh()
+    assert 'w2' not in watch.rows
