Let reads from the store replace what a peer has sent

A message of a supposed leader with wrong tables and a high version replaced the workers for good: later reads had lower versions, and no later leader had a worker.

Change: what an instance reads from the store is applied whatever its version, and the next read after a peer's copy is applied even if nothing has changed.

--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -358,9 +358,6 @@
     def _apply_workers(
         self, rows: dict[str, dispatch.WorkerInfo], version: int
     ) -> None:
-        if version < self._workers_version:
-            # A peer's copy may be older than the own one, or newer.
-            return
         self._workers_version = version
         if rows == self._workers:
             return
@@ -498,8 +495,13 @@
             self.routing is None or self._is_routing_stale(now_s)
         ):
             self._apply_routing({'': tables.routing}, 0)
-        if not self._workers or sender_id == self.elector.leader_id:
+        if not self._workers or (
+            sender_id == self.elector.leader_id
+            and tables.workers_version > self._workers_version
+        ):
             self._apply_workers(tables.workers, tables.workers_version)
+            # What the store says replaces the word of a peer.
+            self.worker_watch.must_report = True
         self._add_members({m.instance_id: m for m in tables.members}, 0)
 
     def _is_routing_stale(self, now_s: float) -> bool:
--- a/src/orioleloom/node/_tables.py
+++ b/src/orioleloom/node/_tables.py
@@ -46,6 +46,9 @@
         self.rows: dict[str, typing.Any] = {}
         self.version = 0
         self.is_current = False
+        # The next successful read calls on_change even if nothing changed,
+        # since its user has taken rows from elsewhere.
+        self.must_report = False
         self.last_success_s = -1e9
         self.n_calls = 0
         self._backoff_s = _INITIAL_BACKOFF_S
@@ -84,7 +87,8 @@
         self._next_full_read_s = trio.current_time() + _FULL_READ_INTERVAL_S
         self.version = snapshot.version
         rows = {k: v for k, v in snapshot.rows.items() if v is not None}
-        if rows != self.rows or not self.is_current:
+        if rows != self.rows or not self.is_current or self.must_report:
+            self.must_report = False
             self.rows = rows
             self.is_current = True
             self.on_change(self.rows, self.version)
@@ -114,8 +118,9 @@
             return
         self._record_success()
         self.version = max(self.version, changes.version)
-        if not changes.rows:
+        if not changes.rows and not self.must_report:
             return
+        self.must_report = False
         for key, row in changes.rows.items():
             if row is None:
                 self.rows.pop(key, None)
--- a/tests/node/test_malformed_input.py
+++ b/tests/node/test_malformed_input.py
@@ -125,6 +125,31 @@
     run_fleet(disturb)
 
 
+def test_wrong_tables_of_a_supposed_leader():
+    """They must not outlast the next read from the store.
+
+    Found by the test above: with a high version, they were never replaced,
+    and no later leader had any worker.
+    """
+
+    async def disturb(fleet):
+        worker = dispatch.WorkerInfo(
+            'x', '', 'dc9', 'none', dispatch.Resources(1)
+        )
+        for message in (
+            _messages.Beat(10**6, '', 1, 1, True, [], {}),
+            _messages.Tables(None, {'x': worker}, [], 2**60),
+        ):
+            frame = _messages.encode(
+                _messages.Sender('e9', 'x', 'tcp://10.9.0.9:7000', 'dc0'),
+                message,
+            )
+            for socket in list(fleet.sockets.values()):
+                socket.deliver('e9', frame)
+
+    run_fleet(disturb)
+
+
 numbers = st.sampled_from([0, 1, -1, 3, 200, 1e-9, -0.5, 1e12, 1e300, 1e308])
 steps = st.fixed_dictionaries(
     {'count': st.integers(-1, 5)},
