Let a resubmitted job wait for the ends of its earlier runs

A leader that takes an instance for lost stops the runs of its jobs. If the job came back before the stops had taken effect, from the same instance after a late heartbeat or from its caller at another one, it was a new job for the dispatcher and started beside the run that was being stopped.

Change: a task of a resubmitted job whose earlier run is being stopped waits for the end of that run.

Measured: test_lost_answers.py, two new cases failed before.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -785,6 +785,7 @@
         self.counters['jobs'] += 1
         for task in state.all_tasks():
             self._tasks[task.key] = task
+        self._reattach_stopping_runs(state)
         if last_contact_s is not None:
             state.may_have_run_elsewhere = True
             state.handed_over_s = now_s
@@ -793,6 +794,22 @@
         self._claim_foreign_runs(state, now_s)
         self._request_placement(now_s)
 
+    def _reattach_stopping_runs(self, state: _jobs.JobState) -> None:
+        """Let a resubmitted job wait for the ends of its earlier runs.
+
+        Their stops were sent when the earlier submission was cancelled, but
+        they may still be running.
+        """
+        for run in self._stop_due_s:
+            if run.key.job_id != state.job.id:
+                continue
+            task = self._tasks.get(run.key)
+            if task is not None and task in state.waiting:
+                state.waiting.remove(task)
+                state.n_sent += 1
+                task.run = run
+                task.last_run_id = run.run_id
+
     def outcome(self, job_id: str) -> _records.Outcome | None:
         """Return the outcome of a job that ended recently, if kept."""
         recent = self._recent_outcomes.get(job_id)
--- a/tests/dispatch/test_lost_answers.py
+++ b/tests/dispatch/test_lost_answers.py
@@ -184,3 +184,37 @@
     assert answers[0].outcome.kind is dispatch.OutcomeKind.UNKNOWN
     # The hold after a handover is 1.8 s, and the deadline 5 s.
     assert harness.now_s - started_s < 2.5
+
+
+@pytest.mark.parametrize('last_contact_ago_s', [None, 5.0])
+def test_job_that_returns_while_its_runs_are_being_stopped(last_contact_ago_s):
+    """An instance was taken for lost, or its caller asks another one.
+
+    The stops of the earlier runs are not confirmed yet. A second run beside
+    the first would break the promise that no task runs twice at one time.
+    """
+    harness = Harness()
+    harness.submit(make_job())
+    (start,) = harness.take(dispatch.StartRun)
+    harness.dispatcher.handle_start_accepted(
+        'w1', start.key, start.run_id, 1, harness.now_s
+    )
+    harness.dispatcher.cancel_instance_jobs('e1', 'lost', harness.now_s)
+    harness.now_s += 0.01
+    options = {}
+    if last_contact_ago_s is not None:
+        options['last_contact_s'] = harness.now_s - last_contact_ago_s
+    harness.submit(make_job(), 'e2', **options)
+    running = [dispatch.RunningRun(start.key, start.run_id)]
+    for _ in range(4):
+        harness.wait(0.025)
+        harness.report(harness.dispatcher, running)
+        assert not harness.take(dispatch.StartRun)
+    # The end of the stopped run lets the task start again.
+    ended = dispatch.EndedRun(
+        1, start.key, start.run_id, dispatch.EndKind.STOPPED
+    )
+    harness.report(harness.dispatcher, ended=[ended])
+    harness.wait(0.025)
+    (second,) = harness.take(dispatch.StartRun)
+    assert second.run_id > start.run_id
