--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -198,7 +198,6 @@
 
     def send(self, address: str, frame: bytes) -> bool:
         self.fleet.n_frames += 1
-        self.fleet.n_frame_bytes += len(frame)
         peer_api.check_peer_address(address)
         target = self.fleet.sockets.get(address)
         now_s = trio.current_time()
@@ -500,7 +499,6 @@
         self.starts: list[ExecutedStart] = []
         # Messages between instances, for tests of their cost.
         self.n_frames = 0
-        self.n_frame_bytes = 0
         self._data_centres = {
             f'e{number}': name for number, name in enumerate(data_centres)
         }
