Repeat a stop until the worker confirms it

After four stops without a confirmation no more were sent, to wait for the end of the lease. But each poll of the worker renews the lease, so that the run, its room and, since, a resubmitted job that waits for it were stuck until the next change of leader.

Change: later stops follow at 0.175 s instead of not at all.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -45,9 +45,11 @@
 # both of which take time in proportion to the number of workers.
 _FLEET_SCAN_INTERVAL_S = 0.1
 
-# Maximum number of stop requests for one run. After these the dispatcher waits
-# until the lease expires.
-_MAX_STOPS = 4
+# Number of stop requests for one run that follow each other quickly. Later ones
+# are sent at a longer interval: the lease of the run does not expire while other
+# runs on the worker are renewed, so that only a stop ends it.
+_N_QUICK_STOPS = 4
+_SLOW_STOP_INTERVAL_S = 0.175
 _STOP_INTERVAL_S = 0.035
 # Minimum interval between polls of a worker whose run may have ended
 # unnoticed because a response was lost.
@@ -564,7 +566,11 @@
         run.is_stopping = True
         run.stop_confirmed_s = math.inf
         run.n_stops += 1
-        self._stop_due_s[run] = now_s + _STOP_INTERVAL_S
+        self._stop_due_s[run] = now_s + (
+            _STOP_INTERVAL_S
+            if run.n_stops < _N_QUICK_STOPS
+            else _SLOW_STOP_INTERVAL_S
+        )
         self._send_stop(run.worker, run.key, run.run_id)
 
     def _send_stop(
@@ -1051,9 +1057,6 @@
         for run, due_s in list(self._stop_due_s.items()):
             if now_s < due_s:
                 continue
-            if run.n_stops >= _MAX_STOPS:
-                # With a later due time, _stop_run sends no request.
-                self._stop_due_s[run] = now_s + 5 * _STOP_INTERVAL_S
             self._stop_run(run, now_s)
 
     def _move_stragglers(self, now_s: float) -> None:
--- a/tests/dispatch/test_lost_answers.py
+++ b/tests/dispatch/test_lost_answers.py
@@ -218,3 +218,33 @@
     harness.wait(0.025)
     (second,) = harness.take(dispatch.StartRun)
     assert second.run_id > start.run_id
+
+
+def test_stop_is_repeated_until_it_is_confirmed():
+    """Four lost stops once left a run, and its room, taken for good.
+
+    Its lease did not expire, since each report of the worker renewed it. The
+    job could start nowhere (seed 102 of tests/leased/test_histories.py).
+    """
+    harness = Harness()
+    harness.submit(make_job())
+    (start,) = harness.take(dispatch.StartRun)
+    harness.dispatcher.handle_start_unanswered(
+        'w1', start.key, start.run_id, True, harness.now_s
+    )
+    for _ in range(40):
+        harness.wait(0.025)
+        harness.dispatcher.renew_lease('w1', harness.now_s)
+        harness.report(harness.dispatcher)
+    assert len(harness.take(dispatch.StopRun)) > 4
+    assert harness.dispatcher.workers['w1'].runs
+    for _ in range(10):
+        harness.wait(0.025)
+    assert harness.take(dispatch.StopRun)
+    harness.dispatcher.handle_stop_confirmed(
+        'w1', start.key, start.run_id, harness.now_s
+    )
+    harness.now_s += 0.01
+    harness.report(harness.dispatcher)
+    harness.wait(0.025)
+    assert len(harness.take(dispatch.StartRun)) == 1
