--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -45,9 +45,9 @@
 # both of which take time in proportion to the number of workers.
 _FLEET_SCAN_INTERVAL_S = 0.1
 
-# Number of stop requests for one run that follow each other quickly. Later ones
-# are sent at a longer interval: the lease of the run does not expire while other
-# runs on the worker are renewed, so that only a stop ends it.
+# Number of stop requests for one run that follow each other quickly. Later
+# ones are sent at a longer interval: the lease of the run does not expire
+# while other runs on the worker are renewed, so that only a stop ends it.
 _N_QUICK_STOPS = 4
 _SLOW_STOP_INTERVAL_S = 0.175
 _STOP_INTERVAL_S = 0.035
