--- a/src/orioleloom_standins/leased/__init__.py
+++ b/src/orioleloom_standins/leased/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from orioleloom_standins.leased._fleet import Fleet
+from orioleloom_standins.leased._fleet import new_fleet
 from orioleloom_standins.leased._fleet import PAUSE_POINTS
 from orioleloom_standins.leased._fleet import PlannedPause
 from orioleloom_standins.leased._fleet import seed_scheduler
@@ -36,6 +37,7 @@
     'SITE_KINDS',
     'Violation',
     'World',
+    'new_fleet',
     'offer_load',
     'seed_scheduler',
     'site_workers',
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -607,3 +607,22 @@
                 job.id, outcome
             ),
         )
+
+
+def new_fleet(
+    nursery: trio.Nursery,
+    data_centres: typing.Sequence[str],
+    *,
+    workers: typing.Iterable[_worker.LeasedWorker],
+    seed: int = 1,
+) -> Fleet:
+    """Return a fleet with a configuration, whose runs repeat by seed.
+
+    :param data_centres: data centre of each instance
+    """
+    seed_scheduler(seed)
+    fleet = Fleet(
+        nursery, workers, data_centres, random_state=random.Random(seed)
+    )
+    fleet.store.put('routing', 'config', node.Routing(1, ()))
+    return fleet
--- a/tests/node/test_handover.py
+++ b/tests/node/test_handover.py
@@ -6,13 +6,11 @@
 """
 
 import collections
-import random
 
 import pytest
 import trio
 
 from orioleloom import dispatch
-from orioleloom import node
 from orioleloom_standins import leased
 
 QUEUE = dispatch.Queue('check', 'pool', 0, 3, 1.6, 0.06)
@@ -34,14 +32,9 @@
 @pytest.mark.parametrize('clock_error_s', [0.0, 20.0, -20.0])
 async def test_each_task_starts_once(nursery, autojump_clock, clock_error_s):
     """Ten planned handovers under load, also between clocks that differ."""
-    leased.seed_scheduler(1)
-    fleet = leased.Fleet(
-        nursery,
-        leased.site_workers(),
-        ['dc0', 'dc1', 'dc2', 'dc3'],
-        random_state=random.Random(1),
+    fleet = leased.new_fleet(
+        nursery, ['dc0', 'dc1', 'dc2', 'dc3'], workers=leased.site_workers()
     )
-    fleet.store.put('routing', 'config', node.Routing(1, ()))
     for name in ('e1', 'e3'):
         fleet.clock_errors_s[name] = clock_error_s
     fleet.start()
@@ -79,14 +72,11 @@
 
     It must not start tasks of an instance after the successor has done so.
     """
-    leased.seed_scheduler(1)
-    fleet = leased.Fleet(
+    fleet = leased.new_fleet(
         nursery,
-        leased.site_workers(),
         ['dc0', 'dc0', 'dc1', 'dc1', 'dc2'],
-        random_state=random.Random(1),
+        workers=leased.site_workers(),
     )
-    fleet.store.put('routing', 'config', node.Routing(1, ()))
     fleet.start()
     await trio.sleep(2)
     (leader_id,) = fleet.leaders()
@@ -112,14 +102,9 @@
     nursery, autojump_clock
 ):
     """The caller asks elsewhere, and the job must not run again."""
-    leased.seed_scheduler(1)
-    fleet = leased.Fleet(
-        nursery,
-        leased.site_workers(),
-        ['dc0', 'dc0', 'dc1', 'dc2'],
-        random_state=random.Random(1),
+    fleet = leased.new_fleet(
+        nursery, ['dc0', 'dc0', 'dc1', 'dc2'], workers=leased.site_workers()
     )
-    fleet.store.put('routing', 'config', node.Routing(1, ()))
     fleet.start()
     await trio.sleep(2)
     (leader_id,) = fleet.leaders()
--- a/tests/node/test_malformed_input.py
+++ b/tests/node/test_malformed_input.py
@@ -6,7 +6,6 @@
 """
 
 import json
-import random
 import typing
 
 import hypothesis
@@ -48,15 +47,10 @@
     """
 
     async def main():
-        leased.seed_scheduler(1)
         async with trio.open_nursery() as nursery:
-            fleet = leased.Fleet(
-                nursery,
-                leased.site_workers(6),
-                ['dc0', 'dc0', 'dc1'],
-                random_state=random.Random(1),
+            fleet = leased.new_fleet(
+                nursery, ['dc0', 'dc0', 'dc1'], workers=leased.site_workers(6)
             )
-            fleet.store.put('routing', 'config', node.Routing(1, ()))
             fleet.start()
             await trio.sleep(1.0)
             await disturb(fleet)
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -1,7 +1,5 @@
 """Tests of complete nodes on the mock clock, with one fault at a time."""
 
-import random
-
 import pytest
 import trio
 import trio.testing
@@ -49,14 +47,12 @@
 
 @pytest.fixture(params=[1])
 async def site(nursery, request):
-    leased.seed_scheduler(request.param)
-    fleet = leased.Fleet(
+    fleet = leased.new_fleet(
         nursery,
-        leased.site_workers(),
         DATA_CENTRES,
-        random_state=random.Random(request.param),
+        workers=leased.site_workers(),
+        seed=request.param,
     )
-    fleet.store.put('routing', 'config', node.Routing(1, ()))
     fleet.start()
     await trio.sleep(2)
     assert len(fleet.leaders()) == 1
--- a/tests/node/test_silent_machines.py
+++ b/tests/node/test_silent_machines.py
@@ -5,13 +5,11 @@
 """
 
 import collections
-import random
 
 import pytest
 import trio
 
 from orioleloom import dispatch
-from orioleloom import node
 from orioleloom_standins import leased
 
 QUEUE = dispatch.Queue('check', 'pool', 0, 3, 1.6, 0.06)
@@ -20,14 +18,9 @@
 
 async def run_jobs(nursery, disturb):
     """Run long tasks, disturb the fleet meanwhile, and return it."""
-    leased.seed_scheduler(1)
-    fleet = leased.Fleet(
-        nursery,
-        leased.site_workers(),
-        ['dc0', 'dc0', 'dc1', 'dc2'],
-        random_state=random.Random(1),
+    fleet = leased.new_fleet(
+        nursery, ['dc0', 'dc0', 'dc1', 'dc2'], workers=leased.site_workers()
     )
-    fleet.store.put('routing', 'config', node.Routing(1, ()))
     fleet.start()
     await trio.sleep(2)
     names = sorted(fleet.nodes)
--- a/tests/node/test_size.py
+++ b/tests/node/test_size.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import random
 
 import pytest
 import trio
@@ -16,14 +15,11 @@
 
 
 def make_fleet(nursery, n_instances, n_workers=24):
-    leased.seed_scheduler(1)
-    fleet = leased.Fleet(
+    fleet = leased.new_fleet(
         nursery,
-        leased.site_workers(n_workers),
         [f'dc{number % 4}' for number in range(n_instances)],
-        random_state=random.Random(1),
+        workers=leased.site_workers(n_workers),
     )
-    fleet.store.put('routing', 'config', node.Routing(1, ()))
     return fleet
 
 
--- a/tests/node/test_stale_tables.py
+++ b/tests/node/test_stale_tables.py
@@ -4,8 +4,6 @@
 use again because another process with an older copy took over.
 """
 
-import random
-
 import pytest
 import trio
 
@@ -18,14 +16,11 @@
 
 @pytest.fixture
 async def fleet(nursery):
-    leased.seed_scheduler(1)
-    fleet = leased.Fleet(
+    fleet = leased.new_fleet(
         nursery,
-        leased.site_workers(),
         ['dc0', 'dc0', 'dc1', 'dc1', 'dc2', 'dc3'],
-        random_state=random.Random(1),
+        workers=leased.site_workers(),
     )
-    fleet.store.put('routing', 'config', node.Routing(1, ()))
     fleet.start()
     await trio.sleep(3)
     return fleet
