Keep the run of a task when another worker reports an older attempt

What callers saw: nothing yet; a task could have two runs at the same time.

Cause: a new dispatcher records the runs that workers report for an earlier one. When any worker reported the end of any run of the task, the record was dropped, also if it was about a later attempt on another worker. Ends that the earlier dispatcher has not acknowledged are reported again, so that this happens for tasks that were moved or had failed once. A job that its caller submits again then started beside the run.

Change: only a report of the recorded run, from its worker, drops the record.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -440,7 +440,7 @@
     ) -> None:
         run = worker.runs.get(end.key)
         if run is None or run.run_id != end.run_id:
-            self._foreign_runs.pop(end.key)
+            self._foreign_runs.drop_ended(worker.id, end.key, end.run_id)
             if end.kind is _records.EndKind.DONE:
                 task = self._tasks.get(end.key)
                 if task is not None and task.run is None:
--- a/src/orioleloom/dispatch/_foreign_runs.py
+++ b/src/orioleloom/dispatch/_foreign_runs.py
@@ -49,6 +49,20 @@
         """Remove and return a task's run."""
         return self._runs.pop(key, None)
 
+    def drop_ended(
+        self, worker_id: str, key: _records.TaskKey, run_id: int
+    ) -> None:
+        """Remove a task's run if a worker's report of its end is about it.
+
+        Another worker may run a later attempt of the same task.
+        """
+        run = self._runs.get(key)
+        if run is not None and (run.worker_id, run.run_id) == (
+            worker_id,
+            run_id,
+        ):
+            del self._runs[key]
+
     def add_completion(self, key: _records.TaskKey, now_s: float) -> None:
         """Record that a run of a task has succeeded."""
         self._completed_s[key] = now_s
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -352,6 +352,24 @@
     assert outcome_of(harness).kind is dispatch.OutcomeKind.COMPLETED
 
 
+@pytest.mark.parametrize('kind', list(dispatch.EndKind))
+def test_end_of_an_older_attempt_does_not_hide_a_run(kind):
+    """Guards against a second run beside that of an earlier dispatcher.
+
+    Its task was moved or had failed before, and the worker of the first
+    attempt reports that end again, since the earlier dispatcher has not
+    acknowledged it. The caller submits the job again.
+    """
+    harness = Harness('w1', 'w2', 'w3')
+    job = one_step_job()
+    key = dispatch.TaskKey(job.id, 0, 0)
+    harness.report('w2', running=[(key, 5)])
+    harness.report('w1', ended=[dispatch.EndedRun(1, key, 3, kind)])
+    harness.submit(job)
+    assert not harness.starts()
+    assert harness.dispatcher.counters['runs_adopted'] == 1
+
+
 def test_unknown_run_is_stopped_after_the_grace_period():
     """A run whose job no instance submits must not occupy resources."""
     harness = Harness('w1')
