Keep a cut off data centre from electing a leader of the fleet

Cause: the leader of a cut off data centre tells its followers which instances are in contact with it. They took these for all instances alive. When that leader paused or died, one of two was half of them, and the next one led the whole fleet in a higher term, which took precedence once the partition healed.

Change: only the heartbeats of a leader of the fleet say which instances are alive. The next leader of the data centre leads that data centre.

Measured: the new test failed before (scope '' instead of 'dc1'); tests/leadership and tests/node/test_node.py: 32 passed.

--- a/src/orioleloom/leadership/_elector.py
+++ b/src/orioleloom/leadership/_elector.py
@@ -117,7 +117,7 @@
         self.search_started_s = now_s
         self.is_first_search = True
         self.reachability = Reachability.UNKNOWN
-        # Instances alive at the last contact with a leader.
+        # Instances alive at the last contact with a leader of the fleet.
         self.last_known_alive: frozenset[str] = frozenset()
         self._peers: dict[str, tuple[PeerState, float]] = {}
         self._lost_leader_id = ''
@@ -180,7 +180,8 @@
         self.leader_data_centre = data_centre
         self.term = term
         self.scope = scope
-        if alive is not None:
+        if alive is not None and scope == FLEET:
+            # The leader of a data centre is in contact with that part only.
             self.last_known_alive = frozenset(alive)
         self.last_heartbeat_s = now_s
         self.is_first_search = False
--- a/tests/leadership/test_elector.py
+++ b/tests/leadership/test_elector.py
@@ -75,6 +75,25 @@
     assert electors[1].scope == 'dc1'
 
 
+def test_partitioned_data_centre_does_not_elect_a_leader_of_the_fleet():
+    """Its leader pauses, and the next one is alone with few instances.
+
+    It once led the whole fleet in a higher term, and displaced the healthy
+    leader with an outdated list of workers when the partition had healed.
+    """
+    electors = [elector(f'e{number}') for number in range(5)]
+    run_election(electors, 0.0, 2.0, 5)
+    first, second = electors[:2]
+    for one in (first, second):
+        one.tick(2.4, 5)
+        one.reachability = leadership.Reachability.OWN_DATA_CENTRE
+    assert run_election([first, second], 2.5, 3.5, 5) == ['e1']
+    first.tick(4.0, 5)
+    first.reachability = leadership.Reachability.OWN_DATA_CENTRE
+    assert run_election([first], 4.0, 5.0, 5) == ['e0']
+    assert first.scope == 'dc1'
+
+
 def test_instance_is_isolated_if_others_have_a_leader():
     electors = [elector(f'e{number}') for number in range(3)]
     run_election(electors, 0.0, 2.0, 3)
