Ask every worker that the earlier leader may use before a job starts again

Cause: a new leader starts handed over jobs once every worker has answered it, so that it knows their runs. It asked the workers of its own list. A worker that the earlier leader had read later, or that had left the list and ran on, was not asked; its run went on under its lease beside the second one.

Change: heartbeats name the version at which the leader's list last changed and the workers with runs that are missing in it. An instance passes both on when it hands a job over. The new leader needs a list of that version or a later one and every departure since, and asks departed workers, too; else it waits for the end of the leases. A worker that is added is used once every instance in contact has answered a heartbeat with the version that lists it. Works without the store, and a dead worker that the earlier leader had seen leave delays nothing. The messages between instances have new fields: instances of earlier builds do not follow a leader of this one.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -26,6 +26,9 @@
 from orioleloom.dispatch._records import TaskKey
 from orioleloom.dispatch._records import WorkerInfo
 from orioleloom.dispatch._records import WorkerReport
+from orioleloom.dispatch._worker_lists import ListInUse
+from orioleloom.dispatch._worker_lists import WorkerListState
+from orioleloom.dispatch._worker_lists import WorkerListTracker
 
 __all__ = [
     'AnswerJob',
@@ -35,6 +38,7 @@
     'EndKind',
     'Job',
     'OUTCOME_RETENTION_S',
+    'ListInUse',
     'LogDecision',
     'Outcome',
     'OutcomeKind',
@@ -51,6 +55,8 @@
     'Superseded',
     'TaskKey',
     'WorkerInfo',
+    'WorkerListState',
+    'WorkerListTracker',
     'WorkerReport',
     'check_job',
     'latest_useful_start_s',
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -9,6 +9,7 @@
 from orioleloom.dispatch import _placement
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _stragglers
+from orioleloom.dispatch import _worker_lists
 from orioleloom.dispatch import _workers
 
 # New runs get ids that grow with time at this rate, so that a later
@@ -20,10 +21,6 @@
 # the handover. By then the earlier dispatcher has dropped the jobs of the
 # instance (after 0.6 s) and their leases have expired (1.07 s).
 _HANDOVER_HOLD_S = 1.8
-# How long a worker is kept after it has left the list without notice. It may
-# be partitioned and still run tasks; network partitions commonly last some
-# seconds.
-_DELISTED_RETENTION_S = 30.0
 # Interval between polls of workers that have not reported since a handover. In
 # large fleets it is longer, so that a leader that is late and loses followers
 # again and again is not made later by these polls.
@@ -105,6 +102,14 @@
         self.created_s = now_s
         self.is_fleet_wide = is_fleet_wide
         self.workers: dict[str, _workers.Worker] = {}
+        self.list_state = _worker_lists.WorkerListState()
+        self._has_list = False
+        # Version of the list that every instance in contact is known to have
+        # received.
+        self._acknowledged_version = 0
+        # Workers that have left the list up to this version may have been
+        # forgotten.
+        self._forgotten_version = 0
         self.jobs: dict[str, _jobs.JobState] = {}
         self.run_times = _estimates.RunTimeEstimator()
         self.placement = _placement.Placement(self.workers)
@@ -153,15 +158,29 @@
     # Workers
 
     def set_workers(
-        self, listed: typing.Mapping[str, _records.WorkerInfo], now_s: float
+        self,
+        listed: typing.Mapping[str, _records.WorkerInfo],
+        now_s: float,
+        list_state: _worker_lists.WorkerListState = (
+            _worker_lists.WorkerListState()
+        ),
     ) -> None:
         """Apply the platform's list of workers."""
+        self.list_state = list_state
         for worker_id, info in listed.items():
             worker = self.workers.get(worker_id)
-            if worker is None:
-                worker = self.workers[worker_id] = _workers.Worker(info)
-                self._start_polling(worker, now_s)
-                continue
+            if worker is None or not worker.is_listed:
+                is_new = worker is None
+                if is_new:
+                    worker = self.workers[worker_id] = _workers.Worker(info)
+                worker.listed_version = list_state.changed_version
+                worker.is_acknowledged = (
+                    not self._has_list
+                    or worker.listed_version <= self._acknowledged_version
+                )
+                if is_new:
+                    self._start_polling(worker, now_s)
+                    continue
             if info.life > worker.info.life:
                 self._begin_incarnation(worker, info)
                 self._start_polling(worker, now_s)
@@ -177,12 +196,23 @@
             if worker.is_listed:
                 worker.is_listed = False
                 worker.delisted_s = now_s
+                worker.delisted_version = list_state.changed_version
                 self._log(
                     'worker_delisted',
                     worker=worker_id,
                     is_leaving=worker.info.is_leaving,
                     n_runs=len(worker.runs),
                 )
+        for worker_id, departure in list_state.departures.items():
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                worker = _workers.Worker(departure.info)
+                worker.is_listed = False
+                worker.delisted_s = departure.noticed_s
+                self.workers[worker_id] = worker
+            if not worker.is_listed:
+                worker.delisted_version = departure.version
+        self._has_list = True
         self._drop_unlisted_workers(now_s)
         self.placement.refresh_workers()
         self._search_all_workers = True
@@ -194,11 +224,49 @@
                 continue
             if self._foreign_runs.has_runs_on(worker_id):
                 continue
-            if (
-                worker.info.is_leaving
-                or now_s - worker.delisted_s > _DELISTED_RETENTION_S
-            ):
+            if now_s - worker.delisted_s > _worker_lists.DEPARTURE_RETENTION_S:
                 del self.workers[worker_id]
+                self._forgotten_version = max(
+                    self._forgotten_version, worker.delisted_version
+                )
+
+    def confirm_list(self, version: int) -> None:
+        """Record that the list of workers is unchanged at a later version."""
+        if version > self.list_state.version:
+            self.list_state = self.list_state._replace(version=version)
+
+    def has_unacknowledged_workers(self) -> bool:
+        """Return whether a worker waits for :meth:`acknowledge_list`."""
+        return self.list_state.changed_version > self._acknowledged_version
+
+    def acknowledge_list(self, version: int) -> None:
+        """Use workers that all instances in contact know to be in use.
+
+        An instance hands its jobs over to another dispatcher with the
+        version of this dispatcher's list. The other one must know all
+        workers on which a task of the job may run.
+
+        :param version: version of the list that all instances in contact
+            have received
+        """
+        if version <= self._acknowledged_version:
+            return
+        self._acknowledged_version = version
+        for worker in self.workers.values():
+            if not worker.is_acknowledged and worker.listed_version <= version:
+                worker.is_acknowledged = True
+                self._needs_refresh = True
+
+    def list_in_use(self) -> _worker_lists.ListInUse:
+        """Return what another dispatcher must know about the workers here."""
+        return _worker_lists.ListInUse(
+            self.list_state.changed_version,
+            frozenset(
+                worker.id
+                for worker in self.workers.values()
+                if worker.runs and not worker.is_listed
+            ),
+        )
 
     def _start_polling(self, worker: _workers.Worker, now_s: float) -> None:
         loop_indexes = (
@@ -761,6 +829,7 @@
         arrived_s: float,
         deadline_s: float,
         last_contact_s: float | None = None,
+        list_in_use: _worker_lists.ListInUse = _worker_lists.ListInUse(),
         now_s: float,
     ) -> None:
         """Accept a job, or attach a new instance to a known job.
@@ -770,6 +839,7 @@
         :param deadline_s: when the caller stops waiting
         :param last_contact_s: when the instance was last in contact with
             another dispatcher that may have started tasks of the job
+        :param list_in_use: workers that the other dispatcher used then
         """
         known = self.jobs.get(job.id)
         if known is not None:
@@ -795,6 +865,7 @@
         if last_contact_s is not None:
             state.may_have_run_elsewhere = True
             state.handed_over_s = now_s
+            state.earlier_list = list_in_use
             state.held_until_s = last_contact_s + _HANDOVER_HOLD_S
             self._held_job_ids.add(job.id)
         self._claim_foreign_runs(state, now_s)
@@ -860,37 +931,99 @@
 
         A worker that has reported since the handover rejects requests of
         the earlier dispatcher, and its report shows the runs which that
-        one has started.
+        one has started. That holds only for a job whose earlier dispatcher
+        used no workers that are unknown here.
         """
         for job_id in list(self._held_job_ids):
             job = self.jobs.get(job_id)
-            if job is None or now_s >= job.held_until_s:
+            if job is None:
+                self._held_job_ids.discard(job_id)
+            elif now_s >= job.held_until_s:
                 self._held_job_ids.discard(job_id)
+                self._log_release(job, 'leases ended', now_s)
         if not self._held_job_ids or not self.is_fleet_wide:
             return
-        handed_over_s = {
-            job_id: self.jobs[job_id].handed_over_s
-            for job_id in self._held_job_ids
-        }
-        workers = self.workers.values()
-        all_confirmed_s = min((w.confirmed_s for w in workers), default=now_s)
-        for job_id, job_handed_over_s in handed_over_s.items():
-            if all_confirmed_s >= job_handed_over_s:
-                self.jobs[job_id].held_until_s = 0.0
+        confirmed_s = min(
+            (w.confirmed_s for w in self.workers.values() if w.is_listed),
+            default=now_s,
+        )
+        unlisted = [w for w in self.workers.values() if not w.is_listed]
+        needs_report: dict[str, _workers.Worker] = {}
+        for job_id in list(self._held_job_ids):
+            job = self.jobs[job_id]
+            if not self._knows_workers_of(job.earlier_list):
+                continue
+            missing = [
+                worker
+                for worker in unlisted
+                if worker.confirmed_s < job.handed_over_s
+                and self._may_be_in_use(worker, job.earlier_list)
+            ]
+            if confirmed_s >= job.handed_over_s and not missing:
+                job.held_until_s = 0.0
                 self._held_job_ids.discard(job_id)
-        newest_handover_s = max(handed_over_s.values())
+                self._log_release(job, 'confirmed', now_s)
+                continue
+            needs_report.update((worker.id, worker) for worker in missing)
+        self._poll_unconfirmed_workers(needs_report, now_s)
+
+    def _knows_workers_of(self, used: _worker_lists.ListInUse) -> bool:
+        """Return whether all workers that a dispatcher used are known here."""
+        state = self.list_state
+        return (
+            max(state.complete_since, self._forgotten_version)
+            <= used.version
+            <= state.version
+            and used.unlisted_worker_ids <= self.workers.keys()
+        )
+
+    @staticmethod
+    def _may_be_in_use(
+        worker: _workers.Worker, used: _worker_lists.ListInUse
+    ) -> bool:
+        """Return whether a dispatcher may have used an unlisted worker."""
+        return (
+            worker.delisted_version > used.version
+            or worker.id in used.unlisted_worker_ids
+        )
+
+    def _log_release(
+        self, job: _jobs.JobState, reason: str, now_s: float
+    ) -> None:
+        self._log(
+            'handover_ended',
+            job=job.job.id,
+            reason=reason,
+            held_ms=round((now_s - job.handed_over_s) * 1000),
+            list_version=self.list_state.version,
+            earlier_list_version=job.earlier_list.version,
+        )
+
+    def _poll_unconfirmed_workers(
+        self, unlisted: typing.Mapping[str, _workers.Worker], now_s: float
+    ) -> None:
+        """Poll the workers on whose reports handed over jobs wait.
+
+        :param unlisted: those that are not in the list
+        """
         interval_s = max(
             _MIN_CONFIRM_POLL_INTERVAL_S,
-            len(workers) / _MAX_CONFIRM_POLLS_PER_S,
+            len(self.workers) / _MAX_CONFIRM_POLLS_PER_S,
         )
         if (
-            self._held_job_ids
-            and now_s - self._last_confirm_poll_s > interval_s
+            not self._held_job_ids
+            or now_s - self._last_confirm_poll_s <= interval_s
         ):
-            self._last_confirm_poll_s = now_s
-            for worker in workers:
-                if worker.confirmed_s < newest_handover_s:
-                    self._effects.append(_records.PollWorkerOnce(worker.id))
+            return
+        self._last_confirm_poll_s = now_s
+        newest_handover_s = max(
+            self.jobs[job_id].handed_over_s for job_id in self._held_job_ids
+        )
+        for worker in self.workers.values():
+            if worker.confirmed_s < newest_handover_s and (
+                worker.is_listed or worker.id in unlisted
+            ):
+                self._effects.append(_records.PollWorkerOnce(worker.id))
 
     def _claim_foreign_runs(self, state: _jobs.JobState, now_s: float) -> None:
         if self._foreign_runs.is_empty():
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -2,6 +2,7 @@
 
 from orioleloom.dispatch import _estimates
 from orioleloom.dispatch import _records
+from orioleloom.dispatch import _worker_lists
 from orioleloom.dispatch import _workers
 
 # A late job is still useful to its caller up to this multiple of the time
@@ -102,6 +103,8 @@
         # since ``handed_over_s``.
         self.held_until_s = 0.0
         self.handed_over_s = 0.0
+        # Workers that the earlier dispatcher used.
+        self.earlier_list = _worker_lists.ListInUse()
         self.expected_s = 0.0
         self.objective_s = 0.0
         self.useful_until_s = 0.0
--- /dev/null
+++ b/src/orioleloom/dispatch/_worker_lists.py
@@ -0,0 +1,131 @@
+import typing
+
+from orioleloom.dispatch import _records
+
+# Version of a list of workers that is not known.
+UNKNOWN_VERSION = -1
+# How long the departure of a worker from the list is kept. A worker without
+# contact to the store is removed from the list and may still run tasks;
+# network partitions commonly last some seconds.
+DEPARTURE_RETENTION_S = 30.0
+
+
+class Departure(typing.NamedTuple):
+    """A worker that has left the list.
+
+    :param version: version of the list that first lacked it, or a later one
+    :param noticed_s: when that was noticed
+    """
+
+    info: _records.WorkerInfo
+    version: int
+    noticed_s: float
+
+
+class WorkerListState(typing.NamedTuple):
+    """Which versions of the list of workers an instance knows.
+
+    :param version: version of the store that the list shows
+    :param changed_version: version at which the list has last changed
+    :param departures: workers that have left the list recently, by id
+    :param complete_since: every departure after this version is among them
+    """
+
+    version: int = 0
+    changed_version: int = 0
+    departures: typing.Mapping[str, Departure] = {}
+    complete_since: int = 0
+
+
+class ListInUse(typing.NamedTuple):
+    """What an instance knows about the workers that a dispatcher uses.
+
+    :param version: version of the dispatcher's list, or a lower one;
+        ``UNKNOWN_VERSION`` if it is not known
+    :param unlisted_worker_ids: workers with runs that are not in this list
+    """
+
+    version: int = UNKNOWN_VERSION
+    unlisted_worker_ids: frozenset[str] = frozenset()
+
+    def merge(self, other: 'ListInUse') -> 'ListInUse':
+        """Return what is known of the workers that either one uses."""
+        return ListInUse(
+            min(self.version, other.version),
+            self.unlisted_worker_ids | other.unlisted_worker_ids,
+        )
+
+
+class WorkerListTracker:
+    """An instance's copy of the list of workers, with its departures."""
+
+    def __init__(self) -> None:
+        self.workers: dict[str, _records.WorkerInfo] = {}
+        self.version = 0
+        self.changed_version = 0
+        self._departures: dict[str, Departure] = {}
+        self._complete_since = 0
+        # Departures up to this version have been dropped.
+        self._dropped_version = 0
+
+    def update(
+        self,
+        workers: typing.Mapping[str, _records.WorkerInfo],
+        version: int,
+        *,
+        changed_version: int | None = None,
+        removed_versions: typing.Mapping[str, int] = {},
+        complete_since: int,
+        now_s: float,
+    ) -> bool:
+        """Replace the copy by a newer one.
+
+        :param version: version of the store that ``workers`` shows
+        :param changed_version: version at which the list has last changed,
+            if that is known
+        :param removed_versions: versions at which workers were removed, as
+            far as they are known
+        :param complete_since: every worker removed after this version was in
+            the copy or is in ``removed_versions``
+        :returns: whether the list has changed
+        """
+        if changed_version is None:
+            changed_version = version
+        self.version = version
+        self._complete_since = complete_since
+        self._drop_old_departures(now_s)
+        if workers == self.workers:
+            return False
+        for worker_id, info in self.workers.items():
+            if worker_id not in workers:
+                self._departures[worker_id] = Departure(
+                    info,
+                    removed_versions.get(worker_id, changed_version),
+                    now_s,
+                )
+        for worker_id in workers:
+            self._departures.pop(worker_id, None)
+        self.workers = dict(workers)
+        self.changed_version = changed_version
+        return True
+
+    def confirm(self, version: int) -> None:
+        """Record that the list is unchanged at a later version."""
+        self.version = max(self.version, version)
+
+    def _drop_old_departures(self, now_s: float) -> None:
+        for worker_id, departure in list(self._departures.items()):
+            if now_s - departure.noticed_s > DEPARTURE_RETENTION_S:
+                del self._departures[worker_id]
+                self._dropped_version = max(
+                    self._dropped_version, departure.version
+                )
+
+    def state(self) -> WorkerListState:
+        """Return which versions of the list are known."""
+        return WorkerListState(
+            self.version,
+            self.changed_version,
+            dict(self._departures),
+            max(self._complete_since, self._dropped_version),
+        )
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -89,6 +89,11 @@
         self.is_known = False
         self.is_listed = True
         self.delisted_s = math.inf
+        # Versions of the list of workers that first had and lacked it.
+        self.listed_version = 0
+        self.delisted_version = 0
+        # All instances in contact know that the worker is in use.
+        self.is_acknowledged = True
         # Whether each of the two polling loops is active.
         self.is_polled = [False, False]
         # Difference between the worker's clock and ours, in seconds.
@@ -172,6 +177,7 @@
         return (
             self.is_known
             and self.is_listed
+            and self.is_acknowledged
             and not self.info.is_leaving
             and not self.is_unresponsive()
         )
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -56,6 +56,16 @@
 _FOLLOWER_CHECK_INTERVAL_S = 0.02
 
 
+class _SentHeartbeat(typing.NamedTuple):
+    """When a heartbeat was sent, and the list of workers that it named."""
+
+    sent_s: float
+    list_version: int
+
+
+_UNKNOWN_HEARTBEAT = _SentHeartbeat(-1e9, 0)
+
+
 class Follower:
     """State that a leader keeps for another instance.
 
@@ -67,6 +77,8 @@
         self.instance_id = instance_id
         self.session = session
         self.last_heard_s = -1e9
+        # Newest version of the list of workers that it knows to be in use.
+        self.list_version = 0
         self.is_out_of_contact = True
         self.joined_s = 0.0
         self.is_stopping = False
@@ -120,8 +132,9 @@
         self.sequence = 0
         # Version of the configuration in force here.
         self.routing_version = 0
-        # Send times of recent heartbeats, by sequence number.
-        self._heartbeat_sent_s: dict[int, float] = {}
+        # Recent heartbeats, by sequence number.
+        self._sent_heartbeats: dict[int, _SentHeartbeat] = {}
+        self._list_in_use = self.dispatcher.list_in_use()
         self._followers_checked_s = -1e9
         self._last_sent_alive: list[str] | None = None
         self.is_closed = False
@@ -348,6 +361,7 @@
     def tick(self, now_s: float) -> None:
         """Expire silent followers and run the dispatcher's timed work."""
         self._expire_followers(now_s)
+        self._acknowledge_list()
         self.dispatcher.tick(now_s)
         self.schedule_effects()
 
@@ -401,8 +415,11 @@
         :param include_lost: send this heartbeat to all of them
         """
         self.sequence += 1
-        self._heartbeat_sent_s[self.sequence] = trio.current_time()
-        self._heartbeat_sent_s.pop(
+        self._list_in_use = self.dispatcher.list_in_use()
+        self._sent_heartbeats[self.sequence] = _SentHeartbeat(
+            trio.current_time(), self._list_in_use.version
+        )
+        self._sent_heartbeats.pop(
             self.sequence - _MAX_TRACKED_HEARTBEATS, None
         )
         alive: list[str] | None = self.instances_in_contact()
@@ -462,6 +479,7 @@
                 n_unstarted,
                 self.dispatcher.token,
                 self.routing_version,
+                self._list_in_use,
             ),
         )
 
@@ -482,7 +500,10 @@
         # Contact is counted from when the answered heartbeat was sent. The
         # reply may have been queued here, so its arrival does not prove
         # later contact.
-        heard_s = self._heartbeat_sent_s.get(reply.sequence, -1e9)
+        answered = self._sent_heartbeats.get(
+            reply.sequence, _UNKNOWN_HEARTBEAT
+        )
+        heard_s = answered.sent_s
         if (
             reply.session != follower.session
             or now_s - heard_s > leadership.FOLLOWER_TIMEOUT_S
@@ -493,6 +514,9 @@
             follower.joined_s = now_s
         follower.is_out_of_contact = False
         follower.last_heard_s = max(follower.last_heard_s, heard_s)
+        follower.list_version = max(
+            follower.list_version, answered.list_version
+        )
         follower.is_stopping = reply.is_stopping
         follower.rank = reply.rank
         if reply.sequence >= self._first_sequence_of_token:
@@ -520,6 +544,21 @@
                 )
         self.schedule_effects()
 
+    def _acknowledge_list(self) -> None:
+        """Let the dispatcher use workers that all followers know of."""
+        if not self.dispatcher.has_unacknowledged_workers():
+            return
+        self.dispatcher.acknowledge_list(
+            min(
+                (
+                    follower.list_version
+                    for follower in self.followers.values()
+                    if not follower.is_out_of_contact
+                ),
+                default=self.dispatcher.list_state.changed_version,
+            )
+        )
+
     def handle_submission(
         self, member_id: str, message: _messages.SubmitJob, now_s: float
     ) -> None:
@@ -541,6 +580,7 @@
             arrived_s=now_s - message.age_s,
             deadline_s=now_s + message.remaining_s,
             last_contact_s=None if contact_s is None else now_s - contact_s,
+            list_in_use=message.list_in_use,
             now_s=now_s,
         )
         self.schedule_effects()
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -48,6 +48,7 @@
     :param n_unstarted: number of jobs without a started task, by queue
     :param token: fencing token of the leader
     :param routing_version: version of the leader's configuration; 0 if none
+    :param list_in_use: workers that the leader uses
     """
 
     term: int
@@ -59,6 +60,7 @@
     n_unstarted: dict[str, int]
     token: int = 0
     routing_version: int = 0
+    list_in_use: dispatch.ListInUse = dispatch.ListInUse()
 
 
 class BeatReply(typing.NamedTuple):
@@ -93,6 +95,7 @@
     :param contact_ago_s: time since the last contact with an earlier leader
         that the job was submitted to, or ``None`` if there is none
     :param token_seen: highest fencing token that the instance has received
+    :param list_in_use: workers that earlier leaders of the job have used
     """
 
     term: int
@@ -102,6 +105,7 @@
     remaining_s: float
     contact_ago_s: float | None
     token_seen: int = 0
+    list_in_use: dispatch.ListInUse = dispatch.ListInUse()
 
 
 class CancelJob(typing.NamedTuple):
@@ -131,12 +135,14 @@
     """Copies of the store's tables for a peer that could not read them.
 
     :param workers_version: version of the store that ``workers`` shows
+    :param workers_changed_version: version at which they have last changed
     """
 
     routing: _ports.Routing | None
     workers: dict[str, dispatch.WorkerInfo]
     members: list[_ports.MemberInfo]
     workers_version: int = 0
+    workers_changed_version: int = 0
 
 
 class Handover(typing.NamedTuple):
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -52,6 +52,9 @@
 # hash of the instance id. Tokens thus increase without a write to the store,
 # and the hash keeps two instances from using the same token.
 _TOKENS_PER_MS = 1000
+# Number of recent leaders whose use of workers is remembered, for jobs that
+# are handed over from one of them.
+_MAX_TRACKED_LEADERS = 8
 _RUN_IDS_PER_S = 4
 
 
@@ -85,6 +88,7 @@
     __slots__ = (
         'arrived_s',
         'assigned_leader',
+        'earlier_list',
         'deadline_s',
         'job',
         'latest_useful_start_s',
@@ -109,6 +113,16 @@
         # Id and term of the leader that the job was submitted to.
         self.assigned_leader: tuple[str, int] | None = None
         self.was_submitted = False
+        # Workers that earlier leaders of the job have used.
+        self.earlier_list: dispatch.ListInUse | None = None
+
+    def add_earlier_leader(self, list_in_use: dispatch.ListInUse) -> None:
+        """Record which workers a leader has used that the job had."""
+        self.earlier_list = (
+            list_in_use
+            if self.earlier_list is None
+            else self.earlier_list.merge(list_in_use)
+        )
 
 
 class Node:
@@ -184,9 +198,9 @@
         self._delivered: dict[str, tuple[dispatch.Outcome, float]] = {}
         # Highest fencing token received from any leader.
         self._highest_token = 0
-        self._workers: dict[str, dispatch.WorkerInfo] = {}
-        # Version of the store that the copy of the workers was read at.
-        self._workers_version = 0
+        self._worker_list = dispatch.WorkerListTracker()
+        # Workers that recent leaders have used, by the leader's id and term.
+        self._lists_in_use: dict[tuple[str, int], dispatch.ListInUse] = {}
         self._must_update_successors = False
         self._successors_updated_s = -1e9
         self._last_probe_s = -1e9
@@ -337,7 +351,9 @@
     # Tables of the store
 
     def _apply_routing(
-        self, rows: dict[str, _ports.Routing], version: int
+        self,
+        rows: dict[str, _ports.Routing],
+        table_version: _tables.TableVersion,
     ) -> None:
         newest = max(rows.values(), key=lambda r: r.version, default=None)
         if newest is None or (
@@ -351,35 +367,54 @@
             'configuration_in_force',
             version=newest.version,
             n_routes=len(newest.routes),
-            store_version=version,
+            store_version=table_version.version,
         )
         self.on_routing(newest)
 
     def _apply_workers(
-        self, rows: dict[str, dispatch.WorkerInfo], version: int
+        self,
+        rows: dict[str, dispatch.WorkerInfo],
+        table_version: _tables.TableVersion,
     ) -> None:
-        self._workers_version = version
-        if rows == self._workers:
-            return
-        self._workers = dict(rows)
+        has_changed = self._worker_list.update(
+            rows,
+            table_version.version,
+            removed_versions=table_version.removed_versions,
+            complete_since=table_version.complete_since,
+            now_s=trio.current_time(),
+        )
+        if has_changed:
+            self._handle_changed_workers()
+
+    def _handle_changed_workers(self) -> None:
         self._must_update_successors = True
         if self.leader is not None:
             self._update_dispatcher_workers(trio.current_time())
 
+    def _confirm_worker_list(self) -> None:
+        """Record the version of a list that reads have shown unchanged."""
+        if not self.worker_watch.must_report:
+            self._worker_list.confirm(self.worker_watch.version)
+        if self.leader is not None:
+            self.leader.dispatcher.confirm_list(self._worker_list.version)
+
     def _update_dispatcher_workers(self, now_s: float) -> None:
         scope = self.leader.scope
         self.leader.dispatcher.set_workers(
             {
                 key: info
-                for key, info in self._workers.items()
+                for key, info in self._worker_list.workers.items()
                 if scope in (leadership.FLEET, info.data_centre)
             },
             now_s,
+            self._worker_list.state(),
         )
         self.leader.schedule_effects()
 
     def _add_members(
-        self, rows: dict[str, _ports.MemberInfo], version: int
+        self,
+        rows: dict[str, _ports.MemberInfo],
+        table_version: _tables.TableVersion,
     ) -> None:
         for member in rows.values():
             self.peers.add_listed(member)
@@ -460,7 +495,7 @@
             self._send_tables(sender.instance_id, now_s)
 
     def _lacks_tables(self) -> bool:
-        return self.routing is None or not self._workers
+        return self.routing is None or not self._worker_list.workers
 
     def _send_tables(self, member_id: str, now_s: float) -> None:
         if self._lacks_tables() or not self.peers.may_send_tables(
@@ -471,9 +506,10 @@
             member_id,
             _messages.Tables(
                 self.routing,
-                self._workers,
+                self._worker_list.workers,
                 list(self.peers.members.values()),
-                self._workers_version,
+                self._worker_list.version,
+                self._worker_list.changed_version,
             ),
         )
 
@@ -494,15 +530,26 @@
         if tables.routing is not None and (
             self.routing is None or self._is_routing_stale(now_s)
         ):
-            self._apply_routing({'': tables.routing}, 0)
-        if not self._workers or (
+            self._apply_routing({'': tables.routing}, _tables.TableVersion(0))
+        if not self._worker_list.workers or (
             sender_id == self.elector.leader_id
-            and tables.workers_version > self._workers_version
+            and tables.workers_version > self._worker_list.version
         ):
-            self._apply_workers(tables.workers, tables.workers_version)
+            has_changed = self._worker_list.update(
+                tables.workers,
+                tables.workers_version,
+                changed_version=tables.workers_changed_version,
+                complete_since=tables.workers_changed_version,
+                now_s=now_s,
+            )
             # What the store says replaces the word of a peer.
             self.worker_watch.must_report = True
-        self._add_members({m.instance_id: m for m in tables.members}, 0)
+            if has_changed:
+                self._handle_changed_workers()
+        self._add_members(
+            {m.instance_id: m for m in tables.members},
+            _tables.TableVersion(0),
+        )
 
     def _is_routing_stale(self, now_s: float) -> bool:
         """Return whether the store has long not confirmed the routing."""
@@ -536,6 +583,9 @@
             self._stop_leading(now_s, has_stepped_down=True)
         self._leader_session = beat.session
         self._highest_token = max(self._highest_token, beat.token)
+        self._record_list_in_use(
+            (sender.instance_id, beat.term), beat.list_in_use
+        )
         self.unstarted_by_queue = beat.n_unstarted
         if (sender.instance_id, beat.term) != previous_leader:
             _log.log(
@@ -579,6 +629,14 @@
             if pending.assigned_leader != (sender.instance_id, beat.term):
                 self._submit_pending(pending, now_s)
 
+    def _record_list_in_use(
+        self, leader: tuple[str, int], list_in_use: dispatch.ListInUse
+    ) -> None:
+        self._lists_in_use.pop(leader, None)
+        self._lists_in_use[leader] = list_in_use
+        while len(self._lists_in_use) > _MAX_TRACKED_LEADERS:
+            del self._lists_in_use[next(iter(self._lists_in_use))]
+
     def _handle_handover(
         self, sender_id: str, message: _messages.Handover, now_s: float
     ) -> None:
@@ -622,7 +680,8 @@
             term=leader.term,
             scope=leader.scope,
             token=leader.dispatcher.token,
-            n_workers=len(self._workers),
+            n_workers=len(self._worker_list.workers),
+            workers_version=self._worker_list.version,
             workers_age_s=round(now_s - self.worker_watch.last_success_s, 3),
         )
         leader.routing_version = self.routing.version if self.routing else 0
@@ -653,6 +712,10 @@
         if leader is None:
             return
         self.leader = None
+        self._record_list_in_use(
+            (self.local_sender.instance_id, leader.term),
+            leader.dispatcher.list_in_use(),
+        )
         leader.close()
         self._worker_watch_scope.cancel()
         self._last_leader_contact_s = now_s
@@ -716,6 +779,7 @@
         ):
             self._probe_peers(now_s)
         if self.leader is not None:
+            self._confirm_worker_list()
             self.leader.tick(now_s)
         self._expire_pending(now_s)
 
@@ -778,7 +842,7 @@
     async def _check_reachability(self) -> leadership.Reachability:
         remote_workers = [
             worker
-            for worker in self._workers.values()
+            for worker in self._worker_list.workers.values()
             if worker.data_centre != self.local_sender.data_centre
         ]
         self.random_state.shuffle(remote_workers)
@@ -906,6 +970,7 @@
             # The caller has resubmitted the job on another connection.
             pending.assigned_leader = replaced.assigned_leader
             pending.was_submitted = replaced.was_submitted
+            pending.earlier_list = replaced.earlier_list
         self.pending[job.id] = pending
         if self.elector.role is leadership.Role.ISOLATED:
             self._give_up(pending, 'instance out of contact')
@@ -922,6 +987,13 @@
             pending.was_submitted and pending.assigned_leader != leader
         )
         contact_s = self._last_leader_contact_s if may_run_elsewhere else None
+        if may_run_elsewhere:
+            pending.add_earlier_leader(
+                self._lists_in_use.get(
+                    pending.assigned_leader, dispatch.ListInUse()
+                )
+            )
+        earlier_list = pending.earlier_list or dispatch.ListInUse()
         if role is leadership.Role.LEADING and self.leader is not None:
             pending.assigned_leader = leader
             pending.was_submitted = True
@@ -931,6 +1003,7 @@
                 arrived_s=pending.arrived_s,
                 deadline_s=pending.deadline_s,
                 last_contact_s=contact_s,
+                list_in_use=earlier_list,
                 now_s=now_s,
             )
             self.leader.schedule_effects()
@@ -947,6 +1020,7 @@
                     pending.deadline_s - now_s,
                     None if contact_s is None else now_s - contact_s,
                     self._highest_token,
+                    earlier_list,
                 ),
             )
 
--- a/src/orioleloom/node/_ports.py
+++ b/src/orioleloom/node/_ports.py
@@ -80,10 +80,12 @@
 
     :param version: newest version of the store when the rows were read
     :param rows: decoded rows by key; ``None`` for a removed row
+    :param removed_versions: versions at which rows were removed, by key
     """
 
     version: int
     rows: dict[str, T | None]
+    removed_versions: dict[str, int] = {}
 
 
 class Table(typing.Protocol[T]):
--- a/src/orioleloom/node/_tables.py
+++ b/src/orioleloom/node/_tables.py
@@ -18,11 +18,26 @@
 _FULL_READ_INTERVAL_S = 20.0
 
 
+class TableVersion(typing.NamedTuple):
+    """Version of a copy of a table.
+
+    :param version: version of the store that the copy shows
+    :param complete_since: every row removed after this version was in the
+        copy before
+    :param removed_versions: versions at which rows were removed since the
+        copy before, as far as they are known
+    """
+
+    version: int
+    complete_since: int = 0
+    removed_versions: typing.Mapping[str, int] = {}
+
+
 class TableWatch:
     """Keeps a local copy of one of the store's tables up to date.
 
     :param name: name of the table in logs
-    :param on_change: called with all rows and the version when rows change
+    :param on_change: called with all rows and their version when rows change
     :param wait_s: long-poll time of a request for changes
     :param min_interval_s: minimum time between the starts of two calls
     """
@@ -31,7 +46,9 @@
         self,
         name: str,
         table: _ports.Table[typing.Any],
-        on_change: typing.Callable[[dict[str, typing.Any], int], None],
+        on_change: typing.Callable[
+            [dict[str, typing.Any], TableVersion], None
+        ],
         *,
         wait_s: float = 1.0,
         min_interval_s: float = 0.0,
@@ -45,6 +62,7 @@
         self.random_state = random_state
         self.rows: dict[str, typing.Any] = {}
         self.version = 0
+        self._complete_since = 0
         self.is_current = False
         # The next successful read calls on_change even if nothing changed,
         # since its user has taken rows from elsewhere.
@@ -56,6 +74,12 @@
 
     async def run(self) -> typing.NoReturn:
         """Keep the copy up to date until cancelled."""
+        if self.is_current:
+            # The changes show which rows were removed meanwhile, and a read
+            # does not.
+            self._next_full_read_s = (
+                trio.current_time() + _FULL_READ_INTERVAL_S
+            )
         while True:
             started_s = trio.current_time()
             if not self.is_current or started_s > self._next_full_read_s:
@@ -85,13 +109,13 @@
             return False
         self._record_success()
         self._next_full_read_s = trio.current_time() + _FULL_READ_INTERVAL_S
-        self.version = snapshot.version
+        self.version = self._complete_since = snapshot.version
         rows = {k: v for k, v in snapshot.rows.items() if v is not None}
         if rows != self.rows or not self.is_current or self.must_report:
             self.must_report = False
             self.rows = rows
             self.is_current = True
-            self.on_change(self.rows, self.version)
+            self._report({})
         return True
 
     async def refresh(self) -> None:
@@ -121,12 +145,22 @@
         if not changes.rows and not self.must_report:
             return
         self.must_report = False
+        for key, version in changes.removed_versions.items():
+            if key not in self.rows:
+                # The row was added and removed since the previous call.
+                self._complete_since = max(self._complete_since, version)
         for key, row in changes.rows.items():
             if row is None:
                 self.rows.pop(key, None)
             else:
                 self.rows[key] = row
-        self.on_change(self.rows, self.version)
+        self._report(changes.removed_versions)
+
+    def _report(self, removed_versions: typing.Mapping[str, int]) -> None:
+        self.on_change(
+            self.rows,
+            TableVersion(self.version, self._complete_since, removed_versions),
+        )
 
     def _record_success(self) -> None:
         if self._backoff_s != _INITIAL_BACKOFF_S:
--- a/src/orioleloom/platform/_store.py
+++ b/src/orioleloom/platform/_store.py
@@ -77,7 +77,15 @@
                 'waitMs': str(int(wait_s * 1000)),
             },
         )
-        return node.Snapshot(response.ver, self._decode_rows(response.rows))
+        return node.Snapshot(
+            response.ver,
+            self._decode_rows(response.rows),
+            {
+                row.key: row.ver or response.ver
+                for row in response.rows
+                if row.deleted
+            },
+        )
 
     def _decode_rows(self, rows: list[_wire.StoreRow]) -> dict[str, _T | None]:
         decoded: dict[str, _T | None] = {}
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -266,9 +266,14 @@
             rows = self.store.data.tables.get(self.name, {})
             changed = {k: v for k, (v, ver) in rows.items() if ver > after}
             if changed or trio.current_time() >= deadline_s:
+                version = self.store.data.version
                 await self.store.call()
                 self.store.data.n_rows_read += len(changed)
-                return node.Snapshot(self.store.data.version, changed)
+                return node.Snapshot(
+                    version,
+                    changed,
+                    {k: rows[k][1] for k, v in changed.items() if v is None},
+                )
             with trio.move_on_at(deadline_s):
                 await self.store.data.changed.wait()
 
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -285,6 +285,16 @@
     assert harness.dispatcher.max_poll_wait_s(harness.now_s) < wait_s
 
 
+def submit_handed_over(harness, version, unlisted_worker_ids=(), job=None):
+    harness.submit(
+        job or one_step_job(),
+        last_contact_s=harness.now_s,
+        list_in_use=dispatch.ListInUse(
+            version, frozenset(unlisted_worker_ids)
+        ),
+    )
+
+
 def test_handed_over_job_waits_until_every_worker_has_reported():
     """Guards against a second run of a task of an earlier dispatcher.
 
@@ -293,7 +303,7 @@
     """
     harness = Harness('w1', 'w2')
     harness.after(1.0)
-    harness.submit(one_step_job(), last_contact_s=harness.now_s)
+    submit_handed_over(harness, 0)
     assert not harness.starts()
     harness.after(0.1)
     polls = harness.effects(dispatch.PollWorkerOnce)
@@ -306,12 +316,40 @@
     assert len(harness.starts()) == 1
 
 
-def test_handed_over_job_waits_for_a_delisted_worker():
-    """A worker without contact to the store is delisted and runs on."""
+def delist(harness, worker_id, **state):
+    """Remove a worker from the list, which then has version 5."""
+    del harness.infos[worker_id]
+    harness.dispatcher.set_workers(
+        harness.infos,
+        harness.now_s,
+        dispatch.WorkerListState(version=5, changed_version=5, **state),
+    )
+
+
+@pytest.mark.parametrize(
+    'used',
+    [
+        # The earlier dispatcher may not have noticed that w2 has left.
+        (4, ()),
+        # It had noticed, but w2 was not idle.
+        (5, ('w2',)),
+        # It used a worker that is not known here.
+        (5, ('w9',)),
+        # Its list was newer than the one here.
+        (6, ()),
+        # Nothing is known of its list.
+        (-1, ()),
+    ],
+)
+def test_handed_over_job_waits_for_workers_beyond_the_list(used):
+    """Guards against a second run beside that on a worker not in the list.
+
+    A worker without contact to the store is delisted and runs on.
+    """
     harness = Harness('w1', 'w2')
     harness.after(1.0)
-    harness.dispatcher.set_workers({'w1': harness.infos['w1']}, harness.now_s)
-    harness.submit(one_step_job(), last_contact_s=harness.now_s)
+    delist(harness, 'w2')
+    submit_handed_over(harness, *used)
     harness.now_s += 0.01
     harness.report('w1')
     harness.after(0.025)
@@ -321,6 +359,86 @@
     assert len(harness.starts()) == 1
 
 
+def test_handed_over_job_does_not_wait_for_a_worker_known_to_be_gone():
+    """The earlier dispatcher had nothing on it when it left the list."""
+    harness = Harness('w1', 'w2')
+    harness.after(1.0)
+    delist(harness, 'w2')
+    submit_handed_over(harness, 5)
+    harness.now_s += 0.01
+    harness.report('w1')
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
+def test_handed_over_job_waits_while_departures_may_be_missing():
+    """The changes between two reads of the list are not known."""
+    harness = Harness('w1', 'w2')
+    harness.after(1.0)
+    delist(harness, 'w2', complete_since=5)
+    submit_handed_over(harness, 4)
+    harness.now_s += 0.01
+    for worker_id in ('w1', 'w2'):
+        harness.report(worker_id)
+    harness.after(0.025)
+    assert not harness.starts()
+
+
+def test_handed_over_job_starts_once_the_list_is_new_enough():
+    harness = Harness('w1')
+    submit_handed_over(harness, 3)
+    harness.now_s += 0.01
+    harness.report('w1')
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.dispatcher.confirm_list(3)
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
+def test_departed_worker_of_a_new_dispatcher_is_asked():
+    """Its run is adopted although the worker was never listed here."""
+    harness = Harness('w1')
+    tracker = dispatch.WorkerListTracker()
+    gone = worker_info('w2')
+    for version, workers in ((1, {'w2': gone}), (2, harness.infos)):
+        tracker.update(workers, version, complete_since=1, now_s=harness.now_s)
+    harness.dispatcher.set_workers(
+        harness.infos, harness.now_s, tracker.state()
+    )
+    job = one_step_job()
+    harness.now_s += 0.01
+    submit_handed_over(harness, 1, job=job)
+    harness.after(0.1)
+    polls = harness.effects(dispatch.PollWorkerOnce)
+    assert {poll.worker_id for poll in polls} == {'w1', 'w2'}
+    harness.report('w1')
+    harness.report('w2', running=[(dispatch.TaskKey(job.id, 0, 0), 1)])
+    harness.after(0.025)
+    assert not harness.starts()
+    assert harness.dispatcher.counters['runs_adopted'] == 1
+
+
+def test_added_worker_is_used_once_all_instances_know_of_it():
+    """Otherwise the next dispatcher might not ask it for its runs."""
+    harness = Harness('w1')
+    harness.infos['w2'] = worker_info('w2')
+    harness.dispatcher.set_workers(
+        harness.infos,
+        harness.now_s,
+        dispatch.WorkerListState(version=7, changed_version=7),
+    )
+    harness.report('w2')
+    harness.submit(one_step_job(n_tasks=4))
+    assert {start.worker.id for start in harness.starts()} == {'w1'}
+    harness.dispatcher.acknowledge_list(6)
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.dispatcher.acknowledge_list(7)
+    harness.after(0.025)
+    assert {start.worker.id for start in harness.starts()} == {'w2'}
+
+
 def test_leader_of_one_data_centre_waits_for_workers_elsewhere():
     """The leader cannot see the runs on workers of other data centres."""
     harness = Harness('w1', is_fleet_wide=False)
