Count the lists of all earlier leaders of a job

Cause: an instance that follows one leader after another passes on the lists of workers that they use. The lower version stood for both. After a late heartbeat of a former leader with an old list, the next leader held its own old list for new enough, although the leader that had started the tasks used a newer one.

Change: both the lowest and the highest version are passed on. The new leader needs the departures since the lowest and a list of the highest.

Measured: test_lists_of_all_earlier_dispatchers_count; tests/dispatch and tests/node pass.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -260,6 +260,7 @@
     def list_in_use(self) -> _worker_lists.ListInUse:
         """Return what another dispatcher must know about the workers here."""
         return _worker_lists.ListInUse(
+            self.list_state.changed_version,
             self.list_state.changed_version,
             frozenset(
                 worker.id
@@ -972,8 +973,8 @@
         state = self.list_state
         return (
             max(state.complete_since, self._forgotten_version)
-            <= used.version
-            <= state.version
+            <= used.oldest_version
+            and used.newest_version <= state.version
             and used.unlisted_worker_ids <= self.workers.keys()
         )
 
@@ -983,7 +984,7 @@
     ) -> bool:
         """Return whether a dispatcher may have used an unlisted worker."""
         return (
-            worker.delisted_version > used.version
+            worker.delisted_version > used.oldest_version
             or worker.id in used.unlisted_worker_ids
         )
 
@@ -996,7 +997,7 @@
             reason=reason,
             held_ms=round((now_s - job.handed_over_s) * 1000),
             list_version=self.list_state.version,
-            earlier_list_version=job.earlier_list.version,
+            earlier_list_version=job.earlier_list.newest_version,
         )
 
     def _poll_unconfirmed_workers(
--- a/src/orioleloom/dispatch/_worker_lists.py
+++ b/src/orioleloom/dispatch/_worker_lists.py
@@ -38,20 +38,23 @@
 
 
 class ListInUse(typing.NamedTuple):
-    """What an instance knows about the workers that a dispatcher uses.
+    """What an instance knows about the workers that dispatchers use.
 
-    :param version: version of the dispatcher's list, or a lower one;
+    :param oldest_version: lowest version of the list that one of them uses;
         ``UNKNOWN_VERSION`` if it is not known
-    :param unlisted_worker_ids: workers with runs that are not in this list
+    :param newest_version: highest version
+    :param unlisted_worker_ids: workers with runs that are not in these lists
     """
 
-    version: int = UNKNOWN_VERSION
+    oldest_version: int = UNKNOWN_VERSION
+    newest_version: int = UNKNOWN_VERSION
     unlisted_worker_ids: frozenset[str] = frozenset()
 
     def merge(self, other: 'ListInUse') -> 'ListInUse':
         """Return what is known of the workers that either one uses."""
         return ListInUse(
-            min(self.version, other.version),
+            min(self.oldest_version, other.oldest_version),
+            max(self.newest_version, other.newest_version),
             self.unlisted_worker_ids | other.unlisted_worker_ids,
         )
 
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -417,7 +417,7 @@
         self.sequence += 1
         self._list_in_use = self.dispatcher.list_in_use()
         self._sent_heartbeats[self.sequence] = _SentHeartbeat(
-            trio.current_time(), self._list_in_use.version
+            trio.current_time(), self._list_in_use.newest_version
         )
         self._sent_heartbeats.pop(
             self.sequence - _MAX_TRACKED_HEARTBEATS, None
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -290,7 +290,7 @@
         job or one_step_job(),
         last_contact_s=harness.now_s,
         list_in_use=dispatch.ListInUse(
-            version, frozenset(unlisted_worker_ids)
+            version, version, frozenset(unlisted_worker_ids)
         ),
     )
 
@@ -396,6 +396,29 @@
     assert len(harness.starts()) == 1
 
 
+def test_lists_of_all_earlier_dispatchers_count():
+    """Guards against the list of the last one hiding that of the first.
+
+    A late heartbeat of a former leader, with an old list, once came between
+    the leader that had started the tasks and the next one.
+    """
+    harness = Harness('w1', 'w2')
+    harness.after(1.0)
+    delist(harness, 'w2')
+    used = dispatch.ListInUse(6, 6).merge(dispatch.ListInUse(3, 3))
+    harness.submit(
+        one_step_job(), last_contact_s=harness.now_s, list_in_use=used
+    )
+    harness.now_s += 0.01
+    harness.report('w1')
+    harness.report('w2')
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.dispatcher.confirm_list(6)
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
 def test_departed_worker_of_a_new_dispatcher_is_asked():
     """Its run is adopted although the worker was never listed here."""
     harness = Harness('w1')
