Do not go back to an older list of workers while the store answers in parts

Cause: a new leader has a list from its predecessor, at most a second old, and continues its own read of the table from its last one, up to 15 s ago. The store returns the changes since then in several responses. The first one showed an older list and replaced the newer one.

Change: rows that are older than a copy from a peer are held back until the reads have caught up with its version, for a second at most, since the version of a peer may be wrong. Meanwhile the reads follow without a pause. The simulated store can limit the rows in a response.

Measured: the new test failed before (starts on the leaving worker).

--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -543,7 +543,7 @@
                 now_s=now_s,
             )
             # What the store says replaces the word of a peer.
-            self.worker_watch.must_report = True
+            self.worker_watch.replace_copy(tables.workers_version)
             if has_changed:
                 self._handle_changed_workers()
         self._add_members(
--- a/src/orioleloom/node/_tables.py
+++ b/src/orioleloom/node/_tables.py
@@ -16,6 +16,9 @@
 # Interval for rereading the whole table, in case a change was missed while
 # the store dropped its history.
 _FULL_READ_INTERVAL_S = 20.0
+# How long rows that are older than a copy from a peer are held back. After
+# that they replace the copy, whose version may be wrong.
+_MAX_CATCH_UP_S = 1.0
 
 
 class TableVersion(typing.NamedTuple):
@@ -67,6 +70,12 @@
         # The next successful read calls on_change even if nothing changed,
         # since its user has taken rows from elsewhere.
         self.must_report = False
+        # Version of these rows. The store may return changes up to it in
+        # several responses.
+        self._catch_up_version = 0
+        self._catch_up_until_s = -1e9
+        # Removals that were not reported yet.
+        self._removed_versions: dict[str, int] = {}
         self.last_success_s = -1e9
         self.n_calls = 0
         self._backoff_s = _INITIAL_BACKOFF_S
@@ -86,7 +95,7 @@
                 await self.read()
             else:
                 await self._poll_changes(self.wait_s)
-            if self.min_interval_s:
+            if self.min_interval_s and not self._is_behind():
                 await trio.sleep_until(started_s + self.min_interval_s)
 
     async def read(self) -> bool:
@@ -120,12 +129,32 @@
 
     async def refresh(self) -> None:
         """Read once what has changed since the last read."""
-        if self.is_current:
+        while self.is_current:
             await self._poll_changes(0.0)
+            if not self._is_behind():
+                break
         if not self.is_current:
             # Also if the store no longer has the history since the last read.
             await self.read()
 
+    def replace_copy(self, version: int) -> None:
+        """Report the rows once they are newer than a copy from a peer.
+
+        :param version: version of the store that the copy shows
+        """
+        self.must_report = True
+        self._catch_up_version = version
+        self._catch_up_until_s = trio.current_time() + _MAX_CATCH_UP_S
+
+    def _is_behind(self) -> bool:
+        """Return whether the rows are older than a copy from a peer."""
+        return (
+            self.is_current
+            and self.must_report
+            and self.version < self._catch_up_version
+            and trio.current_time() < self._catch_up_until_s
+        )
+
     async def _poll_changes(self, wait_s: float) -> None:
         try:
             self.n_calls += 1
@@ -144,7 +173,6 @@
         self.version = max(self.version, changes.version)
         if not changes.rows and not self.must_report:
             return
-        self.must_report = False
         for key, version in changes.removed_versions.items():
             if key not in self.rows:
                 # The row was added and removed since the previous call.
@@ -154,12 +182,21 @@
                 self.rows.pop(key, None)
             else:
                 self.rows[key] = row
+        if changes.rows and self._is_behind():
+            self._removed_versions.update(changes.removed_versions)
+            return
+        self.must_report = False
         self._report(changes.removed_versions)
 
     def _report(self, removed_versions: typing.Mapping[str, int]) -> None:
+        earlier, self._removed_versions = self._removed_versions, {}
         self.on_change(
             self.rows,
-            TableVersion(self.version, self._complete_since, removed_versions),
+            TableVersion(
+                self.version,
+                self._complete_since,
+                {**earlier, **removed_versions},
+            ),
         )
 
     def _record_success(self) -> None:
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -264,16 +264,22 @@
         deadline_s = trio.current_time() + wait_s
         while True:
             rows = self.store.data.tables.get(self.name, {})
-            changed = {k: v for k, (v, ver) in rows.items() if ver > after}
-            if changed or trio.current_time() >= deadline_s:
+            newest = sorted(
+                (ver, key) for key, (_, ver) in rows.items() if ver > after
+            )
+            if newest or trio.current_time() >= deadline_s:
+                limit = self.store.data.max_rows_per_response
                 version = self.store.data.version
+                if len(newest) > limit:
+                    newest = newest[:limit]
+                    version = newest[-1][0]
+                changed = {key: rows[key][0] for _, key in newest}
+                removed = {
+                    key: ver for ver, key in newest if rows[key][0] is None
+                }
                 await self.store.call()
                 self.store.data.n_rows_read += len(changed)
-                return node.Snapshot(
-                    version,
-                    changed,
-                    {k: rows[k][1] for k, v in changed.items() if v is None},
-                )
+                return node.Snapshot(version, changed, removed)
             with trio.move_on_at(deadline_s):
                 await self.store.data.changed.wait()
 
@@ -287,6 +293,8 @@
         self.changed = trio.Event()
         self.is_down = False
         self.n_rows_read = 0
+        # Maximum number of changed rows in one response.
+        self.max_rows_per_response = 500
         # Ids of instances whose calls fail.
         self.rejected_instances: set[str] = set()
         self.leader_heartbeat = ''
--- a/tests/node/test_stale_tables.py
+++ b/tests/node/test_stale_tables.py
@@ -63,6 +63,34 @@
     assert kinds == {dispatch.OutcomeKind.COMPLETED}
 
 
+async def test_changes_in_several_responses_do_not_bring_a_worker_back(
+    fleet, autojump_clock
+):
+    """The next leader has a newer list from its predecessor.
+
+    Its own read goes on from its last one, seconds ago. The first response
+    once replaced the newer list, and a worker that was leaving got tasks.
+    """
+    await trio.sleep(1)
+    fleet.store.max_rows_per_response = 3
+    (leader,) = fleet.leaders()
+    worker = fleet.workers['w2']
+    for _ in range(4):
+        for other in list(fleet.workers.values()):
+            info = other.info
+            if other is worker:
+                info = info._replace(is_leaving=True)
+            # Writes the row again, as workers do with each heartbeat.
+            fleet.store.put('workers', info.id, info)
+        await trio.sleep(0.3)
+    await trio.sleep(1.0)
+    n_starts = worker.n_starts
+    fleet.kill(leader)
+    await submit_jobs(fleet)
+    await trio.sleep(2)
+    assert worker.n_starts == n_starts
+
+
 async def test_configuration_withdrawn_while_an_instance_was_down(
     fleet, autojump_clock
 ):
