Count the time to catch up with a peer's list from the first response

Change: the second counts from the first response with older rows. The simulated store keeps all changes; the test uses every worker.

--- a/src/orioleloom/node/_tables.py
+++ b/src/orioleloom/node/_tables.py
@@ -1,3 +1,4 @@
+import math
 import typing
 
 import trio
@@ -144,7 +145,7 @@
         """
         self.must_report = True
         self._catch_up_version = version
-        self._catch_up_until_s = trio.current_time() + _MAX_CATCH_UP_S
+        self._catch_up_until_s = math.inf
 
     def _is_behind(self) -> bool:
         """Return whether the rows are older than a copy from a peer."""
@@ -183,6 +184,9 @@
             else:
                 self.rows[key] = row
         if changes.rows and self._is_behind():
+            self._catch_up_until_s = min(
+                self._catch_up_until_s, trio.current_time() + _MAX_CATCH_UP_S
+            )
             self._removed_versions.update(changes.removed_versions)
             return
         self.must_report = False
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -4,6 +4,7 @@
 simulated minute takes a few seconds.
 """
 
+import bisect
 import collections
 import collections.abc
 import random
@@ -263,32 +264,43 @@
         await self.store.call()
         deadline_s = trio.current_time() + wait_s
         while True:
-            rows = self.store.data.tables.get(self.name, {})
-            newest = sorted(
-                (ver, key) for key, (_, ver) in rows.items() if ver > after
+            history = self.store.data.changes.get(self.name, [])
+            first = bisect.bisect_right(
+                history, after, key=lambda c: c.version
             )
-            if newest or trio.current_time() >= deadline_s:
-                limit = self.store.data.max_rows_per_response
-                version = self.store.data.version
-                if len(newest) > limit:
-                    newest = newest[:limit]
-                    version = newest[-1][0]
-                changed = {key: rows[key][0] for _, key in newest}
-                removed = {
-                    key: ver for ver, key in newest if rows[key][0] is None
-                }
+            if first < len(history) or trio.current_time() >= deadline_s:
+                end = first + self.store.data.max_rows_per_response
+                version = (
+                    self.store.data.version
+                    if end >= len(history)
+                    else history[end - 1].version
+                )
+                changes = history[first:end]
                 await self.store.call()
-                self.store.data.n_rows_read += len(changed)
-                return node.Snapshot(version, changed, removed)
+                self.store.data.n_rows_read += len(changes)
+                return node.Snapshot(
+                    version,
+                    {change.key: change.value for change in changes},
+                    {c.key: c.version for c in changes if c.value is None},
+                )
             with trio.move_on_at(deadline_s):
                 await self.store.data.changed.wait()
 
 
+class _Change(typing.NamedTuple):
+    """A row that was written, or removed if its value is ``None``."""
+
+    version: int
+    key: str
+    value: typing.Any
+
+
 class StoreData:
     """Rows shared by all instances, and faults injected into the store."""
 
     def __init__(self) -> None:
         self.tables: dict[str, dict[str, tuple[typing.Any, int]]] = {}
+        self.changes: dict[str, list[_Change]] = {}
         self.version = 0
         self.changed = trio.Event()
         self.is_down = False
@@ -303,6 +315,9 @@
         """Write a row; the value ``None`` deletes it."""
         self.version += 1
         self.tables.setdefault(table, {})[key] = (value, self.version)
+        self.changes.setdefault(table, []).append(
+            _Change(self.version, key, value)
+        )
         self.changed.set()
         self.changed = trio.Event()
 
--- a/tests/node/test_stale_tables.py
+++ b/tests/node/test_stale_tables.py
@@ -72,9 +72,8 @@
     once replaced the newer list, and a worker that was leaving got tasks.
     """
     await trio.sleep(1)
-    fleet.store.max_rows_per_response = 3
     (leader,) = fleet.leaders()
-    worker = fleet.workers['w2']
+    worker = fleet.workers['w23']
     for _ in range(4):
         for other in list(fleet.workers.values()):
             info = other.info
@@ -84,10 +83,20 @@
             fleet.store.put('workers', info.id, info)
         await trio.sleep(0.3)
     await trio.sleep(1.0)
+    fleet.store.max_rows_per_response = 3
     n_starts = worker.n_starts
     fleet.kill(leader)
-    await submit_jobs(fleet)
+    await trio.sleep(0.8)
+    # More tasks than there is room for, so that every worker is used.
+    job = dispatch.Job(
+        'a' * 16,
+        QUEUE,
+        'payload',
+        (dispatch.Step(100, dispatch.Resources(6_800, 64), 0.2),),
+    )
+    fleet.submit(sorted(fleet.nodes)[0], job, [0.2] * 100)
     await trio.sleep(2)
+    assert fleet.outcomes[job.id].kind is dispatch.OutcomeKind.COMPLETED
     assert worker.n_starts == n_starts
 
 
