Adopt runs of later steps before these are released

Cause: a job of several steps was tracked only by its waiting tasks. If the leader changed while the second step ran, workers had forgotten the end of the first step, which the next leader repeated. The running task of the second step was reported, but not adopted, as its step was not released. It was started beside that run as soon as the first step had ended again. In a planned handover the first step is known to be done, but a run that was reported before the job arrived was not adopted either. A resubmitted job waited for the ends of the runs of its first step only, not for those of later steps.

Change: runs of any task of a job are adopted or waited for, released or not. A task that is queued again adopts a known run of it on another worker.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -415,9 +415,11 @@
         run_id: int,
         now_s: float,
     ) -> None:
-        if task not in task.job.waiting:
-            return
-        task.job.waiting.remove(task)
+        # The earlier steps may have to be repeated, since workers forget ends
+        # that an earlier dispatcher has acknowledged. The task is not waiting
+        # until then.
+        if task in task.job.waiting:
+            task.job.waiting.remove(task)
         run = _workers.Run(
             task.key,
             run_id,
@@ -466,7 +468,7 @@
                 )
             case _:
                 if is_current:
-                    self._requeue(task)
+                    self._requeue(task, now_s)
         self._request_placement(now_s)
 
     def _update_estimates(
@@ -528,7 +530,7 @@
                 now_s,
             )
             return
-        self._requeue(task)
+        self._requeue(task, now_s)
 
     def _mark_run_lost(
         self, run: _workers.Run, reason: str, now_s: float
@@ -546,7 +548,7 @@
                 run=run.run_id,
                 reason=reason,
             )
-            self._requeue(task)
+            self._requeue(task, now_s)
         self._request_placement(now_s)
 
     def _release_run(self, run: _workers.Run) -> None:
@@ -555,10 +557,11 @@
         self._changed_workers[run.worker.id] = run.worker
         self._stop_due_s.pop(run, None)
 
-    def _requeue(self, task: _jobs.TaskState) -> None:
+    def _requeue(self, task: _jobs.TaskState, now_s: float) -> None:
+        """Queue a task whose run has ended, or adopt another run of it."""
         task.run = None
-        task.job.waiting.insert(0, task)
-        task.job.was_in_placement_round = False
+        task.job.requeue(task)
+        self._claim_foreign_run(task, now_s)
 
     def _stop_run(self, run: _workers.Run, now_s: float) -> None:
         if run.is_stopping and now_s < self._stop_due_s.get(run, 0.0):
@@ -684,7 +687,7 @@
         )
         if task is not None and task.run is run:
             task.job.n_sent -= 1
-            self._requeue(task)
+            self._requeue(task, now_s)
         match reason:
             case _records.Rejection.FENCED:
                 worker.suspend(now_s)
@@ -743,7 +746,7 @@
             task = self._tasks.get(key)
             if task is not None and task.run is run:
                 task.job.n_sent -= 1
-                self._requeue(task)
+                self._requeue(task, now_s)
             self._start_polling(run.worker, now_s)
             self._request_placement(now_s)
             return
@@ -810,8 +813,9 @@
             if run.key.job_id != state.job.id:
                 continue
             task = self._tasks.get(run.key)
-            if task is not None and task in state.waiting:
-                state.waiting.remove(task)
+            if task is not None and task.run is None:
+                if task in state.waiting:
+                    state.waiting.remove(task)
                 state.n_sent += 1
                 task.run = run
                 task.last_run_id = run.run_id
@@ -895,17 +899,22 @@
     def _claim_foreign_runs(self, state: _jobs.JobState, now_s: float) -> None:
         if self._foreign_runs.is_empty():
             return
-        for task in list(state.waiting):
-            foreign_run = self._foreign_runs.pop(task.key)
-            if (
-                foreign_run is not None
-                and foreign_run.worker_id in self.workers
+        for task in state.all_tasks():
+            if task.run is not None:
+                continue
+            self._claim_foreign_run(task, now_s)
+            if task.run is None and self._foreign_runs.pop_completion(
+                task.key
             ):
-                worker = self.workers[foreign_run.worker_id]
-                self._adopt_run(task, worker, foreign_run.run_id, now_s)
-            elif self._foreign_runs.pop_completion(task.key):
                 self._complete_task(task, now_s)
 
+    def _claim_foreign_run(self, task: _jobs.TaskState, now_s: float) -> None:
+        """Adopt the run of a task that another dispatcher has started."""
+        foreign_run = self._foreign_runs.pop(task.key)
+        if foreign_run is not None and foreign_run.worker_id in self.workers:
+            worker = self.workers[foreign_run.worker_id]
+            self._adopt_run(task, worker, foreign_run.run_id, now_s)
+
     def _complete_task(self, task: _jobs.TaskState, now_s: float) -> None:
         if task.is_done:
             return
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -132,9 +132,17 @@
             self._is_step_released[number] = True
             self.was_in_placement_round = False
             self.waiting.extend(
-                task for task in self.tasks[number] if not task.is_done
+                task
+                for task in self.tasks[number]
+                if not task.is_done and task.run is None
             )
 
+    def requeue(self, task: TaskState) -> None:
+        """Queue a task again before the others, if its step may run."""
+        if self._is_step_released[task.key.step]:
+            self.waiting.insert(0, task)
+            self.was_in_placement_round = False
+
     def is_done(self) -> bool:
         """Return whether every task has succeeded."""
         return not any(self.n_unfinished_tasks)
