Add histories with several disruptions of links, workers and store at a time

The random histories knew partitions of whole instances and data centres only, commands were never late except starts, jobs had one step, and a second run on one worker replaced the first without a trace.

Change: run_history(seed, disruptions=...) plays a fleet whose workers lose the store but not the instances, or some instances, one way or with a third of the calls; that crash behind a cut, return under the same or another id, join and leave; whose starts, stops and reports are carried out 2 to 12 s late, also after the death of their sender and, by an option, after a restart of the worker; whose instances are killed, frozen, stopped or lose their peers near these faults; with a slow, silent, lossy or stale store or one without history; and whose callers break off and submit again after 1.3 s.

Suspended machines, whose steady clock stands still, are not part of it: all nodes of a run share the mock clock.

--- a/src/orioleloom_standins/leased/__init__.py
+++ b/src/orioleloom_standins/leased/__init__.py
@@ -5,6 +5,8 @@
 Commands can be lost, delayed or rejected.
 """
 
+from orioleloom_standins.leased._disrupted import LateLease
+from orioleloom_standins.leased._disruptions import Disruptions
 from orioleloom_standins.leased._fleet import Fleet
 from orioleloom_standins.leased._fleet import new_fleet
 from orioleloom_standins.leased._fleet import PAUSE_POINTS
@@ -28,8 +30,10 @@
     'UnservedError',
     'run_history',
     'run_pause',
+    'Disruptions',
     'Fleet',
     'JobKind',
+    'LateLease',
     'LeasedWorker',
     'LoadReport',
     'PAUSE_POINTS',
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -131,6 +131,10 @@
         self._until_s[instance_id] = trio.current_time() + duration_s
         self.on_begin(instance_id)
 
+    def end(self, instance_id: str) -> None:
+        """End the pause of an instance."""
+        self._until_s.pop(instance_id, None)
+
     def is_paused(self, instance_id: str) -> bool:
         """Return whether an instance is paused."""
         return trio.current_time() < self._until_s.get(instance_id, 0.0)
@@ -179,7 +183,7 @@
         super().subscribe(name, interval_s, call_unless_paused, jitter=jitter)
 
 
-class _PeerSocket:
+class PeerSocket:
     """In-memory replacement for :class:`orioleloom.peer_api.PeerSocket`.
 
     Implements only the methods that nodes use.
@@ -243,7 +247,7 @@
             del self.fleet.sockets[self.address]
 
 
-class _Table:
+class Table:
     """One instance's view of a table in the simulated store."""
 
     def __init__(self, store: 'Store', name: str):
@@ -301,9 +305,9 @@
         self.data = fleet.store
         self.fleet = fleet
         self.instance_id = instance_id
-        self.routing = _Table(self, 'routing')
-        self.workers = _Table(self, 'workers')
-        self.members = _Table(self, 'members')
+        self.routing = Table(self, 'routing')
+        self.workers = Table(self, 'workers')
+        self.members = Table(self, 'members')
 
     async def call(self) -> None:
         """Simulate the latency and faults of a store call.
@@ -484,7 +488,7 @@
         self.random_state = random_state
         self.network = Network()
         self.store = StoreData()
-        self.sockets: dict[str, _PeerSocket] = {}
+        self.sockets: dict[str, PeerSocket] = {}
         self.world = _world.World(workers, random_state)
         self.workers = self.world.workers
         self.nodes: dict[str, node.Node] = {}
@@ -537,6 +541,15 @@
         for instance_id in instance_ids or self._data_centres:
             self.nursery.start_soon(self._run, instance_id)
 
+    def _new_store(self, instance_id: str) -> Store:
+        return Store(self, instance_id)
+
+    def _new_gateway(self, instance_id: str) -> typing.Any:
+        return _Gateway(self, instance_id)
+
+    def _new_peer_socket(self, instance_id: str, address: str) -> PeerSocket:
+        return PeerSocket(self, instance_id, address)
+
     async def _run(self, instance_id: str) -> None:
         data_centre = self._data_centres[instance_id]
         address = _peer_address(instance_id)
@@ -555,10 +568,10 @@
                     for name in list(self._data_centres)[:_N_SEEDS]
                 ),
             ),
-            store=Store(self, instance_id),
-            gateway=_Gateway(self, instance_id),
+            store=self._new_store(instance_id),
+            gateway=self._new_gateway(instance_id),
             timer_service=service,
-            peer_socket=_PeerSocket(self, instance_id, address),
+            peer_socket=self._new_peer_socket(instance_id, address),
             wall_time=lambda: (
                 _START_UNIX_S
                 + trio.current_time()
--- a/src/orioleloom_standins/leased/_history.py
+++ b/src/orioleloom_standins/leased/_history.py
@@ -1,5 +1,6 @@
 """Randomized fault-injection runs of a simulated fleet."""
 
+import collections
 import random
 import typing
 
@@ -8,8 +9,10 @@
 
 from orioleloom import dispatch
 from orioleloom import node
+from orioleloom_standins.leased import _disruptions
 from orioleloom_standins.leased import _fleet
 from orioleloom_standins.leased import _load
+from orioleloom_standins.leased import _world
 
 # Delay after which a caller resubmits a job that got no answer.
 _RESEND_S = 1.3
@@ -348,10 +351,18 @@
         await trio.sleep(_RECOVERY_S)
         _check_recovery(seed, history, n_jobs_before)
         nursery.cancel_scope.cancel()
-    counts: dict[str, int] = {}
-    for outcome in history.outcomes.values():
-        counts[outcome.kind] = counts.get(outcome.kind, 0) + 1
-    return HistoryReport(seed, history.faults, history.n_jobs, counts)
+    return HistoryReport(
+        seed,
+        history.faults,
+        history.n_jobs,
+        _count_outcomes(history.outcomes),
+    )
+
+
+def _count_outcomes(
+    outcomes: dict[str, dispatch.Outcome],
+) -> dict[str, int]:
+    return dict(collections.Counter(o.kind for o in outcomes.values()))
 
 
 class UnservedError(AssertionError):
@@ -414,31 +425,62 @@
 
     Callers of the paused instance resubmit their jobs elsewhere.
 
-    :raises Violation: a task ran on two workers at the same time
+    :raises Violation: a task had two runs at the same time
     :raises UnservedError: the fleet did not recover, or the leader did not
         reach the place of the pause
     """
-    _fleet.seed_scheduler(seed)
-    return trio.run(
-        _run_pause,
-        seed,
-        pause,
-        clock=trio.testing.MockClock(autojump_threshold=0),
-    )
+    return _run_on_mock_clock(seed, [], _run_pause, seed, pause)
 
 
-def run_history(seed: int, *, has_stops: bool = False) -> HistoryReport:
+def _run_on_mock_clock(
+    seed: int,
+    faults: list[str],
+    function: typing.Callable[..., typing.Any],
+    *args: typing.Any,
+) -> typing.Any:
+    """Run a simulation; raise a violation without its exception group.
+
+    :param faults: faults that the simulation has injected
+    """
+    _fleet.seed_scheduler(seed)
+    try:
+        return trio.run(
+            function,
+            *args,
+            clock=trio.testing.MockClock(autojump_threshold=0),
+        )
+    except BaseExceptionGroup as group:
+        matching, _ = group.split(_world.Violation)
+        if matching is None:
+            raise
+        while isinstance(matching, BaseExceptionGroup):
+            matching = matching.exceptions[0]
+        raise _world.Violation(
+            f'seed {seed}: {matching}; faults: {"; ".join(faults)}'
+        ) from group
+
+
+def run_history(
+    seed: int,
+    *,
+    has_stops: bool = False,
+    disruptions: _disruptions.Disruptions | None = None,
+) -> HistoryReport:
     """Run a fleet under random faults on a mock clock.
 
     :param has_stops: also inject planned stops, rolling stops and wall clock
         errors
-    :raises Violation: a task ran on two workers at the same time
+    :param disruptions: inject several disruptions at a time instead, also of
+        single links, and do not check that the fleet recovers
+    :raises Violation: a task had two runs at the same time
     :raises UnservedError: the fleet did not recover
     """
-    _fleet.seed_scheduler(seed)
-    return trio.run(
-        _run,
-        seed,
-        has_stops,
-        clock=trio.testing.MockClock(autojump_threshold=0),
+    if disruptions is None:
+        return _run_on_mock_clock(seed, [], _run, seed, has_stops)
+    faults: list[str] = []
+    history = _run_on_mock_clock(
+        seed, faults, _disruptions.run, seed, disruptions, faults
+    )
+    return HistoryReport(
+        seed, faults, history.n_jobs, _count_outcomes(history.outcomes)
     )
--- a/src/orioleloom_standins/leased/_worker.py
+++ b/src/orioleloom_standins/leased/_worker.py
@@ -64,6 +64,13 @@
         self.lease_until_s = now_s
         self.highest_run_ids: dict[dispatch.TaskKey, int] = {}
         self.n_starts = 0
+        # Tasks that were started beside an earlier run here, and its id.
+        self.overlapping_starts: list[tuple[dispatch.TaskKey, int]] = []
+
+    def crash(self) -> None:
+        """End all runs at once and answer nothing until a restart."""
+        self.runs.clear()
+        self.is_reachable = False
 
     def restart(self, now_s: float) -> None:
         """Restart the worker under a new life number and lose all state."""
@@ -159,6 +166,8 @@
         self._extend_lease(command.expires_ms, now_s)
         if not self.info.capacity.can_fit(used.add(room)):
             return dispatch.Rejection.NO_ROOM
+        if known is not None:
+            self.overlapping_starts.append((command.key, known.run_id))
         self.highest_run_ids[command.key] = command.run_id
         fails = self.fails_all or is_poison
         duration_s = work_s / self.speed
--- a/src/orioleloom_standins/leased/_world.py
+++ b/src/orioleloom_standins/leased/_world.py
@@ -16,8 +16,29 @@
 _LATE_DELAY_RANGE_S = (2.0, 12.0)
 
 
-class Violation(AssertionError):
-    """A task ran more than once at the same time."""
+class Violation(BaseException):
+    """A task ran more than once at the same time.
+
+    Not an ``Exception``, since instances log unexpected ones and go on.
+    """
+
+
+class RunOrigin(typing.NamedTuple):
+    """The start command that began a run.
+
+    :param instance_id: sender of the command
+    """
+
+    instance_id: str
+    token: int
+    sent_s: float
+    arrived_s: float
+
+    def __str__(self) -> str:
+        return (
+            f'by {self.instance_id} with token {self.token}, sent at '
+            f'{self.sent_s:.3f} s, arrived at {self.arrived_s:.3f} s'
+        )
 
 
 class _TaskWork(typing.NamedTuple):
@@ -304,6 +325,11 @@
         self.task_work: dict[dispatch.TaskKey, _TaskWork] = {}
         self.task_rooms: dict[dispatch.TaskKey, dispatch.Resources] = {}
         self.dispatchers: list[_SimulatedDispatcher] = []
+        # Origin of the runs that workers have started, by worker, life, task
+        # and run id.
+        self.origins: dict[
+            tuple[str, int, dispatch.TaskKey, int], RunOrigin
+        ] = {}
         self._heap: list[tuple[float, int, typing.Callable[[], None]]] = []
         self._sequence = itertools.count()
 
@@ -358,16 +384,41 @@
     def check_duplicate_runs(self, worker: _worker.LeasedWorker) -> None:
         """Check that no run of a worker is a duplicate of one elsewhere.
 
-        :raises Violation: a task runs on two workers at the same time
+        The later run of an overlap begins with a start command, so that a
+        check after each of them finds all.
+
+        :raises Violation: a task has two runs at the same time
         """
-        own_keys = {key for key, _ in worker.running()}
+        if worker.overlapping_starts:
+            key, run_id = worker.overlapping_starts[0]
+            raise Violation(
+                f'{key} runs twice on {worker.info.id} at {self.now_s:.3f} s: '
+                f'{self._describe(worker, key, run_id)}; '
+                f'{self._describe(worker, key, worker.runs[key].run_id)}'
+            )
+        own_run_ids = dict(worker.running())
         for other in self.workers.values():
             if other is worker:
                 continue
             other.advance(self.now_s)
             for key, run_id in other.running():
-                if key in own_keys:
+                if key in own_run_ids:
                     raise Violation(
                         f'{key} runs on {worker.info.id} and as run '
-                        f'{run_id} on {other.info.id} at {self.now_s:.3f} s'
+                        f'{run_id} on {other.info.id} at {self.now_s:.3f} s: '
+                        f'{self._describe(other, key, run_id)}; '
+                        f'{self._describe(worker, key, own_run_ids[key])}'
                     )
+
+    def _describe(
+        self,
+        worker: _worker.LeasedWorker,
+        key: dispatch.TaskKey,
+        run_id: int,
+    ) -> str:
+        """Return a run with its origin, if that is known."""
+        origin = self.origins.get(
+            (worker.info.id, worker.info.life, key, run_id)
+        )
+        text = f'run {run_id} on {worker.info.id} life {worker.info.life}'
+        return text if origin is None else f'{text} {origin}'
