Name the earlier list of workers in the test of later steps

Cause: the test and the rule that an unknown list of an earlier dispatcher holds a job until the leases have ended were written side by side; its job was held longer than the test looks.

Change: the test says which list the earlier dispatcher used, as instances do.

Measured: tests/dispatch/test_later_steps.py: 5 passed, 2 of 5 failed before.

--- a/tests/dispatch/test_later_steps.py
+++ b/tests/dispatch/test_later_steps.py
@@ -160,7 +160,9 @@
     harness.new_dispatcher(6, ('w2', 'w1'))
     if is_reported_first:
         harness.report()
-    harness.submit(last_contact_s=harness.now_s)
+    harness.submit(
+        last_contact_s=harness.now_s, list_in_use=dispatch.ListInUse(0, 0)
+    )
     harness.repeat_first_step()
 
 
