Do not renew the lease of runs that nobody has taken over

Cause: a leader that has lost a worker counts its runs as over when the leases that it has given have ended, and starts their tasks elsewhere. The leader of the other side of a partition reaches the worker, sees the runs as foreign and renewed their lease with each poll and start, for the 0.3 s until it stopped them. Both then ran for up to a second.

Change: the lease of a worker is not renewed, and nothing is started on it, while it has foreign runs that no job has taken over. These are stopped 0.3 s after the first report as before, but at most 0.66 s after the last contact with the earlier leader, so that the renewal of the worker's other runs is not late.

A grace of 0.1 s, tried first, stopped the runs of a leader that had only paused for 0.5 s (test_silent_machines.py).

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -48,6 +48,9 @@
 _N_QUICK_STOPS = 4
 _SLOW_STOP_INTERVAL_S = 0.175
 _STOP_INTERVAL_S = 0.035
+# How long a worker with foreign runs may hold a poll. Its lease is renewed
+# with the first poll after these have ended or were taken over.
+_FOREIGN_POLL_WAIT_S = 0.05
 # Minimum interval between polls of a worker whose run may have ended
 # unnoticed because a response was lost.
 _OVERDUE_POLL_INTERVAL_S = 0.04
@@ -83,6 +86,7 @@
         dispatchers
     :param is_fleet_wide: whether all workers are listed to this dispatcher, so
         that their reports show every run that an earlier dispatcher left
+    :param earlier_contact_s: last contact with an earlier dispatcher
     """
 
     def __init__(
@@ -93,6 +97,7 @@
         random_state: typing.Any,
         now_s: float,
         is_fleet_wide: bool = True,
+        earlier_contact_s: float = -math.inf,
         settings: Settings = Settings(),
     ):
         self.token = token
@@ -114,7 +119,9 @@
         self.run_times = _estimates.RunTimeEstimator()
         self.placement = _placement.Placement(self.workers)
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
-        self._foreign_runs = _foreign_runs.ForeignRuns()
+        self._foreign_runs = _foreign_runs.ForeignRuns(
+            self.workers, earlier_contact_s, now_s
+        )
         self._recent_outcomes: dict[str, tuple[_records.Outcome, float]] = {}
         # Jobs that ended with an unknown outcome after a task was sent, and
         # when. Their callers may submit them again, at any instance.
@@ -220,9 +227,7 @@
 
     def _drop_unlisted_workers(self, now_s: float) -> None:
         for worker_id, worker in list(self.workers.items()):
-            if worker.is_listed or worker.runs:
-                continue
-            if self._foreign_runs.has_runs_on(worker_id):
+            if worker.is_listed or worker.runs or worker.n_foreign_runs:
                 continue
             if now_s - worker.delisted_s > _worker_lists.DEPARTURE_RETENTION_S:
                 del self.workers[worker_id]
@@ -280,8 +285,13 @@
                     _records.PollWorker(worker.id, loop_index)
                 )
 
-    def max_poll_wait_s(self, now_s: float) -> float:
+    def max_poll_wait_s(self, worker_id: str, now_s: float) -> float:
         """Return how long a worker may hold a poll until a run ends."""
+        worker = self.workers[worker_id]
+        if not worker.is_known or worker.is_unresponsive():
+            return 0.0
+        if worker.n_foreign_runs:
+            return _FOREIGN_POLL_WAIT_S
         return self._loss_detector.max_poll_wait_s(now_s)
 
     def _record_unanswered(self, now_s: float) -> None:
@@ -309,7 +319,7 @@
             return False
         if worker.runs or (worker.is_listed and not worker.is_known):
             return True
-        if self._foreign_runs.has_runs_on(worker_id):
+        if worker.n_foreign_runs:
             return True
         if worker.n_missed_responses and worker.is_listed:
             return True
@@ -322,16 +332,16 @@
         """Renew a worker's lease for its next poll.
 
         :returns: when the lease expires on the worker's clock, in
-            milliseconds, or ``None`` if the clock is unknown or the worker
-            does not respond; and the number of the last ended run that was
-            received
+            milliseconds, or ``None`` if it must not be renewed; and the
+            number of the last ended run that was received
         """
         worker = self.workers[worker_id]
         if not worker.is_known:
             return None, 0
-        if worker.is_unresponsive():
+        if worker.is_unresponsive() or worker.n_foreign_runs:
             # Without renewal the leases expire and the runs can be
-            # restarted elsewhere.
+            # restarted elsewhere. The earlier dispatcher of a foreign run may
+            # do so, since it counts its own renewals only.
             return None, worker.acked_through
         return (
             worker.renew_lease_ms(self.settings.lease_s, now_s),
@@ -473,8 +483,7 @@
             self._adopt_run(task, worker, listed_run.run_id, now_s)
             return
         self._foreign_runs.add(
-            listed_run.key,
-            _foreign_runs.ForeignRun(worker.id, listed_run.run_id, now_s),
+            listed_run.key, worker.id, listed_run.run_id, now_s
         )
 
     def _adopt_run(
@@ -1257,9 +1266,7 @@
         return run.is_accepted and now_s > run.started_s + expected_s
 
     def _stop_foreign_runs(self, now_s: float) -> None:
-        for key, foreign_run in self._foreign_runs.take_runs_to_stop(
-            self.workers, now_s
-        ):
+        for key, foreign_run in self._foreign_runs.take_runs_to_stop(now_s):
             self.counters['orphans_stopped'] += 1
             self._send_stop(
                 self.workers[foreign_run.worker_id], key, foreign_run.run_id
--- a/src/orioleloom/dispatch/_foreign_runs.py
+++ b/src/orioleloom/dispatch/_foreign_runs.py
@@ -1,10 +1,19 @@
 import typing
 
 from orioleloom.dispatch import _records
+from orioleloom.dispatch import _workers
 
 # How long a foreign run may continue before it is stopped, so that instances
 # can hand their jobs over to a new dispatcher.
-_FOREIGN_RUN_GRACE_S = 0.3
+_GRACE_S = 0.3
+_MIN_GRACE_S = 0.05
+# The same, counted from the last contact with the earlier dispatcher. The
+# lease of the worker is not renewed until the foreign run has ended, although
+# the worker may run other tasks. The earlier dispatcher renewed their lease
+# for 1 s, at most 0.25 s before the last contact.
+_GRACE_AFTER_CONTACT_S = 0.66
+# Interval between stop requests for one run.
+_STOP_INTERVAL_S = 0.1
 # How long the completion of a task of an unknown job is kept.
 _COMPLETION_RETENTION_S = 2.0
 
@@ -12,12 +21,12 @@
 class ForeignRun(typing.NamedTuple):
     """A run that a worker reports and this dispatcher does not track.
 
-    :param since_s: when the run was first reported, or last stopped
+    :param stop_s: when the run is to be stopped
     """
 
     worker_id: str
     run_id: int
-    since_s: float
+    stop_s: float
 
 
 class ForeignRuns:
@@ -25,9 +34,21 @@
 
     Most were started by another dispatcher. Instances may still hand over
     their jobs.
+
+    :param workers: known workers, in which the runs are counted
+    :param earlier_contact_s: last contact with an earlier dispatcher
+    :param now_s: when this dispatcher was created
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        workers: typing.Mapping[str, _workers.Worker],
+        earlier_contact_s: float,
+        now_s: float,
+    ) -> None:
+        self._workers = workers
+        self._handover_end_s = earlier_contact_s + _GRACE_AFTER_CONTACT_S
+        self._first_reports_end_s = now_s + _GRACE_S
         self._runs: dict[_records.TaskKey, ForeignRun] = {}
         self._completed_s: dict[_records.TaskKey, float] = {}
 
@@ -41,13 +62,29 @@
         """Return whether there are neither runs nor completions."""
         return not self._runs and not self._completed_s
 
-    def add(self, key: _records.TaskKey, run: ForeignRun) -> None:
-        """Record the run of a task."""
-        self._runs[key] = run
+    def add(
+        self,
+        key: _records.TaskKey,
+        worker_id: str,
+        run_id: int,
+        now_s: float,
+    ) -> None:
+        """Record the run of a task, which a worker has just reported."""
+        self.pop(key)
+        stop_s = now_s + _GRACE_S
+        if now_s <= self._first_reports_end_s:
+            stop_s = min(
+                stop_s, max(now_s + _MIN_GRACE_S, self._handover_end_s)
+            )
+        self._runs[key] = ForeignRun(worker_id, run_id, stop_s)
+        self._workers[worker_id].n_foreign_runs += 1
 
     def pop(self, key: _records.TaskKey) -> ForeignRun | None:
         """Remove and return a task's run."""
-        return self._runs.pop(key, None)
+        run = self._runs.pop(key, None)
+        if run is not None and run.worker_id in self._workers:
+            self._workers[run.worker_id].n_foreign_runs -= 1
+        return run
 
     def drop_ended(
         self, worker_id: str, key: _records.TaskKey, run_id: int
@@ -61,7 +98,7 @@
             worker_id,
             run_id,
         ):
-            del self._runs[key]
+            self.pop(key)
 
     def add_completion(self, key: _records.TaskKey, now_s: float) -> None:
         """Record that a run of a task has succeeded."""
@@ -71,10 +108,6 @@
         """Remove a task's completion; return whether there was one."""
         return self._completed_s.pop(key, None) is not None
 
-    def has_runs_on(self, worker_id: str) -> bool:
-        """Return whether there are such runs on a worker."""
-        return any(run.worker_id == worker_id for run in self._runs.values())
-
     def drop_unlisted(
         self,
         worker_id: str,
@@ -89,7 +122,7 @@
                 run.worker_id == worker_id
                 and listed_run_ids.get(key) != run.run_id
             ):
-                del self._runs[key]
+                self.pop(key)
 
     def drop_old_completions(self, now_s: float) -> None:
         """Remove completions whose jobs were not handed over in time."""
@@ -98,20 +131,18 @@
                 del self._completed_s[key]
 
     def take_runs_to_stop(
-        self, workers: typing.Container[str], now_s: float
+        self, now_s: float
     ) -> list[tuple[_records.TaskKey, ForeignRun]]:
         """Return the runs to stop now.
 
-        Each run is returned again after the grace period while workers
-        still report it.
-
-        :param workers: known workers; runs on other workers are removed
+        Each run is returned again while workers still report it. Runs on
+        unknown workers are removed.
         """
         due = []
         for key, run in list(self._runs.items()):
-            if run.worker_id not in workers:
-                del self._runs[key]
-            elif now_s - run.since_s > _FOREIGN_RUN_GRACE_S:
-                self._runs[key] = run._replace(since_s=now_s)
+            if run.worker_id not in self._workers:
+                self.pop(key)
+            elif now_s >= run.stop_s:
+                self._runs[key] = run._replace(stop_s=now_s + _STOP_INTERVAL_S)
                 due.append((key, run))
         return due
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -92,6 +92,8 @@
         # Versions of the list of workers that first had and lacked it.
         self.listed_version = 0
         self.delisted_version = 0
+        # Runs of other dispatchers that no job has taken over.
+        self.n_foreign_runs = 0
         # All instances in contact know that the worker is in use.
         self.is_acknowledged = True
         # Whether each of the two polling loops is active.
@@ -184,7 +186,8 @@
 
     def can_start_now(self, now_s: float) -> bool:
         """Return whether the worker takes new work now."""
-        if not self.is_usable():
+        if not self.is_usable() or self.n_foreign_runs:
+            # A start would renew the leases of foreign runs.
             return False
         if self.n_suspensions and now_s >= self.suspended_until_s:
             # After a suspension, one run at a time until one succeeds.
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -94,6 +94,7 @@
     :param on_superseded: called with the rejected token when a worker
         accepts only another leader's higher token
     :param reconnect: replaces the connection to an instance
+    :param earlier_contact_s: last contact with an earlier leader
     :param random_state: source of the random numbers of its dispatcher
     """
 
@@ -110,6 +111,7 @@
         deliver_local: typing.Callable[[str, dispatch.Outcome], None],
         on_superseded: typing.Callable[[int], None],
         reconnect: typing.Callable[[str], None],
+        earlier_contact_s: float,
         now_s: float,
         random_state: random.Random,
     ):
@@ -127,6 +129,7 @@
             random_state=random_state,
             now_s=now_s,
             is_fleet_wide=scope == leadership.FLEET,
+            earlier_contact_s=earlier_contact_s,
         )
         self.followers: dict[str, Follower] = {}
         self.sequence = 0
@@ -291,7 +294,7 @@
         ):
             # After a failed request, ask for an immediate report.
             wait_s = (
-                dispatcher.max_poll_wait_s(trio.current_time())
+                dispatcher.max_poll_wait_s(worker_id, trio.current_time())
                 if has_answered
                 else 0.0
             )
@@ -314,8 +317,6 @@
         expires_ms, acked_through = self.dispatcher.renew_lease(
             worker_id, requested_s
         )
-        if expires_ms is None:
-            wait_s = 0.0
         try:
             with trio.fail_after(wait_s + _REPORT_TIMEOUT_MARGIN_S):
                 report = await self.gateway.report(
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -672,6 +672,7 @@
             reconnect=lambda member_id: self.peers.reconnect_member(
                 member_id, trio.current_time()
             ),
+            earlier_contact_s=self._last_leader_contact_s,
             now_s=now_s,
             random_state=self.random_state,
         )
--- a/src/orioleloom_standins/leased/_world.py
+++ b/src/orioleloom_standins/leased/_world.py
@@ -218,7 +218,7 @@
         if self.is_alive and self.dispatcher.needs_poll(
             worker_id, loop_index, now_s
         ):
-            wait_s = self.dispatcher.max_poll_wait_s(now_s)
+            wait_s = self.dispatcher.max_poll_wait_s(worker_id, now_s)
             self._request_report(
                 worker_id,
                 wait_s,
@@ -237,8 +237,6 @@
             return
         token = self.dispatcher.token
         expires_ms, acked = self.dispatcher.renew_lease(worker_id, asked_s)
-        if expires_ms is None:
-            wait_s = 0.0
         state = {'is_open': True}
 
         def finish(report: dispatch.WorkerReport | None) -> None:
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -270,19 +270,19 @@
         for number, start in enumerate(starts):
             harness.end(start, number=int(harness.now_s * 1e4) + number)
         harness.after(0.1)
-    wait_s = harness.dispatcher.max_poll_wait_s(harness.now_s)
+    wait_s = harness.dispatcher.max_poll_wait_s('w1', harness.now_s)
     for _ in range(3):
         harness.dispatcher.handle_poll_failure(
             'w1', 'no answer', harness.now_s
         )
         harness.report('w1')
-    assert harness.dispatcher.max_poll_wait_s(harness.now_s) == wait_s
+    assert harness.dispatcher.max_poll_wait_s('w1', harness.now_s) == wait_s
     for _ in range(10):
         harness.dispatcher.handle_poll_failure(
             'w1', 'no answer', harness.now_s
         )
         harness.report('w1')
-    assert harness.dispatcher.max_poll_wait_s(harness.now_s) < wait_s
+    assert harness.dispatcher.max_poll_wait_s('w1', harness.now_s) < wait_s
 
 
 def submit_handed_over(harness, version, unlisted_worker_ids=(), job=None):
@@ -522,6 +522,29 @@
     assert (stop.key, stop.run_id) == (key, 9)
 
 
+def test_lease_of_a_foreign_run_is_not_renewed():
+    """Guards against a second run beside one that outlives its lease.
+
+    Its dispatcher is still active, but partitioned from the worker. It starts
+    the task elsewhere after the leases that it has given.
+    """
+    harness = Harness('w1')
+    key = dispatch.TaskKey('c' * 16, 0, 0)
+    harness.report('w1', running=[(key, 9)])
+    assert harness.dispatcher.renew_lease('w1', harness.now_s)[0] is None
+    harness.submit(one_step_job())
+    assert not harness.starts()
+    harness.after(0.11)
+    (stop,) = harness.effects(dispatch.StopRun)
+    assert stop.key == key
+    harness.report(
+        'w1',
+        ended=[dispatch.EndedRun(1, key, 9, dispatch.EndKind.STOPPED)],
+    )
+    assert harness.dispatcher.renew_lease('w1', harness.now_s)[0] is not None
+    assert len(harness.starts()) == 1
+
+
 def test_raised_token_pauses_jobs_of_other_instances():
     """Guards against a start for an instance that has changed dispatcher.
 
--- a/tests/node/test_leader.py
+++ b/tests/node/test_leader.py
@@ -58,6 +58,7 @@
             deliver_local=lambda job_id, outcome: None,
             on_superseded=lambda token: None,
             reconnect=lambda member_id: None,
+            earlier_contact_s=0.0,
             now_s=trio.current_time(),
             random_state=random.Random(1),
         )
