Hold all jobs of a new leader until the workers have reported

Cause: only jobs that an instance handed over were held at a new leader. A caller whose instance has failed submits its job again at another one, for which it is new. It started although a worker that had not answered the new leader yet still ran the first attempt under its lease. Jobs that arrive during a search are submitted in the moment the leader begins and started on the first worker that reported.

Change: jobs that are new to a new leader are held like those that are handed over, with what the leader knows of its predecessor, for at most 1.1 s. So that a dead worker does not delay the jobs of every new leader, heartbeats name idle workers that do not respond; they get no run until a later heartbeat that does not name them is acknowledged. Acknowledgements are by heartbeat instead of by version of the list. A dispatcher that has read the list since its last change can vouch for its predecessor's list (before, it waited for the next change). A leader asks for the changes of its tables at once when it begins.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -31,6 +31,9 @@
 # the job again, usually after 1.3 s.
 OUTCOME_RETENTION_S = 5.0
 
+# Leases from before this dispatcher was created have ended after this time.
+_MAX_LEASE_LEFT_S = 1.1
+
 # How long a handed over job is tried after it was held back, if it is late by
 # then.
 _LATE_TRIAL_S = 0.3
@@ -86,7 +89,9 @@
         dispatchers
     :param is_fleet_wide: whether all workers are listed to this dispatcher, so
         that their reports show every run that an earlier dispatcher left
-    :param earlier_contact_s: last contact with an earlier dispatcher
+    :param earlier_contact_s: last contact with an earlier dispatcher, or
+        when the search for one began
+    :param earlier_list: workers that it used, if there was one
     """
 
     def __init__(
@@ -98,6 +103,7 @@
         now_s: float,
         is_fleet_wide: bool = True,
         earlier_contact_s: float = -math.inf,
+        earlier_list: _worker_lists.ListInUse | None = None,
         settings: Settings = Settings(),
     ):
         self.token = token
@@ -109,9 +115,11 @@
         self.workers: dict[str, _workers.Worker] = {}
         self.list_state = _worker_lists.WorkerListState()
         self._has_list = False
-        # Version of the list that every instance in contact is known to have
-        # received.
-        self._acknowledged_version = 0
+        # Number of the latest announcement of the workers that are in use.
+        self._announcement = 0
+        # Workers that get no runs before every instance in contact knows that
+        # they are in use.
+        self._unacknowledged_ids: set[str] = set()
         # Workers that have left the list up to this version may have been
         # forgotten.
         self._forgotten_version = 0
@@ -139,6 +147,12 @@
         # Jobs of an earlier dispatcher that are held back until all workers
         # have reported.
         self._held_job_ids: set[str] = set()
+        # Jobs that are new here are held back, too, at first: their callers
+        # may have submitted them before, at an instance that has failed.
+        self._start_held_until_s = min(
+            earlier_contact_s + _HANDOVER_HOLD_S, now_s + _MAX_LEASE_LEFT_S
+        )
+        self._earlier_list = earlier_list or _worker_lists.LISTED_WORKERS
         self._next_fleet_scan_s = now_s
         # Instances that may now belong to another dispatcher.
         self._paused_instance_ids: set[str] = set()
@@ -180,11 +194,8 @@
                 is_new = worker is None
                 if is_new:
                     worker = self.workers[worker_id] = _workers.Worker(info)
-                worker.listed_version = list_state.changed_version
-                worker.is_acknowledged = (
-                    not self._has_list
-                    or worker.listed_version <= self._acknowledged_version
-                )
+                if self._has_list:
+                    self._withdraw_worker(worker)
                 if is_new:
                     self._start_polling(worker, now_s)
                     continue
@@ -240,40 +251,57 @@
         if version > self.list_state.version:
             self.list_state = self.list_state._replace(version=version)
 
-    def has_unacknowledged_workers(self) -> bool:
-        """Return whether a worker waits for :meth:`acknowledge_list`."""
-        return self.list_state.changed_version > self._acknowledged_version
+    def _withdraw_worker(self, worker: _workers.Worker) -> None:
+        """Start nothing on a worker until its use is announced."""
+        worker.is_acknowledged = False
+        worker.unused_announcement = self._announcement
+        self._unacknowledged_ids.add(worker.id)
 
-    def acknowledge_list(self, version: int) -> None:
-        """Use workers that all instances in contact know to be in use.
+    def announce_workers(self, number: int) -> _worker_lists.ListInUse:
+        """Return what another dispatcher must know about the workers here.
 
-        An instance hands its jobs over to another dispatcher with the
-        version of this dispatcher's list. The other one must know all
-        workers on which a task of the job may run.
+        An instance hands its jobs over to another dispatcher with what it
+        has received last. The other one must know all workers on which a
+        task of the job may run.
 
-        :param version: version of the list that all instances in contact
-            have received
+        :param number: number of the announcement, which rises
         """
-        if version <= self._acknowledged_version:
-            return
-        self._acknowledged_version = version
+        self._announcement = number
+        unlisted: set[str] = set()
+        unused: set[str] = set()
         for worker in self.workers.values():
-            if not worker.is_acknowledged and worker.listed_version <= version:
-                worker.is_acknowledged = True
-                self._needs_refresh = True
-
-    def list_in_use(self) -> _worker_lists.ListInUse:
-        """Return what another dispatcher must know about the workers here."""
+            if not worker.is_listed:
+                if worker.runs:
+                    unlisted.add(worker.id)
+            elif worker.is_unresponsive() and not worker.runs:
+                unused.add(worker.id)
+                self._withdraw_worker(worker)
         return _worker_lists.ListInUse(
+            self.list_state.version,
             self.list_state.changed_version,
-            self.list_state.changed_version,
-            frozenset(
-                worker.id
-                for worker in self.workers.values()
-                if worker.runs and not worker.is_listed
-            ),
+            frozenset(unlisted),
+            frozenset(unused),
         )
 
+    def has_unacknowledged_workers(self) -> bool:
+        """Return whether a worker waits for an acknowledgement."""
+        return bool(self._unacknowledged_ids)
+
+    def acknowledge_workers(self, number: int) -> None:
+        """Use workers that all instances in contact know to be in use.
+
+        :param number: number of the latest announcement that all of them
+            have received
+        """
+        for worker_id in list(self._unacknowledged_ids):
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                self._unacknowledged_ids.discard(worker_id)
+            elif number > worker.unused_announcement:
+                self._unacknowledged_ids.discard(worker_id)
+                worker.is_acknowledged = True
+                self._needs_refresh = True
+
     def _start_polling(self, worker: _workers.Worker, now_s: float) -> None:
         loop_indexes = (
             (0, 1) if self._loss_detector.is_loss_high(now_s) else (0,)
@@ -877,9 +905,12 @@
         self._reattach_stopping_runs(state)
         if last_contact_s is not None:
             state.may_have_run_elsewhere = True
-            state.handed_over_s = now_s
-            state.earlier_list = list_in_use
-            state.held_until_s = last_contact_s + _HANDOVER_HOLD_S
+            state.hold(now_s, last_contact_s + _HANDOVER_HOLD_S, list_in_use)
+            self._held_job_ids.add(job.id)
+        elif now_s < self._start_held_until_s:
+            state.hold(
+                self.created_s, self._start_held_until_s, self._earlier_list
+            )
             self._held_job_ids.add(job.id)
         self._claim_foreign_runs(state, now_s)
         self._request_placement(now_s)
@@ -955,39 +986,40 @@
             elif now_s >= job.held_until_s:
                 self._held_job_ids.discard(job_id)
                 self._log_release(job, 'leases ended', now_s)
-        if not self._held_job_ids or not self.is_fleet_wide:
+        held = [
+            job
+            for job in map(self.jobs.get, self._held_job_ids)
+            # The leader of a data centre does not know the workers of others.
+            if self.is_fleet_wide or not job.may_have_run_elsewhere
+        ]
+        if not held:
             return
-        confirmed_s = min(
-            (w.confirmed_s for w in self.workers.values() if w.is_listed),
-            default=now_s,
-        )
-        unlisted = [w for w in self.workers.values() if not w.is_listed]
-        needs_report: dict[str, _workers.Worker] = {}
-        for job_id in list(self._held_job_ids):
-            job = self.jobs[job_id]
-            if not self._knows_workers_of(job.earlier_list):
-                continue
-            missing = [
-                worker
-                for worker in unlisted
-                if worker.confirmed_s < job.handed_over_s
+        newest_s = max(job.held_since_s for job in held)
+        unconfirmed = [
+            worker
+            for worker in self.workers.values()
+            if worker.confirmed_s < newest_s
+        ]
+        for job in held:
+            if self._knows_workers_of(job.earlier_list) and not any(
+                worker.confirmed_s < job.held_since_s
                 and self._may_be_in_use(worker, job.earlier_list)
-            ]
-            if confirmed_s >= job.handed_over_s and not missing:
+                for worker in unconfirmed
+            ):
+                if not job.may_have_run_elsewhere:
+                    self._start_held_until_s = -math.inf
                 job.held_until_s = 0.0
-                self._held_job_ids.discard(job_id)
+                self._held_job_ids.discard(job.job.id)
                 self._log_release(job, 'confirmed', now_s)
-                continue
-            needs_report.update((worker.id, worker) for worker in missing)
-        self._poll_unconfirmed_workers(needs_report, now_s)
+        self._poll_unconfirmed_workers(unconfirmed, now_s)
 
     def _knows_workers_of(self, used: _worker_lists.ListInUse) -> bool:
         """Return whether all workers that a dispatcher used are known here."""
         state = self.list_state
         return (
             max(state.complete_since, self._forgotten_version)
-            <= used.oldest_version
-            and used.newest_version <= state.version
+            <= used.confirmed_version
+            and used.changed_version <= state.version
             and used.unlisted_worker_ids <= self.workers.keys()
         )
 
@@ -995,49 +1027,50 @@
     def _may_be_in_use(
         worker: _workers.Worker, used: _worker_lists.ListInUse
     ) -> bool:
-        """Return whether a dispatcher may have used an unlisted worker."""
+        """Return whether a dispatcher may have used a worker."""
+        if worker.is_listed:
+            return worker.id not in used.unused_worker_ids
         return (
-            worker.delisted_version > used.oldest_version
+            worker.delisted_version > used.confirmed_version
             or worker.id in used.unlisted_worker_ids
         )
 
     def _log_release(
         self, job: _jobs.JobState, reason: str, now_s: float
     ) -> None:
+        self.counters[f'holds_{reason.replace(" ", "_")}'] += 1
+        if not job.may_have_run_elsewhere:
+            return
         self._log(
             'handover_ended',
             job=job.job.id,
             reason=reason,
-            held_ms=round((now_s - job.handed_over_s) * 1000),
+            held_ms=round((now_s - job.held_since_s) * 1000),
             list_version=self.list_state.version,
-            earlier_list_version=job.earlier_list.newest_version,
+            earlier_list_version=job.earlier_list.changed_version,
         )
 
     def _poll_unconfirmed_workers(
-        self, unlisted: typing.Mapping[str, _workers.Worker], now_s: float
+        self, unconfirmed: list[_workers.Worker], now_s: float
     ) -> None:
-        """Poll the workers on whose reports handed over jobs wait.
-
-        :param unlisted: those that are not in the list
-        """
+        """Poll the workers on whose reports held jobs wait."""
         interval_s = max(
             _MIN_CONFIRM_POLL_INTERVAL_S,
             len(self.workers) / _MAX_CONFIRM_POLLS_PER_S,
         )
         if (
-            not self._held_job_ids
-            or now_s - self._last_confirm_poll_s <= interval_s
+            self._held_job_ids
+            and now_s - self._last_confirm_poll_s > interval_s
         ):
-            return
-        self._last_confirm_poll_s = now_s
-        newest_handover_s = max(
-            self.jobs[job_id].handed_over_s for job_id in self._held_job_ids
-        )
-        for worker in self.workers.values():
-            if worker.confirmed_s < newest_handover_s and (
-                worker.is_listed or worker.id in unlisted
-            ):
-                self._effects.append(_records.PollWorkerOnce(worker.id))
+            self._last_confirm_poll_s = now_s
+            lists = {
+                self.jobs[job_id].earlier_list for job_id in self._held_job_ids
+            }
+            self._effects.extend(
+                _records.PollWorkerOnce(worker.id)
+                for worker in unconfirmed
+                if any(self._may_be_in_use(worker, used) for used in lists)
+            )
 
     def _claim_foreign_runs(self, state: _jobs.JobState, now_s: float) -> None:
         if self._foreign_runs.is_empty():
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -100,9 +100,9 @@
         # An earlier dispatcher may have started tasks of the job.
         self.may_have_run_elsewhere = False
         # No task starts before this time, unless every worker has reported
-        # since ``handed_over_s``.
+        # since ``held_since_s``.
         self.held_until_s = 0.0
-        self.handed_over_s = 0.0
+        self.held_since_s = 0.0
         # Workers that the earlier dispatcher used.
         self.earlier_list = _worker_lists.ListInUse()
         self.expected_s = 0.0
@@ -125,6 +125,22 @@
         self._is_step_released = [False] * len(job.steps)
         self.release_ready_steps()
 
+    def hold(
+        self,
+        since_s: float,
+        until_s: float,
+        earlier_list: _worker_lists.ListInUse,
+    ) -> None:
+        """Hold the job back while its tasks may run elsewhere.
+
+        :param since_s: reports of workers count from this time
+        :param until_s: when the leases of an earlier dispatcher have ended
+        :param earlier_list: workers that the earlier dispatcher used
+        """
+        self.held_since_s = since_s
+        self.held_until_s = until_s
+        self.earlier_list = earlier_list
+
     def release_ready_steps(self) -> None:
         """Queue the tasks of each step whose prerequisites are done."""
         for number, step in enumerate(self.job.steps):
--- a/src/orioleloom/dispatch/_worker_lists.py
+++ b/src/orioleloom/dispatch/_worker_lists.py
@@ -1,3 +1,4 @@
+import sys
 import typing
 
 from orioleloom.dispatch import _records
@@ -40,25 +41,33 @@
 class ListInUse(typing.NamedTuple):
     """What an instance knows about the workers that dispatchers use.
 
-    :param oldest_version: lowest version of the list that one of them uses;
-        ``UNKNOWN_VERSION`` if it is not known
-    :param newest_version: highest version
+    :param confirmed_version: all of them know which workers were removed from
+        the list up to this version; ``UNKNOWN_VERSION`` if it is not known
+    :param changed_version: none of them uses a worker that was added later
     :param unlisted_worker_ids: workers with runs that are not in these lists
+    :param unused_worker_ids: workers without runs in all of these lists that
+        do not respond and get no runs before that is announced
     """
 
-    oldest_version: int = UNKNOWN_VERSION
-    newest_version: int = UNKNOWN_VERSION
+    confirmed_version: int = UNKNOWN_VERSION
+    changed_version: int = UNKNOWN_VERSION
     unlisted_worker_ids: frozenset[str] = frozenset()
+    unused_worker_ids: frozenset[str] = frozenset()
 
     def merge(self, other: 'ListInUse') -> 'ListInUse':
         """Return what is known of the workers that either one uses."""
         return ListInUse(
-            min(self.oldest_version, other.oldest_version),
-            max(self.newest_version, other.newest_version),
+            min(self.confirmed_version, other.confirmed_version),
+            max(self.changed_version, other.changed_version),
             self.unlisted_worker_ids | other.unlisted_worker_ids,
+            self.unused_worker_ids & other.unused_worker_ids,
         )
 
 
+# Used where no earlier dispatcher is known: the listed workers count.
+LISTED_WORKERS = ListInUse(sys.maxsize, 1)
+
+
 class WorkerListTracker:
     """An instance's copy of the list of workers, with its departures."""
 
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -89,13 +89,14 @@
         self.is_known = False
         self.is_listed = True
         self.delisted_s = math.inf
-        # Versions of the list of workers that first had and lacked it.
-        self.listed_version = 0
+        # Version of the list of workers that first lacked it.
         self.delisted_version = 0
         # Runs of other dispatchers that no job has taken over.
         self.n_foreign_runs = 0
         # All instances in contact know that the worker is in use.
         self.is_acknowledged = True
+        # Latest announcement that did not say so.
+        self.unused_announcement = 0
         # Whether each of the two polling loops is active.
         self.is_polled = [False, False]
         # Difference between the worker's clock and ours, in seconds.
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -56,16 +56,6 @@
 _FOLLOWER_CHECK_INTERVAL_S = 0.02
 
 
-class _SentHeartbeat(typing.NamedTuple):
-    """When a heartbeat was sent, and the list of workers that it named."""
-
-    sent_s: float
-    list_version: int
-
-
-_UNKNOWN_HEARTBEAT = _SentHeartbeat(-1e9, 0)
-
-
 class Follower:
     """State that a leader keeps for another instance.
 
@@ -77,8 +67,8 @@
         self.instance_id = instance_id
         self.session = session
         self.last_heard_s = -1e9
-        # Newest version of the list of workers that it knows to be in use.
-        self.list_version = 0
+        # Sequence number of the newest heartbeat that it has answered.
+        self.answered_sequence = 0
         self.is_out_of_contact = True
         self.joined_s = 0.0
         self.is_stopping = False
@@ -94,7 +84,9 @@
     :param on_superseded: called with the rejected token when a worker
         accepts only another leader's higher token
     :param reconnect: replaces the connection to an instance
-    :param earlier_contact_s: last contact with an earlier leader
+    :param earlier_contact_s: last contact with an earlier leader, or when the
+        search for one began
+    :param earlier_list: workers that it used, if there was one
     :param random_state: source of the random numbers of its dispatcher
     """
 
@@ -112,6 +104,7 @@
         on_superseded: typing.Callable[[int], None],
         reconnect: typing.Callable[[str], None],
         earlier_contact_s: float,
+        earlier_list: dispatch.ListInUse | None,
         now_s: float,
         random_state: random.Random,
     ):
@@ -130,14 +123,16 @@
             now_s=now_s,
             is_fleet_wide=scope == leadership.FLEET,
             earlier_contact_s=earlier_contact_s,
+            earlier_list=earlier_list,
         )
         self.followers: dict[str, Follower] = {}
         self.sequence = 0
         # Version of the configuration in force here.
         self.routing_version = 0
-        # Recent heartbeats, by sequence number.
-        self._sent_heartbeats: dict[int, _SentHeartbeat] = {}
-        self._list_in_use = self.dispatcher.list_in_use()
+        # Send times of recent heartbeats, by sequence number.
+        self._heartbeat_sent_s: dict[int, float] = {}
+        # Workers in use, as named by the latest heartbeats.
+        self.list_in_use = dispatch.ListInUse()
         self._followers_checked_s = -1e9
         self._last_sent_alive: list[str] | None = None
         self.is_closed = False
@@ -362,7 +357,7 @@
     def tick(self, now_s: float) -> None:
         """Expire silent followers and run the dispatcher's timed work."""
         self._expire_followers(now_s)
-        self._acknowledge_list()
+        self._acknowledge_workers()
         self.dispatcher.tick(now_s)
         self.schedule_effects()
 
@@ -416,11 +411,9 @@
         :param include_lost: send this heartbeat to all of them
         """
         self.sequence += 1
-        self._list_in_use = self.dispatcher.list_in_use()
-        self._sent_heartbeats[self.sequence] = _SentHeartbeat(
-            trio.current_time(), self._list_in_use.newest_version
-        )
-        self._sent_heartbeats.pop(
+        self.list_in_use = self.dispatcher.announce_workers(self.sequence)
+        self._heartbeat_sent_s[self.sequence] = trio.current_time()
+        self._heartbeat_sent_s.pop(
             self.sequence - _MAX_TRACKED_HEARTBEATS, None
         )
         alive: list[str] | None = self.instances_in_contact()
@@ -480,7 +473,7 @@
                 n_unstarted,
                 self.dispatcher.token,
                 self.routing_version,
-                self._list_in_use,
+                self.list_in_use,
             ),
         )
 
@@ -501,10 +494,7 @@
         # Contact is counted from when the answered heartbeat was sent. The
         # reply may have been queued here, so its arrival does not prove
         # later contact.
-        answered = self._sent_heartbeats.get(
-            reply.sequence, _UNKNOWN_HEARTBEAT
-        )
-        heard_s = answered.sent_s
+        heard_s = self._heartbeat_sent_s.get(reply.sequence, -1e9)
         if (
             reply.session != follower.session
             or now_s - heard_s > leadership.FOLLOWER_TIMEOUT_S
@@ -515,8 +505,8 @@
             follower.joined_s = now_s
         follower.is_out_of_contact = False
         follower.last_heard_s = max(follower.last_heard_s, heard_s)
-        follower.list_version = max(
-            follower.list_version, answered.list_version
+        follower.answered_sequence = max(
+            follower.answered_sequence, reply.sequence
         )
         follower.is_stopping = reply.is_stopping
         follower.rank = reply.rank
@@ -545,18 +535,18 @@
                 )
         self.schedule_effects()
 
-    def _acknowledge_list(self) -> None:
+    def _acknowledge_workers(self) -> None:
         """Let the dispatcher use workers that all followers know of."""
         if not self.dispatcher.has_unacknowledged_workers():
             return
-        self.dispatcher.acknowledge_list(
+        self.dispatcher.acknowledge_workers(
             min(
                 (
-                    follower.list_version
+                    follower.answered_sequence
                     for follower in self.followers.values()
                     if not follower.is_out_of_contact
                 ),
-                default=self.dispatcher.list_state.changed_version,
+                default=self.sequence,
             )
         )
 
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -205,6 +205,7 @@
         self._successors_updated_s = -1e9
         self._last_probe_s = -1e9
         self._last_leader_contact_s = 0.0
+        self._first_search_s = trio.current_time()
         self._is_checking_reachability = False
         self._nursery: trio.Nursery | None = None
         self.routing_watch = _tables.TableWatch(
@@ -672,7 +673,10 @@
             reconnect=lambda member_id: self.peers.reconnect_member(
                 member_id, trio.current_time()
             ),
-            earlier_contact_s=self._last_leader_contact_s,
+            earlier_contact_s=max(
+                self._last_leader_contact_s, self._first_search_s
+            ),
+            earlier_list=next(reversed(self._lists_in_use.values()), None),
             now_s=now_s,
             random_state=self.random_state,
         )
@@ -715,7 +719,7 @@
         self.leader = None
         self._record_list_in_use(
             (self.local_sender.instance_id, leader.term),
-            leader.dispatcher.list_in_use(),
+            leader.list_in_use,
         )
         leader.close()
         self._worker_watch_scope.cancel()
--- a/src/orioleloom/node/_tables.py
+++ b/src/orioleloom/node/_tables.py
@@ -90,6 +90,8 @@
             self._next_full_read_s = (
                 trio.current_time() + _FULL_READ_INTERVAL_S
             )
+        # Learns the current version without waiting for a change.
+        await self.refresh()
         while True:
             started_s = trio.current_time()
             if not self.is_current or started_s > self._next_full_read_s:
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -454,14 +454,122 @@
     harness.report('w2')
     harness.submit(one_step_job(n_tasks=4))
     assert {start.worker.id for start in harness.starts()} == {'w1'}
-    harness.dispatcher.acknowledge_list(6)
+    announced = harness.dispatcher.announce_workers(1)
+    assert announced.changed_version == 7
+    harness.dispatcher.acknowledge_workers(0)
     harness.after(0.025)
     assert not harness.starts()
-    harness.dispatcher.acknowledge_list(7)
+    harness.dispatcher.acknowledge_workers(1)
     harness.after(0.025)
     assert {start.worker.id for start in harness.starts()} == {'w2'}
 
 
+def make_unresponsive(harness, worker_id):
+    for _ in range(2):
+        harness.dispatcher.handle_poll_failure(
+            worker_id, 'no answer', harness.now_s
+        )
+
+
+def test_silent_idle_worker_is_announced_as_unused():
+    """Guards against dead workers that hold up every new dispatcher."""
+    harness = Harness('w1', 'w2', 'w3')
+    harness.submit(one_step_job())
+    (start,) = harness.starts()
+    idle_id = 'w2' if start.worker.id != 'w2' else 'w3'
+    for worker_id in (start.worker.id, idle_id):
+        make_unresponsive(harness, worker_id)
+    used = harness.dispatcher.announce_workers(1)
+    assert used.unused_worker_ids == {idle_id}
+
+
+def test_worker_announced_as_unused_is_used_after_an_announcement():
+    """The next dispatcher would not ask it for its runs."""
+    harness = Harness('w1')
+    make_unresponsive(harness, 'w1')
+    harness.dispatcher.announce_workers(1)
+    harness.report('w1')
+    harness.submit(one_step_job())
+    harness.dispatcher.acknowledge_workers(1)
+    harness.after(0.025)
+    assert not harness.starts()
+    assert not harness.dispatcher.announce_workers(2).unused_worker_ids
+    harness.dispatcher.acknowledge_workers(2)
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
+def announce(harness):
+    """Let all instances know of all workers."""
+    harness.dispatcher.announce_workers(1)
+    harness.dispatcher.acknowledge_workers(1)
+
+
+def new_dispatcher_harness(**options):
+    """Return a harness whose dispatcher has not heard its workers yet."""
+    harness = Harness(**options)
+    harness.infos = {w: worker_info(w) for w in ('w1', 'w2')}
+    harness.dispatcher.set_workers(
+        harness.infos,
+        harness.now_s,
+        dispatch.WorkerListState(version=1, changed_version=1),
+    )
+    announce(harness)
+    return harness
+
+
+@pytest.mark.parametrize(
+    'earlier_list', [None, dispatch.ListInUse(1, 1)], ids=['unknown', 'known']
+)
+def test_new_job_waits_for_the_first_reports(earlier_list):
+    """Guards against a second run of a job that its caller submits again.
+
+    The instance that had it has failed shortly before the earlier leader, so
+    that nobody hands the job over.
+    """
+    harness = new_dispatcher_harness(
+        earlier_contact_s=99.6, earlier_list=earlier_list
+    )
+    job = one_step_job()
+    harness.submit(job)
+    harness.now_s += 0.001
+    harness.report('w1')
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.report('w2', running=[(dispatch.TaskKey(job.id, 0, 0), 1)])
+    harness.submit(one_step_job('b' * 16))
+    harness.after(0.025)
+    assert {start.key.job_id for start in harness.starts()} == {'b' * 16}
+    assert harness.dispatcher.counters['runs_adopted'] == 1
+
+
+def test_new_job_waits_until_the_earlier_leases_have_ended():
+    """A worker that is not heard may run a task under its lease."""
+    harness = new_dispatcher_harness(
+        earlier_contact_s=99.6, earlier_list=dispatch.ListInUse(1, 1)
+    )
+    step = dispatch.Step(1, dispatch.Resources(6_800, 64), 1.0)
+    harness.submit(dispatch.Job('a' * 16, QUEUE, 'payload', (step,)))
+    harness.report('w1')
+    harness.after(1.05)
+    assert not harness.starts()
+    harness.after(0.1)
+    assert len(harness.starts()) == 1
+
+
+def test_new_job_does_not_wait_for_an_unused_worker():
+    harness = new_dispatcher_harness(
+        earlier_contact_s=99.6,
+        earlier_list=dispatch.ListInUse(
+            1, 1, unused_worker_ids=frozenset(['w2'])
+        ),
+    )
+    harness.submit(one_step_job())
+    harness.report('w1')
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
 def test_leader_of_one_data_centre_waits_for_workers_elsewhere():
     """The leader cannot see the runs on workers of other data centres."""
     harness = Harness('w1', is_fleet_wide=False)
@@ -699,6 +807,7 @@
         'w2': worker_info('w2', labels=('r2',)),
     }
     harness.dispatcher.set_workers(infos, harness.now_s)
+    announce(harness)
     harness.report('w1')
     harness.report('w2')
     harness.submit(one_step_job(preferred_rack='r2'))
--- a/tests/node/test_leader.py
+++ b/tests/node/test_leader.py
@@ -1,5 +1,6 @@
 """Tests of a leader with simulated followers and workers."""
 
+import math
 import random
 
 import pytest
@@ -58,7 +59,8 @@
             deliver_local=lambda job_id, outcome: None,
             on_superseded=lambda token: None,
             reconnect=lambda member_id: None,
-            earlier_contact_s=0.0,
+            earlier_contact_s=-math.inf,
+            earlier_list=None,
             now_s=trio.current_time(),
             random_state=random.Random(1),
         )
