Let an instance read the workers at once when it begins to lead

Cause: an instance reads the list of workers every 15 s while it follows. When it was elected while such a read was open, nothing woke it: after the read it slept for 15 s although it led, and passed nothing on. A read that had failed was repeated after 15 s, too.

Change: beginning to lead cancels whatever the watch of the workers does. A follower repeats a failed read after 2 s.

Measured: the new test failed before.

--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -41,6 +41,7 @@
 # worker, so that a read is as large as the list. The interval is below the
 # 20 s of history that the store keeps.
 _FOLLOWER_WORKER_READ_INTERVAL_S = 15.0
+_FOLLOWER_RETRY_INTERVAL_S = 2.0
 # The leader sends changes of the workers to its likely successors at most this
 # often.
 _SUCCESSOR_UPDATE_INTERVAL_S = 1.0
@@ -278,16 +279,16 @@
 
     async def _watch_workers(self) -> None:
         while True:
-            if self.leader is not None:
-                with trio.CancelScope() as self._worker_watch_scope:
+            # Cancelled when the instance begins or ceases to lead.
+            with trio.CancelScope() as self._worker_watch_scope:
+                if self.leader is not None:
                     await self.worker_watch.run()
-            else:
                 await self.worker_watch.refresh()
-                with trio.move_on_after(
+                await trio.sleep(
                     _FOLLOWER_WORKER_READ_INTERVAL_S
-                ) as scope:
-                    self._worker_watch_scope = scope
-                    await trio.sleep_forever()
+                    if self.worker_watch.is_current
+                    else _FOLLOWER_RETRY_INTERVAL_S
+                )
 
     async def _watch_members(self) -> None:
         last_read_s = -1e9
--- a/tests/node/test_stale_tables.py
+++ b/tests/node/test_stale_tables.py
@@ -100,6 +100,37 @@
     assert worker.n_starts == n_starts
 
 
+async def test_instance_elected_while_it_reads_the_workers(
+    fleet, autojump_clock, monkeypatch
+):
+    """Its read as a follower is still open when it begins to lead.
+
+    It once slept until its next read as a follower, 15 s later, and started
+    tasks on workers that had left.
+    """
+    (leader,) = fleet.leaders()
+    for name, instance in fleet.nodes.items():
+        if name == leader:
+            continue
+        watch = instance.worker_watch
+        read_changes = watch.table.changes
+
+        async def read_slowly(after, wait_s, read_changes=read_changes):
+            await trio.sleep(0.6)
+            return await read_changes(after, wait_s)
+
+        monkeypatch.setattr(watch.table, 'changes', read_slowly)
+        monkeypatch.setattr(node._tables, '_CHANGES_TIMEOUT_MARGIN_S', 1.0)
+    # The followers' next reads begin 15 s after their first one.
+    await trio.sleep(15.2 - trio.current_time())
+    fleet.kill(leader)
+    await trio.sleep(2)
+    (successor,) = fleet.leaders()
+    fleet.store.put('workers', 'w2', None)
+    await trio.sleep(2)
+    assert 'w2' not in fleet.nodes[successor].worker_watch.rows
+
+
 async def test_configuration_withdrawn_while_an_instance_was_down(
     fleet, autojump_clock
 ):
