Rank successors in the order in which they are elected

Cause: the leader sends changes of the list of workers to its likely successors, the best candidate of each data centre. Among instances of equal capacity it took the lowest id, while the election prefers the highest. On sites of equal machines another instance was elected, with a list of up to 15 s of age.

Change: both use the same order.

--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -587,14 +587,15 @@
             self.schedule_effects()
 
     def rank_successors(self) -> list[Follower]:
-        """Return the followers that may lead, best candidate first."""
+        """Return the followers that may lead, in the order of the election."""
         return sorted(
             (
                 f
                 for f in self.followers.values()
                 if not f.is_out_of_contact and not f.is_stopping
             ),
-            key=lambda f: (-f.rank, f.instance_id),
+            key=lambda f: (f.rank, f.instance_id),
+            reverse=True,
         )
 
     def find_successor(
--- a/tests/node/test_leader.py
+++ b/tests/node/test_leader.py
@@ -218,3 +218,32 @@
     )
     harness.leader.close()
     assert answers == [(make_job(1).id, dispatch.OutcomeKind.COMPLETED)]
+
+
+async def test_successors_are_ranked_as_in_the_election(
+    nursery, autojump_clock
+):
+    """The leader sends its list of workers to the first one.
+
+    Another one was elected, and led with a list that was 15 s old.
+    """
+    harness = Harness(nursery)
+    ranks = {'e1': 1.0, 'e2': 2.0, 'e3': 2.0}
+    for name, rank in ranks.items():
+        follower = harness.leader.get_or_add_follower(name)
+        follower.is_out_of_contact = False
+        follower.rank = rank
+    electors = [
+        leadership.Elector(
+            instance_id=name, data_centre='dc1', rank=rank, now_s=0.0
+        )
+        for name, rank in ranks.items()
+    ]
+    for one in electors:
+        for other in electors:
+            if one is not other:
+                one.handle_probe(other.state(), 0.6)
+    elected = [one for one in electors if one.tick(0.6, 3)]
+    successors = harness.leader.rank_successors()
+    assert [one.instance_id for one in elected] == ['e3']
+    assert [s.instance_id for s in successors] == ['e3', 'e2', 'e1']
