Give the handed over jobs of the step tests a known list of workers

Cause: since a job is held for 1.8 s if the list of workers that the earlier leader used is not known.

Change: the jobs are handed over with the version of the list.

--- a/tests/dispatch/test_later_steps.py
+++ b/tests/dispatch/test_later_steps.py
@@ -160,7 +160,9 @@
     harness.new_dispatcher(6, ('w2', 'w1'))
     if is_reported_first:
         harness.report()
-    harness.submit(last_contact_s=harness.now_s)
+    harness.submit(
+        last_contact_s=harness.now_s, list_in_use=dispatch.ListInUse(0)
+    )
     harness.repeat_first_step()
 
 
@@ -174,7 +176,9 @@
     harness.dispatcher.add_progress(*progress, harness.now_s)
     if is_reported_first:
         harness.report()
-    harness.submit(last_contact_s=harness.now_s)
+    harness.submit(
+        last_contact_s=harness.now_s, list_in_use=dispatch.ListInUse(0)
+    )
     for _ in range(4):
         harness.wait(0.025)
         assert not harness.report()
