--- a/src/orioleloom_standins/leased/_disrupted.py
+++ b/src/orioleloom_standins/leased/_disrupted.py
@@ -118,7 +118,9 @@
 
     def reset(self) -> None:
         """Lose what is on its way to this instance."""
-        self._arrivals.clear()
+        # The first frame is being received.
+        while len(self._arrivals) > 1:
+            self._arrivals.pop()
 
 
 class _Store(_fleet.Store):
