Wait for leases that another leader may have renewed

Cause: a leader took the runs on a silent worker for ended 1.07 s after its own last renewal. If it had lost other instances, these may have elected another leader that reaches the worker. That one renews the worker's lease with each report and start, also for a run that it does not track, and stops the run only 0.3 s after the first report, later if a stop is lost. The first leader started the task elsewhere meanwhile, on a worker that the second one did not reach.

By reading, it also fits the partition of a data centre whose own leader renews the runs of the fleet's leader; that was not run.

Change: while an instance may follow another leader, which is so 0.3 s after the last heartbeat that it has answered, a lease counts for 0.6 s longer.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -42,6 +42,11 @@
 # both of which take time in proportion to the number of workers.
 _FLEET_SCAN_INTERVAL_S = 0.1
 
+# How much longer a lease may last if another dispatcher renews it before it
+# stops the runs that it does not track. That begins 0.3 s after the worker's
+# first report to it, and two stops may be lost.
+_RIVAL_RENEWAL_S = 0.6
+
 # Number of stop requests for one run that follow each other quickly. Later
 # ones are sent at a longer interval: the lease of the run does not expire
 # while other runs on the worker are renewed, so that only a stop ends it.
@@ -1222,8 +1227,12 @@
             start.task.job.waiting.remove(start.task)
             self._start_run(start.task, start.worker, now_s)
 
-    def tick(self, now_s: float) -> None:
-        """Handle timeouts and periodic work."""
+    def tick(self, now_s: float, *, may_have_rival: bool = False) -> None:
+        """Handle timeouts and periodic work.
+
+        :param may_have_rival: another dispatcher may be in contact with the
+            workers, and renew leases of runs that it has not stopped yet
+        """
         if now_s >= self._next_fleet_scan_s:
             self._next_fleet_scan_s = now_s + _FLEET_SCAN_INTERVAL_S
             self.placement.refresh_workers()
@@ -1233,7 +1242,9 @@
             self._move_stragglers(now_s)
             self._drop_unlisted_workers(now_s)
         self._search_all_workers = True
-        self._expire_leases(now_s)
+        self._expire_leases(
+            now_s - (_RIVAL_RENEWAL_S if may_have_rival else 0.0), now_s
+        )
         self._repeat_stops(now_s)
         self._stop_foreign_runs(now_s)
         self._release_held_jobs(now_s)
@@ -1242,9 +1253,9 @@
         self._drop_old_results(now_s)
         self._request_placement(now_s)
 
-    def _expire_leases(self, now_s: float) -> None:
+    def _expire_leases(self, ended_by_s: float, now_s: float) -> None:
         for worker in self.workers.values():
-            if worker.runs and now_s > worker.lease_until_s:
+            if worker.runs and ended_by_s > worker.lease_until_s:
                 for run in list(worker.runs.values()):
                     self._mark_run_lost(run, 'lease ended', now_s)
                 worker.is_known = False
