--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -42,11 +42,6 @@
 # both of which take time in proportion to the number of workers.
 _FLEET_SCAN_INTERVAL_S = 0.1
 
-# How much longer a lease may last if another dispatcher renews it before it
-# stops the runs that it does not track. That begins 0.3 s after the worker's
-# first report to it, and two stops may be lost.
-_RIVAL_RENEWAL_S = 0.6
-
 # Number of stop requests for one run that follow each other quickly. Later
 # ones are sent at a longer interval: the lease of the run does not expire
 # while other runs on the worker are renewed, so that only a stop ends it.
@@ -88,8 +83,6 @@
         dispatchers
     :param is_fleet_wide: whether all workers are listed to this dispatcher, so
         that their reports show every run that an earlier dispatcher left
-    :param earlier_list: workers that earlier dispatchers used until now;
-        ``None`` if there were no earlier ones, so that jobs start at once
     """
 
     def __init__(
@@ -100,7 +93,6 @@
         random_state: typing.Any,
         now_s: float,
         is_fleet_wide: bool = True,
-        earlier_list: _worker_lists.ListInUse | None = None,
         settings: Settings = Settings(),
     ):
         self.token = token
@@ -109,8 +101,6 @@
         self.settings = settings
         self.created_s = now_s
         self.is_fleet_wide = is_fleet_wide
-        self.earlier_list = earlier_list
-        self._has_taken_over = earlier_list is None
         self.workers: dict[str, _workers.Worker] = {}
         self.list_state = _worker_lists.WorkerListState()
         self._has_list = False
@@ -139,7 +129,6 @@
         self._changed_workers: dict[str, _workers.Worker] = {}
         self._search_all_workers = True
         self._last_confirm_poll_s = -math.inf
-        self._last_takeover_poll_s = -math.inf
         # Jobs of an earlier dispatcher that are held back until all workers
         # have reported.
         self._held_job_ids: set[str] = set()
@@ -1154,57 +1143,8 @@
             self._paused_instance_ids.discard(instance_id)
             self._request_placement(now_s)
 
-    def _take_over(self, now_s: float) -> bool:
-        """Return whether the runs of earlier dispatchers are known.
-
-        A caller may submit a job again at an instance that has not had it. It
-        is not handed over then, and any worker may still run it. Workers that
-        are not known here are not waited for, since that would delay all jobs
-        after most changes of the dispatcher.
-        """
-        if self._has_taken_over:
-            return True
-        unconfirmed = [
-            worker
-            for worker in self.workers.values()
-            if worker.confirmed_s < self.created_s
-            and (
-                worker.is_listed
-                or self._may_be_in_use(worker, self.earlier_list)
-            )
-        ]
-        if not unconfirmed:
-            reason = 'confirmed'
-        elif now_s >= self.created_s + _workers.max_lease_duration_s(
-            self.settings.lease_s
-        ):
-            reason = 'leases ended'
-        else:
-            self._poll_departed_workers(unconfirmed, now_s)
-            return False
-        self._has_taken_over = True
-        self._log(
-            'takeover_ended',
-            reason=reason,
-            held_ms=round((now_s - self.created_s) * 1000),
-            n_unconfirmed=len(unconfirmed),
-        )
-        return True
-
-    def _poll_departed_workers(
-        self, unconfirmed: typing.Iterable[_workers.Worker], now_s: float
-    ) -> None:
-        """Poll the workers that are not polled as part of the list."""
-        if now_s - self._last_takeover_poll_s > _MIN_CONFIRM_POLL_INTERVAL_S:
-            self._last_takeover_poll_s = now_s
-            for worker in unconfirmed:
-                if not worker.is_listed:
-                    self._effects.append(_records.PollWorkerOnce(worker.id))
-
     def _place_waiting_tasks(self, now_s: float) -> None:
         """Start waiting tasks on workers with free resources."""
-        if not self._take_over(now_s):
-            return
         waiting = [
             job
             for job in self.jobs.values()
@@ -1227,12 +1167,8 @@
             start.task.job.waiting.remove(start.task)
             self._start_run(start.task, start.worker, now_s)
 
-    def tick(self, now_s: float, *, may_have_rival: bool = False) -> None:
-        """Handle timeouts and periodic work.
-
-        :param may_have_rival: another dispatcher may be in contact with the
-            workers, and renew leases of runs that it has not stopped yet
-        """
+    def tick(self, now_s: float) -> None:
+        """Handle timeouts and periodic work."""
         if now_s >= self._next_fleet_scan_s:
             self._next_fleet_scan_s = now_s + _FLEET_SCAN_INTERVAL_S
             self.placement.refresh_workers()
@@ -1242,9 +1178,7 @@
             self._move_stragglers(now_s)
             self._drop_unlisted_workers(now_s)
         self._search_all_workers = True
-        self._expire_leases(
-            now_s - (_RIVAL_RENEWAL_S if may_have_rival else 0.0), now_s
-        )
+        self._expire_leases(now_s)
         self._repeat_stops(now_s)
         self._stop_foreign_runs(now_s)
         self._release_held_jobs(now_s)
@@ -1253,9 +1187,9 @@
         self._drop_old_results(now_s)
         self._request_placement(now_s)
 
-    def _expire_leases(self, ended_by_s: float, now_s: float) -> None:
+    def _expire_leases(self, now_s: float) -> None:
         for worker in self.workers.values():
-            if worker.runs and ended_by_s > worker.lease_until_s:
+            if worker.runs and now_s > worker.lease_until_s:
                 for run in list(worker.runs.values()):
                     self._mark_run_lost(run, 'lease ended', now_s)
                 worker.is_known = False
--- a/src/orioleloom/dispatch/_foreign_runs.py
+++ b/src/orioleloom/dispatch/_foreign_runs.py
@@ -5,9 +5,6 @@
 # How long a foreign run may continue before it is stopped, so that instances
 # can hand their jobs over to a new dispatcher.
 _FOREIGN_RUN_GRACE_S = 0.3
-# Interval between later stops. They end soon, since the dispatcher that has
-# started the run takes it for ended some time after its last renewal.
-_STOP_INTERVAL_S = 0.1
 # How long the completion of a task of an unknown job is kept.
 _COMPLETION_RETENTION_S = 2.0
 
@@ -15,7 +12,7 @@
 class ForeignRun(typing.NamedTuple):
     """A run that a worker reports and this dispatcher does not track.
 
-    :param since_s: when the run was first reported; later after each stop
+    :param since_s: when the run was first reported, or last stopped
     """
 
     worker_id: str
@@ -105,8 +102,8 @@
     ) -> list[tuple[_records.TaskKey, ForeignRun]]:
         """Return the runs to stop now.
 
-        Each run is returned again after an interval while workers still
-        report it.
+        Each run is returned again after the grace period while workers
+        still report it.
 
         :param workers: known workers; runs on other workers are removed
         """
@@ -115,8 +112,6 @@
             if run.worker_id not in workers:
                 del self._runs[key]
             elif now_s - run.since_s > _FOREIGN_RUN_GRACE_S:
-                self._runs[key] = run._replace(
-                    since_s=now_s - _FOREIGN_RUN_GRACE_S + _STOP_INTERVAL_S
-                )
+                self._runs[key] = run._replace(since_s=now_s)
                 due.append((key, run))
         return due
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -27,11 +27,6 @@
 _LEASE_MARGIN_S = 0.05
 
 
-def max_lease_duration_s(lease_s: float) -> float:
-    """Return how long a lease that is given now may last on our clock."""
-    return lease_s * (1 + _CLOCK_DRIFT) + _LEASE_MARGIN_S
-
-
 class Run:
     """A run of a task that may occupy resources of a worker."""
 
@@ -157,9 +152,8 @@
 
     def record_lease(self, lease_s: float, now_s: float) -> None:
         """Record a lease that began now or earlier."""
-        self.lease_until_s = max(
-            self.lease_until_s, now_s + max_lease_duration_s(lease_s)
-        )
+        until_s = now_s + lease_s * (1 + _CLOCK_DRIFT) + _LEASE_MARGIN_S
+        self.lease_until_s = max(self.lease_until_s, until_s)
 
     def renew_lease_ms(self, lease_s: float, now_s: float) -> int:
         """Renew the lease and return its expiry on the worker's clock."""
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -43,9 +43,6 @@
 # it is unchanged, since a heartbeat may be lost. The others leave it out,
 # because the list grows with the fleet.
 _ALIVE_LIST_HEARTBEAT_RATIO = 10
-# A follower whose last answered heartbeat is older may have gone to another
-# leader. It searches for one when it has received none for 0.32 s.
-_MAX_HEARTBEAT_AGE_S = 0.3
 # A follower takes over if its rank exceeds the leader's by this factor and
 # both have been in their roles for the minimum time.
 _TAKEOVER_RANK_FACTOR = 1.5
@@ -98,8 +95,6 @@
         accepts only another leader's higher token
     :param reconnect: replaces the connection to an instance
     :param random_state: source of the random numbers of its dispatcher
-    :param earlier_list: workers that earlier leaders used until now, or
-        ``None`` if there were no earlier ones
     """
 
     def __init__(
@@ -117,7 +112,6 @@
         reconnect: typing.Callable[[str], None],
         now_s: float,
         random_state: random.Random,
-        earlier_list: dispatch.ListInUse | None = None,
     ):
         self.instance_id = instance_id
         self.term = term
@@ -133,7 +127,6 @@
             random_state=random_state,
             now_s=now_s,
             is_fleet_wide=scope == leadership.FLEET,
-            earlier_list=earlier_list,
         )
         self.followers: dict[str, Follower] = {}
         self.sequence = 0
@@ -369,16 +362,9 @@
         """Expire silent followers and run the dispatcher's timed work."""
         self._expire_followers(now_s)
         self._acknowledge_list()
-        self.dispatcher.tick(now_s, may_have_rival=self._may_have_rival(now_s))
+        self.dispatcher.tick(now_s)
         self.schedule_effects()
 
-    def _may_have_rival(self, now_s: float) -> bool:
-        """Return whether an instance may follow or be another leader."""
-        return any(
-            now_s - follower.last_heard_s > _MAX_HEARTBEAT_AGE_S
-            for follower in self.followers.values()
-        )
-
     def _expire_followers_if_due(self) -> None:
         """Expire silent followers before further worker requests are sent.
 
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -1,5 +1,4 @@
 import collections
-import functools
 import random
 import time
 import typing
@@ -56,8 +55,6 @@
 # Number of recent leaders whose use of workers is remembered, for jobs that
 # are handed over from one of them.
 _MAX_TRACKED_LEADERS = 8
-# Leases of a leader that was last heard longer ago have ended.
-_EARLIER_LEADER_WINDOW_S = 1.2
 _RUN_IDS_PER_S = 4
 
 
@@ -204,7 +201,6 @@
         self._worker_list = dispatch.WorkerListTracker()
         # Workers that recent leaders have used, by the leader's id and term.
         self._lists_in_use: dict[tuple[str, int], dispatch.ListInUse] = {}
-        self._list_heard_s: dict[tuple[str, int], float] = {}
         self._must_update_successors = False
         self._successors_updated_s = -1e9
         self._last_probe_s = -1e9
@@ -638,25 +634,8 @@
     ) -> None:
         self._lists_in_use.pop(leader, None)
         self._lists_in_use[leader] = list_in_use
-        self._list_heard_s[leader] = trio.current_time()
         while len(self._lists_in_use) > _MAX_TRACKED_LEADERS:
-            oldest = next(iter(self._lists_in_use))
-            del self._lists_in_use[oldest]
-            del self._list_heard_s[oldest]
-
-    def _earlier_list(self, now_s: float) -> dispatch.ListInUse:
-        """Return which workers may be running tasks of recent leaders."""
-        lists = [
-            self._lists_in_use[leader]
-            for leader, heard_s in self._list_heard_s.items()
-            if now_s - heard_s <= _EARLIER_LEADER_WINDOW_S
-        ]
-        # Without a list, workers that have left are not asked: those that
-        # have left for good would never answer.
-        none_departed = dispatch.ListInUse(self._worker_list.version)
-        return functools.reduce(
-            dispatch.ListInUse.merge, lists or [none_departed]
-        )
+            del self._lists_in_use[next(iter(self._lists_in_use))]
 
     def _handle_handover(
         self, sender_id: str, message: _messages.Handover, now_s: float
@@ -695,7 +674,6 @@
             ),
             now_s=now_s,
             random_state=self.random_state,
-            earlier_list=self._earlier_list(now_s),
         )
         _log.log(
             'leading',
