Read a stale table as it was when the call began

Cause: the store could become current again while a call waited, which ended some histories with a KeyError.

--- a/src/orioleloom_standins/leased/_disrupted.py
+++ b/src/orioleloom_standins/leased/_disrupted.py
@@ -164,10 +164,11 @@
 
     async def changes(self, after: int, wait_s: float) -> node.Snapshot:
         data = self.store.data
-        if self.name in data.stale:
+        stale = data.stale.get(self.name)
+        if stale is not None:
             await self.store.call()
             await trio.sleep(wait_s)
-            return node.Snapshot(data.stale[self.name].version, {})
+            return node.Snapshot(stale.version, {})
         if after < data.first_version:
             await self.store.call()
             raise node.HistoryLostError('history lost')
