--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -543,7 +543,7 @@
                 now_s=now_s,
             )
             # What the store says replaces the word of a peer.
-            self.worker_watch.must_report = True
+            self.worker_watch.replace_copy(tables.workers_version)
             if has_changed:
                 self._handle_changed_workers()
         self._add_members(
@@ -672,6 +672,7 @@
             reconnect=lambda member_id: self.peers.reconnect_member(
                 member_id, trio.current_time()
             ),
+            earlier_contact_s=self._last_leader_contact_s,
             now_s=now_s,
             random_state=self.random_state,
         )
