Show that workers with runs of an earlier leader are not announced

Cause: a leader names the unlisted workers with runs of its own, so that the next leader asks them. A worker that has left the list and runs a task of an earlier leader is not among them.

--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -148,3 +148,16 @@
     harness.report('w2', [RUNNING])
     harness.wait(0.05)
     assert not harness.starts
+
+
+def test_unlisted_worker_with_a_run_of_an_earlier_leader_is_named():
+    """Two leaders have followed each other since the run has started.
+
+    The second one sees it, and the third one must know of the worker.
+    """
+    harness = Harness()
+    other = dispatch.TaskKey('b' * 16, 0, 0)
+    harness.report('w2', [dispatch.RunningRun(other, 7)])
+    harness.dispatcher.set_workers({'w1': new_info('w1')}, harness.now_s)
+    used = harness.dispatcher.list_in_use()
+    assert 'w2' in used.unlisted_worker_ids
