Announce unlisted workers with runs of an earlier leader, too

Cause: heartbeats named the workers with runs that are not in the leader's list, if the runs were its own. A run of the leader before it, that no job had taken over, did not count, so that the next leader did not ask that worker.

Change: runs of other dispatchers count as well, also for a worker that is announced as unused.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -270,10 +270,11 @@
         unlisted: set[str] = set()
         unused: set[str] = set()
         for worker in self.workers.values():
+            is_idle = not worker.runs and not worker.n_foreign_runs
             if not worker.is_listed:
-                if worker.runs:
+                if not is_idle:
                     unlisted.add(worker.id)
-            elif worker.is_unresponsive() and not worker.runs:
+            elif is_idle and worker.is_unresponsive():
                 unused.add(worker.id)
                 self._withdraw_worker(worker)
         return _worker_lists.ListInUse(
