Count the time in which a machine is suspended

Cause: trio's clock is monotonic and stands still while a machine is suspended. A leader that wakes after seconds finds its followers in contact and its leases running, and sends commands with its token before it has heard its successor. A worker that the successor has not reached accepts them, for tasks that the successor has started elsewhere.

Change: both daemons run trio on a clock that counts suspensions.

--- a/src/orioleloom/cli/_entry.py
+++ b/src/orioleloom/cli/_entry.py
@@ -4,6 +4,7 @@
 
 from orioleloom.cli import _exit
 from orioleloom import errors
+from orioleloom import timers
 
 HELP = 'run an entry instance'
 DESCRIPTION = (
@@ -28,5 +29,5 @@
         settings = entry.from_arguments(arguments)
     except (errors.DispatchError, ValueError) as exc:
         raise _exit.CommandError(_exit.ExitCode.USAGE, str(exc)) from exc
-    trio.run(entry.serve, settings)
+    trio.run(entry.serve, settings, clock=timers.SuspendAwareClock())
     return _exit.ExitCode.OK
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -208,7 +208,7 @@
         await daemon.run()
 
     try:
-        trio.run(run)
+        trio.run(run, clock=timers.SuspendAwareClock())
     finally:
         writer.stop()
     return 0
