Tell crash, silence, restart and replacement apart in logs and counters

Cause: each lost run was logged as 'lease ended', whatever had happened to its worker, so that deadly tasks, racks without power and cuts looked alike.

Change: the client of HTTP tells a closed and a refused connection from other failures; the dispatcher keeps when a worker first closed one since it last answered. run_lost has a cause (crashed, silent, restarted, replaced, not_listed, taken_over), each with a counter runs_lost_CAUSE; worker_crashed names the tasks that ran on a worker that crashed. Decisions are unchanged. A closed connection after an unanswered request is no crash: the machine has probably regained its power.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -11,6 +11,7 @@
 from orioleloom.dispatch._records import EndKind
 from orioleloom.dispatch._records import Job
 from orioleloom.dispatch._records import LogDecision
+from orioleloom.dispatch._records import LossCause
 from orioleloom.dispatch._records import Outcome
 from orioleloom.dispatch._records import OutcomeKind
 from orioleloom.dispatch._records import PollWorker
@@ -36,6 +37,7 @@
     'Job',
     'OUTCOME_RETENTION_S',
     'LogDecision',
+    'LossCause',
     'Outcome',
     'OutcomeKind',
     'PollWorker',
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -328,18 +328,33 @@
             if not run.is_accepted and run.stop_confirmed_s >= requested_s:
                 continue
             if run.key not in listed_run_ids:
-                self._mark_run_lost(run, 'not in report', now_s)
+                cause = (
+                    _records.LossCause.RESTARTED
+                    if 0 < run.life < worker.info.life
+                    else _records.LossCause.NOT_LISTED
+                )
+                self._mark_run_lost(run, cause, now_s)
         self._foreign_runs.drop_unlisted(worker_id, listed_run_ids)
         self._release_held_jobs(now_s)
         self._request_placement(now_s)
 
     def handle_poll_failure(
-        self, worker_id: str, reason: str, now_s: float
+        self,
+        worker_id: str,
+        reason: str,
+        now_s: float,
+        *,
+        is_closed: bool = False,
     ) -> None:
-        """Handle a poll that a worker rejected or did not answer."""
+        """Handle a poll that a worker rejected or did not answer.
+
+        :param is_closed: whether the connection was refused or closed
+        """
         worker = self.workers.get(worker_id)
         if worker is None:
             return
+        if is_closed:
+            worker.record_closed(now_s)
         worker.n_missed_responses += 1
         if worker.n_missed_responses == 1:
             self._record_unanswered(now_s)
@@ -347,6 +362,7 @@
                 'worker_silent',
                 worker=worker_id,
                 reason=reason,
+                is_closed=is_closed,
                 n_runs=len(worker.runs),
                 heard_ago_s=round(now_s - worker.last_heard_s, 3)
                 if worker.is_known
@@ -367,12 +383,11 @@
             )
         worker.begin_incarnation(info)
 
-    def _end_incarnation(
-        self, worker: _workers.Worker, reason: str, now_s: float
-    ) -> None:
-        self._log('worker_life_ended', worker=worker.id, reason=reason)
+    def _end_incarnation(self, worker: _workers.Worker, now_s: float) -> None:
+        """Handle the reply of another worker at a worker's address."""
+        self._log('worker_life_ended', worker=worker.id, reason='replaced')
         for run in list(worker.runs.values()):
-            self._mark_run_lost(run, reason, now_s)
+            self._mark_run_lost(run, _records.LossCause.REPLACED, now_s)
         self._foreign_runs.drop_unlisted(worker.id, {})
 
     # Runs on workers
@@ -394,7 +409,7 @@
             return
         if run is not None:
             # Another dispatcher has restarted the task.
-            self._mark_run_lost(run, 'replaced by another dispatcher', now_s)
+            self._mark_run_lost(run, _records.LossCause.TAKEN_OVER, now_s)
         # Another dispatcher may just have granted the run a full lease.
         worker.record_lease(self.settings.lease_s, now_s)
         if listed_run.key in self._foreign_runs:
@@ -531,11 +546,12 @@
         self._requeue(task)
 
     def _mark_run_lost(
-        self, run: _workers.Run, reason: str, now_s: float
+        self, run: _workers.Run, cause: _records.LossCause, now_s: float
     ) -> None:
         """Drop a run that has certainly ended, without a known result."""
         self._release_run(run)
         self.counters['runs_lost'] += 1
+        self.counters[f'runs_lost_{cause}'] += 1
         task = self._tasks.get(run.key)
         if task is not None and task.run is run:
             self._log(
@@ -544,7 +560,7 @@
                 task=run.key.position(),
                 worker=run.worker.id,
                 run=run.run_id,
-                reason=reason,
+                reason=cause,
             )
             self._requeue(task)
         self._request_placement(now_s)
@@ -702,9 +718,7 @@
                 self._start_polling(worker, now_s)
             case _records.Rejection.OTHER_INCARNATION:
                 worker.is_listed = False
-                self._end_incarnation(
-                    worker, 'worker reports another incarnation', now_s
-                )
+                self._end_incarnation(worker, now_s)
             case _records.Rejection.UNHEALTHY:
                 worker.suspend(now_s)
             case _records.Rejection.REFUSED:
@@ -719,15 +733,20 @@
         run_id: int,
         is_sent: bool,
         now_s: float,
+        *,
+        is_closed: bool = False,
     ) -> None:
         """Handle a start request without a response.
 
         :param is_sent: false if the request was certainly not sent
+        :param is_closed: whether the connection was refused or closed
         """
         run = self._find_run(worker_id, key, run_id)
         self.counters['starts_unanswered'] += 1
         if run is None or run.is_accepted:
             return
+        if is_closed:
+            run.worker.record_closed(now_s)
         self._record_unanswered(now_s)
         self._log(
             'start_unanswered',
@@ -736,6 +755,7 @@
             worker=worker_id,
             run=run_id,
             is_sent=is_sent,
+            is_closed=is_closed,
         )
         if not is_sent:
             run.worker.n_missed_responses += 1
@@ -1048,11 +1068,31 @@
     def _expire_leases(self, now_s: float) -> None:
         for worker in self.workers.values():
             if worker.runs and now_s > worker.lease_until_s:
-                for run in list(worker.runs.values()):
-                    self._mark_run_lost(run, 'lease ended', now_s)
+                runs = list(worker.runs.values())
+                cause = _records.LossCause.SILENT
+                if worker.closed_s < math.inf:
+                    cause = _records.LossCause.CRASHED
+                    self._log_crash(worker, runs, now_s)
+                for run in runs:
+                    self._mark_run_lost(run, cause, now_s)
                 worker.is_known = False
                 self._start_polling(worker, now_s)
 
+    def _log_crash(
+        self,
+        worker: _workers.Worker,
+        runs: typing.Iterable[_workers.Run],
+        now_s: float,
+    ) -> None:
+        self.counters['worker_crashes'] += 1
+        self._log(
+            'worker_crashed',
+            worker=worker.id,
+            life=worker.info.life,
+            closed_ago_s=round(now_s - worker.closed_s, 3),
+            tasks=[f'{run.key.job_id}.{run.key.position()}' for run in runs],
+        )
+
     def _repeat_stops(self, now_s: float) -> None:
         for run, due_s in list(self._stop_due_s.items()):
             if now_s < due_s:
--- a/src/orioleloom/dispatch/_records.py
+++ b/src/orioleloom/dispatch/_records.py
@@ -192,6 +192,26 @@
     LEASE_EXPIRED = 'lapsed'
 
 
+class LossCause(enum.StrEnum):
+    """Why the dispatcher knows that a run without a known result is over.
+
+    - ``CRASHED``: the worker closed or refused connections and its lease
+      ended before it answered again
+    - ``SILENT``: the lease ended without an answer or a closed connection
+    - ``RESTARTED``: the worker has a new incarnation
+    - ``REPLACED``: another worker answers at its address
+    - ``NOT_LISTED``: the worker's report does not show the run
+    - ``TAKEN_OVER``: another dispatcher has started the task again
+    """
+
+    CRASHED = 'crashed'
+    SILENT = 'silent'
+    RESTARTED = 'restarted'
+    REPLACED = 'replaced'
+    NOT_LISTED = 'not_listed'
+    TAKEN_OVER = 'taken_over'
+
+
 class RunningRun(typing.NamedTuple):
     """A run that a worker reports as running."""
 
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -37,6 +37,7 @@
         'is_accepted',
         'is_stopping',
         'key',
+        'life',
         'n_stops',
         'queue',
         'room',
@@ -59,6 +60,8 @@
         self.key = key
         self.run_id = run_id
         self.worker = worker
+        # Incarnation of the worker that the run was started on.
+        self.life = worker.info.life
         self.room = room
         self.queue = queue
         self.started_s = started_s
@@ -99,6 +102,9 @@
         self.newest_report_ms = 0
         self.acked_through = 0
         self.last_heard_s = -math.inf
+        # When the worker first closed or refused a connection since it last
+        # answered.
+        self.closed_s = math.inf
         # When a run last succeeded.
         self.last_success_s = -math.inf
         self.last_overdue_poll_s = -math.inf
@@ -159,6 +165,15 @@
         """Update the clock offset from a response of the worker."""
         self.clock_offset_s = clock_ms / 1000 - now_s
         self.last_heard_s = now_s
+        self.closed_s = math.inf
+
+    def record_closed(self, now_s: float) -> None:
+        """Record that the worker closed or refused a connection.
+
+        One that was silent before has probably lost its power or its network.
+        """
+        if not self.n_missed_responses:
+            self.closed_s = min(self.closed_s, now_s)
 
     def is_unresponsive(self) -> bool:
         """Return whether the worker seems to be unreachable."""
@@ -247,6 +262,9 @@
             'is_leaving': self.info.is_leaving,
             'n_silences': self.n_missed_responses,
             'n_failures': self.n_failures,
+            'closed_ago_s': round(now_s - self.closed_s, 3)
+            if self.closed_s < math.inf
+            else None,
             'suspended_for_s': round(
                 max(0.0, self.suspended_until_s - now_s), 3
             ),
--- a/src/orioleloom/http1/__init__.py
+++ b/src/orioleloom/http1/__init__.py
@@ -6,8 +6,10 @@
 """
 
 from orioleloom.http1._client import Client
+from orioleloom.http1._client import ClosedError
 from orioleloom.http1._client import NoAnswerError
 from orioleloom.http1._client import NotSentError
+from orioleloom.http1._client import RefusedError
 from orioleloom.http1._client import Response
 from orioleloom.http1._server import Connection
 from orioleloom.http1._server import Limits
@@ -18,8 +20,10 @@
     'Client',
     'Connection',
     'Limits',
+    'ClosedError',
     'NoAnswerError',
     'NotSentError',
+    'RefusedError',
     'Request',
     'Response',
     'Server',
--- a/src/orioleloom/http1/_client.py
+++ b/src/orioleloom/http1/_client.py
@@ -18,10 +18,18 @@
     """No connection was made, so no byte of the request was sent."""
 
 
+class RefusedError(NotSentError):
+    """The address refused the connection."""
+
+
 class NoAnswerError(Exception):
     """No valid response arrived; the request may have been processed."""
 
 
+class ClosedError(NoAnswerError):
+    """The server closed or reset the connection before its response."""
+
+
 class Response(typing.NamedTuple):
     """Response to a request."""
 
@@ -94,6 +102,8 @@
         :raises NotSentError: no connection could be made
         :raises NoAnswerError: the connection failed or was closed before
             a complete and valid response arrived
+        :raises RefusedError: the address refused the connection
+        :raises ClosedError: the server closed or reset the connection
         """
         connection = self._take_idle(address)
         if connection is None:
@@ -110,10 +120,12 @@
             while not parser.is_complete:
                 data = await _sockets.receive(connection)
                 if not data:
-                    raise NoAnswerError(f'{address} closed the connection')
+                    raise ClosedError(f'{address} closed the connection')
                 parser.feed(data)
             reusable = parser.keeps_alive
             return Response(parser.status(), bytes(parser.body))
+        except ConnectionError as exc:
+            raise ClosedError(f'{address}: {exc}') from exc
         except (OSError, httptools.HttpParserError) as exc:
             raise NoAnswerError(f'{address}: {exc}') from exc
         finally:
@@ -150,6 +162,9 @@
                 )
             if error_number:
                 raise OSError(error_number, 'cannot connect')
+        except (ConnectionRefusedError, ConnectionResetError) as exc:
+            connection.close()
+            raise RefusedError(f'{address}: {exc}') from exc
         except (OSError, ValueError, OverflowError) as exc:
             connection.close()
             raise NotSentError(f'{address}: {exc}') from exc
--- a/src/orioleloom/node/__init__.py
+++ b/src/orioleloom/node/__init__.py
@@ -4,11 +4,13 @@
 from orioleloom.node._log import LogWriter
 from orioleloom.node._node import Node
 from orioleloom.node._node import Settings
+from orioleloom.node._ports import ClosedError
 from orioleloom.node._ports import HistoryLostError
 from orioleloom.node._ports import IngressLimits
 from orioleloom.node._ports import MemberInfo
 from orioleloom.node._ports import NoAnswerError
 from orioleloom.node._ports import NotSentError
+from orioleloom.node._ports import RefusedError
 from orioleloom.node._ports import RejectedError
 from orioleloom.node._ports import Route
 from orioleloom.node._ports import Routing
@@ -16,6 +18,7 @@
 from orioleloom.node._ports import StoreError
 
 __all__ = [
+    'ClosedError',
     'HistoryLostError',
     'IngressLimits',
     'LogWriter',
@@ -23,6 +26,7 @@
     'NoAnswerError',
     'Node',
     'NotSentError',
+    'RefusedError',
     'RejectedError',
     'Route',
     'Routing',
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -225,13 +225,19 @@
             dispatcher.handle_start_rejected(
                 *run_args, exc.reason, trio.current_time()
             )
-        except _ports.NotSentError:
+        except _ports.NotSentError as exc:
             dispatcher.handle_start_unanswered(
-                *run_args, False, trio.current_time()
+                *run_args,
+                False,
+                trio.current_time(),
+                is_closed=isinstance(exc, _ports.RefusedError),
             )
-        except (_ports.NoAnswerError, trio.TooSlowError):
+        except (_ports.NoAnswerError, trio.TooSlowError) as exc:
             dispatcher.handle_start_unanswered(
-                *run_args, True, trio.current_time()
+                *run_args,
+                True,
+                trio.current_time(),
+                is_closed=isinstance(exc, _ports.ClosedError),
             )
         except Exception:
             # The request may have been sent.
@@ -326,7 +332,12 @@
         ) as exc:
             reason = f'{type(exc).__name__}: {exc}'
             self.dispatcher.handle_poll_failure(
-                worker_id, reason, trio.current_time()
+                worker_id,
+                reason,
+                trio.current_time(),
+                is_closed=isinstance(
+                    exc, _ports.RefusedError | _ports.ClosedError
+                ),
             )
             self.schedule_effects()
             return False
--- a/src/orioleloom/node/_ports.py
+++ b/src/orioleloom/node/_ports.py
@@ -125,10 +125,18 @@
     """A command was not sent, so it was not executed."""
 
 
+class RefusedError(NotSentError):
+    """A worker's address refused the connection for a command."""
+
+
 class NoAnswerError(Exception):
     """A command was not answered and may have been executed."""
 
 
+class ClosedError(NoAnswerError):
+    """A worker closed or reset the connection instead of an answer."""
+
+
 class RejectedError(Exception):
     """A worker rejected a command."""
 
@@ -138,7 +146,11 @@
 
 
 class WorkerGateway(typing.Protocol):
-    """Client of the workers. Callers apply their own timeouts."""
+    """Client of the workers. Callers apply their own timeouts.
+
+    Each method may raise :class:`RefusedError` and :class:`ClosedError` for
+    the errors that they are a kind of.
+    """
 
     async def start(self, command: dispatch.StartRun) -> int:
         """Start a run and return the worker's clock, in milliseconds.
--- a/src/orioleloom/platform/_workers.py
+++ b/src/orioleloom/platform/_workers.py
@@ -30,6 +30,10 @@
                 msgspec.json.encode(body),
                 f'X-Orioleloom-Expected-Instance: {worker.id}\r\n',
             )
+        except http1.RefusedError as exc:
+            raise node.RefusedError(str(exc)) from exc
+        except http1.ClosedError as exc:
+            raise node.ClosedError(str(exc)) from exc
         except http1.NotSentError as exc:
             raise node.NotSentError(str(exc)) from exc
         except http1.NoAnswerError as exc:
--- a/tests/http1/test_http1.py
+++ b/tests/http1/test_http1.py
@@ -147,8 +147,10 @@
     with socket.socket() as unused:
         unused.bind(('127.0.0.1', 0))
         port = unused.getsockname()[1]
-    with pytest.raises(http1.NotSentError):
+    with pytest.raises(http1.NotSentError) as raised:
         await http1.Client().request(f'127.0.0.1:{port}', 'GET', '/')
+    # A crashed process refuses connections; a silent machine does not.
+    assert isinstance(raised.value, http1.RefusedError)
 
 
 async def test_lack_of_file_descriptors_raises_not_sent(monkeypatch):
@@ -161,8 +163,10 @@
         raise OSError(24, 'Too many open files')
 
     monkeypatch.setattr(socket, 'socket', no_socket)
-    with pytest.raises(http1.NotSentError):
+    with pytest.raises(http1.NotSentError) as raised:
         await http1.Client().request('127.0.0.1:1', 'GET', '/')
+    # The fault is on this machine.
+    assert not isinstance(raised.value, http1.RefusedError)
 
 
 async def test_connection_closed_without_response_raises_no_answer():
@@ -170,7 +174,7 @@
         _, address = await start_server(
             nursery, lambda connection, request: connection.close()
         )
-        with pytest.raises(http1.NoAnswerError):
+        with pytest.raises(http1.ClosedError):
             await http1.Client().request(address, 'GET', '/')
         nursery.cancel_scope.cancel()
 
