--- a/src/orioleloom_standins/leased/_worker.py
+++ b/src/orioleloom_standins/leased/_worker.py
@@ -49,6 +49,16 @@
         self.clock_rate = clock_rate
         # Faults that tests inject.
         self.is_reachable = True
+        # Connections are closed and refused, while the worker runs on.
+        self.is_reset = False
+        # False from a crash until the worker is started again.
+        self.is_up = True
+        self.is_listed = True
+        # Rejects starts that exceed the capacity. One that does not check it
+        # counts them.
+        self.checks_capacity = True
+        self.n_starts_over_capacity = 0
+        self.n_crashes = 0
         self.fails_all = False
         self.late_share = 0.0
         self.slowdown = 1.0
@@ -68,8 +78,23 @@
     def restart(self, now_s: float) -> None:
         """Restart the worker under a new life number and lose all state."""
         self.info = self.info._replace(life=self.info.life + 1)
+        self.is_up = True
         self.reset(now_s)
 
+    def crash(self, now_s: float) -> None:
+        """End everything at once and close all connections."""
+        self.is_up = False
+        self.n_crashes += 1
+        self.reset(now_s)
+
+    def is_closed(self) -> bool:
+        """Return whether connections are closed and refused."""
+        return self.is_reset or not self.is_up
+
+    def set_capacity(self, capacity: dispatch.Resources) -> None:
+        """Shrink or grow the capacity; runs go on in any case."""
+        self.info = self.info._replace(capacity=capacity)
+
     def slow_down(self, factor: float, now_s: float) -> None:
         """Multiply the duration of current and future runs.
 
@@ -158,7 +183,9 @@
             used = used.add(run.room)
         self._extend_lease(command.expires_ms, now_s)
         if not self.info.capacity.can_fit(used.add(room)):
-            return dispatch.Rejection.NO_ROOM
+            if self.checks_capacity:
+                return dispatch.Rejection.NO_ROOM
+            self.n_starts_over_capacity += 1
         self.highest_run_ids[command.key] = command.run_id
         fails = self.fails_all or is_poison
         duration_s = work_s / self.speed
--- a/src/orioleloom_standins/leased/_world.py
+++ b/src/orioleloom_standins/leased/_world.py
@@ -14,6 +14,10 @@
 _TICK_S = 0.025
 # Range of the delay before a late command is executed.
 _LATE_DELAY_RANGE_S = (2.0, 12.0)
+# Time from a crash until the worker is back.
+_RESTART_DELAY_S = 3.2
+# How long a row lags behind what it shows.
+_LIST_LAG_S = 0.8
 
 
 class Violation(AssertionError):
@@ -25,6 +29,8 @@
 
     work_s: float
     is_poison: bool
+    # Time from the start until the task crashes its worker.
+    crash_after_s: float | None = None
 
 
 class _SimulatedDispatcher:
@@ -59,7 +65,11 @@
     def update_workers(self) -> None:
         """Pass the current list of workers to the dispatcher."""
         self.dispatcher.set_workers(
-            {w.info.id: w.info for w in self.world.workers.values()},
+            {
+                w.info.id: w.info
+                for w in self.world.workers.values()
+                if w.is_listed
+            },
             self.world.now_s,
         )
         self.carry_out()
@@ -106,8 +116,13 @@
         execute: typing.Callable[[], typing.Any],
         on_answer: typing.Callable[[typing.Any], None],
         on_timeout: typing.Callable[[], None],
+        on_closed: typing.Callable[[bool], None],
     ) -> None:
-        """Send a command to a worker, subject to loss and delay."""
+        """Send a command to a worker, subject to loss and delay.
+
+        :param on_closed: called if the connection is refused or closed, with
+            whether the command may have been executed
+        """
         world = self.world
         state = {'is_open': True}
 
@@ -117,9 +132,18 @@
                 on_timeout()
                 self.carry_out()
 
+        def close(is_sent: bool) -> None:
+            if state['is_open'] and self.is_alive:
+                state['is_open'] = False
+                on_closed(is_sent)
+                self.carry_out()
+
         def arrive() -> None:
             if not self._reaches(worker_id):
                 return
+            if world.workers[worker_id].is_closed():
+                world.after(_LATENCY_S, lambda: close(False))
+                return
             if self._is_late(worker_id):
                 world.after(
                     world.random_state.uniform(*_LATE_DELAY_RANGE_S),
@@ -130,7 +154,12 @@
             world.after(_LATENCY_S, lambda: return_answer(answer))
 
         def return_answer(answer: typing.Any) -> None:
-            if state['is_open'] and self.is_alive and self._reaches(worker_id):
+            worker = world.workers.get(worker_id)
+            if worker is not None and worker.is_closed():
+                close(True)
+            elif (
+                state['is_open'] and self.is_alive and self._reaches(worker_id)
+            ):
                 state['is_open'] = False
                 on_answer(answer)
                 self.carry_out()
@@ -152,6 +181,8 @@
                 work.is_poison,
                 world.now_s,
             )
+            if rejection is None:
+                world.schedule_crash(worker, command.key, command.run_id)
             world.check_duplicate_runs(worker)
             return rejection, worker.clock_ms(world.now_s)
 
@@ -172,6 +203,9 @@
             lambda: self.dispatcher.handle_start_unanswered(
                 *run, True, world.now_s
             ),
+            lambda is_sent: self.dispatcher.handle_start_unanswered(
+                *run, is_sent, world.now_s, is_closed=True
+            ),
         )
 
     def _send_stop(self, command: dispatch.StopRun) -> None:
@@ -189,6 +223,7 @@
                 command.worker.id, command.key, command.run_id, world.now_s
             ),
             lambda: None,
+            lambda _: None,
         )
 
     def _poll_worker(self, worker_id: str, loop_index: int = 0) -> None:
@@ -219,13 +254,17 @@
             wait_s = 0.0
         state = {'is_open': True}
 
-        def finish(report: dispatch.WorkerReport | None) -> None:
+        def finish(
+            report: dispatch.WorkerReport | None,
+            reason: str = 'no answer',
+            is_closed: bool = False,
+        ) -> None:
             if not state['is_open'] or not self.is_alive:
                 return
             state['is_open'] = False
             if report is None:
                 self.dispatcher.handle_poll_failure(
-                    worker_id, 'no answer', world.now_s
+                    worker_id, reason, world.now_s, is_closed=is_closed
                 )
             else:
                 self.dispatcher.handle_report(
@@ -236,10 +275,18 @@
                 pause_s = 0.0 if report is not None else 0.05
                 world.after(pause_s, lambda: on_finished(worker_id))
 
+        address = self.dispatcher.workers[worker_id].info.address
+
         def arrive() -> None:
+            if world.has_new_worker(worker_id, address):
+                reason = dispatch.Rejection.OTHER_INCARNATION
+                world.after(_LATENCY_S, lambda: finish(None, reason))
             if not self._reaches(worker_id):
                 return
             worker = world.workers[worker_id]
+            if worker.is_closed():
+                close()
+                return
             is_late = self._is_late(worker_id)
             if is_late:
                 world.after(
@@ -254,10 +301,19 @@
             world.check_duplicate_runs(worker)
             answer_at(world.now_s + wait_s)
 
+        def close() -> None:
+            world.after(
+                _LATENCY_S,
+                lambda: finish(None, 'closed connection', is_closed=True),
+            )
+
         def answer_at(latest_s: float) -> None:
             worker = world.workers.get(worker_id)
             if worker is None or not self._reaches(worker_id):
                 return
+            if worker.is_closed():
+                close()
+                return
             worker.advance(world.now_s)
             if worker.ends or world.now_s >= latest_s - 1e-9:
                 report = worker.report(world.now_s)
@@ -344,6 +400,14 @@
             key = dispatch.TaskKey(job.id, 0, index)
             self.set_task(key, seconds, job.steps[0].room, is_poison)
 
+    def set_crashing(
+        self, key: dispatch.TaskKey, crash_after_s: float
+    ) -> None:
+        """Let each run of a task crash its worker after a time."""
+        self.task_work[key] = self.task_work[key]._replace(
+            crash_after_s=crash_after_s
+        )
+
     def set_task(
         self,
         key: dispatch.TaskKey,
@@ -355,6 +419,59 @@
         self.task_work[key] = _TaskWork(work_s, is_poison)
         self.task_rooms[key] = room
 
+    def schedule_crash(
+        self, worker: _worker.LeasedWorker, key: dispatch.TaskKey, run_id: int
+    ) -> None:
+        """Let a task that was started crash its worker, if it does so."""
+        after_s = self.task_work[key].crash_after_s
+        if after_s is None:
+            return
+
+        def crash() -> None:
+            if (key, run_id) in worker.running():
+                self.crash_worker(worker.info.id)
+
+        self.after(after_s, crash)
+
+    def crash_worker(
+        self, worker_id: str, *, takes_new_id: bool = False
+    ) -> None:
+        """Crash a worker, which is back some seconds later.
+
+        :param takes_new_id: whether it comes back as another worker at the
+            same address
+        """
+        worker = self.workers[worker_id]
+        if not worker.is_up:
+            return
+        worker.crash(self.now_s)
+        self.after(
+            _RESTART_DELAY_S, lambda: self._bring_back(worker, takes_new_id)
+        )
+
+    def _bring_back(
+        self, worker: _worker.LeasedWorker, takes_new_id: bool
+    ) -> None:
+        if takes_new_id:
+            del self.workers[worker.info.id]
+            worker.info = worker.info._replace(id=f'{worker.info.id}+')
+            self.workers[worker.info.id] = worker
+            self._list(worker, False)
+        worker.restart(self.now_s)
+        self.after(_LIST_LAG_S, lambda: self._list(worker, True))
+
+    def _list(self, worker: _worker.LeasedWorker, is_listed: bool) -> None:
+        worker.is_listed = is_listed
+        for side in self.dispatchers:
+            side.update_workers()
+
+    def has_new_worker(self, worker_id: str, address: str) -> bool:
+        """Return whether another worker now uses a worker's address."""
+        return worker_id not in self.workers and any(
+            worker.info.address == address and worker.is_up
+            for worker in self.workers.values()
+        )
+
     def check_duplicate_runs(self, worker: _worker.LeasedWorker) -> None:
         """Check that no run of a worker is a duplicate of one elsewhere.
 
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -1,10 +1,22 @@
 """Tests of workers that crash under their tasks."""
 
+import random
+
 import pytest
 
 from orioleloom import dispatch
+from orioleloom_standins import leased
 from tests.dispatch import test_dispatcher as events
 
+JOB_ID = 'd' * 16
+
+
+def world_of(n_workers=6, seed=1):
+    world = leased.World(leased.site_workers(n_workers), random.Random(seed))
+    side = world.start_dispatcher()
+    world.run_until(0.5)
+    return world, side
+
 
 def lost_causes(effects):
     return [
@@ -105,3 +117,21 @@
     harness.now_s += 0.1
     harness.report(start.worker.id)
     assert lost_causes(harness.effects()) == ['not_listed']
+
+
+@pytest.mark.parametrize('takes_new_id', [False, True])
+def test_crashed_worker_serves_again(takes_new_id):
+    """Guards the stand-in: a worker is back seconds after its crash."""
+    world, side = world_of(1)
+    world.crash_worker('w0', takes_new_id=takes_new_id)
+    world.run_until(5.0)
+    job = dispatch.Job(
+        JOB_ID,
+        events.QUEUE,
+        '',
+        (dispatch.Step(1, dispatch.Resources(1_000), 0.1),),
+    )
+    world.declare(job, [0.1])
+    side.submit(job)
+    world.run_until(6.0)
+    assert side.outcomes[JOB_ID][0].kind is dispatch.OutcomeKind.COMPLETED
