Give up a task under which two workers have crashed

Cause: nothing counted crashes. A task that crashes its workers was started again each time its lease had ended, until the caller's deadline, and took the runs beside it along.

Change: a ledger keeps the crashes of workers under each task. A crash is probable when the worker has closed its connections and its lease has ended, proven when it has a new incarnation or another worker has its address, and refuted when it answers in the same incarnation. Silence is no crash. A task with a crash is a suspect: it runs alone, until a run of it ends. A job with a task with two crashes starts nothing: it fails, with the task and both workers named, once both are proven; a refutation lets it go on. So does a later submission of it.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -2,6 +2,7 @@
 import math
 import typing
 
+from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _estimates
 from orioleloom.dispatch import _foreign_runs
 from orioleloom.dispatch import _jobs
@@ -62,6 +63,10 @@
 _RETRY_AFTER_S = (1.0, 3.0)
 
 
+def _task_names(keys: typing.Iterable[_records.TaskKey]) -> list[str]:
+    return [f'{key.job_id}.{key.position()}' for key in keys]
+
+
 class Settings(typing.NamedTuple):
     """Settings of a dispatcher.
 
@@ -107,7 +112,8 @@
         self.workers: dict[str, _workers.Worker] = {}
         self.jobs: dict[str, _jobs.JobState] = {}
         self.run_times = _estimates.RunTimeEstimator()
-        self.placement = _placement.Placement(self.workers)
+        self.crashes = _crashes.CrashLedger()
+        self.placement = _placement.Placement(self.workers, self.crashes)
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
         self._foreign_runs = _foreign_runs.ForeignRuns()
         self._recent_outcomes: dict[str, tuple[_records.Outcome, float]] = {}
@@ -161,9 +167,14 @@
             if worker is None:
                 worker = self.workers[worker_id] = _workers.Worker(info)
                 self._start_polling(worker, now_s)
+                self._log_proof(
+                    self.crashes.prove_replacement(info.address, worker_id),
+                    worker_id,
+                    'replaced',
+                )
                 continue
             if info.life > worker.info.life:
-                self._begin_incarnation(worker, info)
+                self._begin_incarnation(worker, info, now_s)
                 self._start_polling(worker, now_s)
             else:
                 # The list may lag behind the worker's own reports and still
@@ -288,9 +299,10 @@
             return
         if report.life > worker.info.life:
             self._begin_incarnation(
-                worker, worker.info._replace(life=report.life)
+                worker, worker.info._replace(life=report.life), now_s
             )
         worker.update_clock(report.clock_ms, now_s)
+        self._refute_crash(worker, now_s)
         self._changed_workers[worker_id] = worker
         worker.confirmed_s = max(worker.confirmed_s, requested_s)
         if worker.n_missed_responses:
@@ -308,6 +320,8 @@
             if end.number <= worker.acked_through:
                 continue
             worker.acked_through = end.number
+            if end.kind in (_records.EndKind.DONE, _records.EndKind.FAILED):
+                self.crashes.clear(end.key, now_s)
             self._handle_run_end(worker, end, now_s)
         if report.clock_ms < worker.newest_report_ms:
             # A newer report was applied already. Runs that this one shows
@@ -354,7 +368,9 @@
         if worker is None:
             return
         if is_closed:
-            worker.record_closed(now_s)
+            self._record_closed(worker, now_s)
+        if reason == _records.Rejection.OTHER_INCARNATION:
+            self._prove_replacement(worker)
         worker.n_missed_responses += 1
         if worker.n_missed_responses == 1:
             self._record_unanswered(now_s)
@@ -370,7 +386,10 @@
             )
 
     def _begin_incarnation(
-        self, worker: _workers.Worker, info: _records.WorkerInfo
+        self,
+        worker: _workers.Worker,
+        info: _records.WorkerInfo,
+        now_s: float,
     ) -> None:
         """Handle the restart of a worker under the same id.
 
@@ -381,11 +400,19 @@
             self._log(
                 'worker_life_ended', worker=worker.id, reason='restarted'
             )
+            self._record_crash(worker, now_s)
+            self._log_proof(
+                self.crashes.prove_restart(worker.id, info.life),
+                worker.id,
+                'restarted',
+            )
         worker.begin_incarnation(info)
 
     def _end_incarnation(self, worker: _workers.Worker, now_s: float) -> None:
         """Handle the reply of another worker at a worker's address."""
         self._log('worker_life_ended', worker=worker.id, reason='replaced')
+        self._record_crash(worker, now_s)
+        self._prove_replacement(worker)
         for run in list(worker.runs.values()):
             self._mark_run_lost(run, _records.LossCause.REPLACED, now_s)
         self._foreign_runs.drop_unlisted(worker.id, {})
@@ -746,7 +773,7 @@
         if run is None or run.is_accepted:
             return
         if is_closed:
-            run.worker.record_closed(now_s)
+            self._record_closed(run.worker, now_s)
         self._record_unanswered(now_s)
         self._log(
             'start_unanswered',
@@ -805,7 +832,10 @@
         state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
         # Tasks of an earlier submission may have run, so that this one must
         # not be refused as not run.
-        state.may_have_run_elsewhere = job.id in self._unknown_ended_s
+        state.may_have_run_elsewhere = (
+            job.id in self._unknown_ended_s
+            or self.crashes.has_suspects(job.id)
+        )
         state.set_expected_run_time(_jobs.critical_path_s(job, self.run_times))
         self.jobs[job.id] = state
         self.counters['jobs'] += 1
@@ -1026,7 +1056,9 @@
         waiting = [
             job
             for job in self.jobs.values()
-            if job.waiting and job.instance_id not in self._paused_instance_ids
+            if job.waiting
+            and job.instance_id not in self._paused_instance_ids
+            and not self.crashes.is_blocked(job.job.id)
         ]
         if not waiting:
             return
@@ -1057,6 +1089,7 @@
             self._drop_unlisted_workers(now_s)
         self._search_all_workers = True
         self._expire_leases(now_s)
+        self._end_blocked_jobs(now_s)
         self._repeat_stops(now_s)
         self._stop_foreign_runs(now_s)
         self._release_held_jobs(now_s)
@@ -1068,31 +1101,104 @@
     def _expire_leases(self, now_s: float) -> None:
         for worker in self.workers.values():
             if worker.runs and now_s > worker.lease_until_s:
-                runs = list(worker.runs.values())
-                cause = _records.LossCause.SILENT
-                if worker.closed_s < math.inf:
-                    cause = _records.LossCause.CRASHED
-                    self._log_crash(worker, runs, now_s)
-                for run in runs:
+                self._record_crash(worker, now_s)
+                cause = (
+                    _records.LossCause.CRASHED
+                    if worker.closed_s < math.inf
+                    else _records.LossCause.SILENT
+                )
+                for run in list(worker.runs.values()):
                     self._mark_run_lost(run, cause, now_s)
                 worker.is_known = False
                 self._start_polling(worker, now_s)
 
-    def _log_crash(
-        self,
-        worker: _workers.Worker,
-        runs: typing.Iterable[_workers.Run],
-        now_s: float,
-    ) -> None:
+    # Crashes of workers
+
+    def _record_closed(self, worker: _workers.Worker, now_s: float) -> None:
+        """Record that a worker closed or refused a connection."""
+        if not worker.record_closed(now_s):
+            return
+        for run in worker.runs.values():
+            if self.crashes.is_suspect(run.key):
+                self.crashes.record_failed_trial(run.queue, now_s)
+
+    def _record_crash(self, worker: _workers.Worker, now_s: float) -> None:
+        """Record a crash if the worker has closed its connections.
+
+        Runs that were started later cannot be the cause.
+        """
+        keys = [
+            run.key
+            for run in worker.runs.values()
+            if run.started_s <= worker.closed_s
+        ]
+        if worker.closed_s == math.inf or not keys:
+            return
+        self.crashes.record(worker.info, keys, now_s)
         self.counters['worker_crashes'] += 1
         self._log(
             'worker_crashed',
             worker=worker.id,
             life=worker.info.life,
             closed_ago_s=round(now_s - worker.closed_s, 3),
-            tasks=[f'{run.key.job_id}.{run.key.position()}' for run in runs],
+            tasks=_task_names(keys),
+        )
+
+    def _prove_replacement(self, worker: _workers.Worker) -> None:
+        """Prove the crashes of a worker whose address another one has."""
+        self._log_proof(
+            self.crashes.prove_replacement(worker.info.address, ''),
+            worker.id,
+            'replaced',
         )
 
+    def _log_proof(
+        self, keys: list[_records.TaskKey], worker_id: str, reason: str
+    ) -> None:
+        if keys:
+            self.counters['crashes_proven'] += 1
+            self._log(
+                'crash_proven',
+                worker=worker_id,
+                reason=reason,
+                tasks=_task_names(keys),
+            )
+
+    def _refute_crash(self, worker: _workers.Worker, now_s: float) -> None:
+        keys = self.crashes.refute(worker.id, worker.info.life, now_s)
+        if keys:
+            self.counters['crashes_refuted'] += 1
+            self._log(
+                'crash_refuted',
+                worker=worker.id,
+                life=worker.info.life,
+                tasks=_task_names(keys),
+            )
+
+    def _end_blocked_jobs(self, now_s: float) -> None:
+        """Stop the jobs with a task that has crashed too many workers.
+
+        They have failed if the crashes are proven. Until then they start
+        nothing, since a crash may still be refuted.
+        """
+        for job_id in self.crashes.blocked_job_ids():
+            job = self.jobs.get(job_id)
+            if job is None:
+                continue
+            if self.crashes.is_condemned(job_id):
+                self._finish_job(
+                    job,
+                    _records.Outcome(
+                        _records.OutcomeKind.FAILED,
+                        self.crashes.reason(job_id),
+                    ),
+                    now_s,
+                )
+                continue
+            for task in job.all_tasks():
+                if task.run is not None:
+                    self._stop_run(task.run, now_s)
+
     def _repeat_stops(self, now_s: float) -> None:
         for run, due_s in list(self._stop_due_s.items()):
             if now_s < due_s:
@@ -1171,11 +1277,19 @@
                     if may_have_started
                     else _records.OutcomeKind.NOT_RUN
                 )
+                reason = (
+                    f'deadline, {self.crashes.reason(job.job.id)}'
+                    if self.crashes.is_blocked(job.job.id)
+                    else 'deadline'
+                )
                 self._finish_job(
                     job,
-                    _records.Outcome(kind, 'deadline', self._retry_after_s()),
+                    _records.Outcome(kind, reason, self._retry_after_s()),
                     now_s,
                 )
+            elif self.crashes.is_blocked(job.job.id):
+                # It is answered as soon as the crashes are proven.
+                continue
             elif not job.n_sent and self._is_too_late(job, now_s):
                 self._finish_job(
                     job,
@@ -1208,6 +1322,7 @@
         return self.random_state.uniform(*_RETRY_AFTER_S)
 
     def _drop_old_results(self, now_s: float) -> None:
+        self.crashes.drop_old(now_s)
         self._foreign_runs.drop_old_completions(now_s)
         for job_id, (_, ended_s) in list(self._recent_outcomes.items()):
             if now_s - ended_s <= OUTCOME_RETENTION_S:
@@ -1225,6 +1340,7 @@
             'age_s': round(now_s - self.created_s, 3),
             'counters': dict(self.counters),
             'n_orphans': len(self._foreign_runs),
+            'suspects': self.crashes.state(),
             'jobs': {
                 job.job.id: {
                     'queue': job.job.queue.name,
--- a/src/orioleloom/dispatch/_placement.py
+++ b/src/orioleloom/dispatch/_placement.py
@@ -2,6 +2,7 @@
 import math
 import typing
 
+from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _workers
@@ -32,11 +33,20 @@
     Jobs that can no longer meet their objective are placed only if no job
     of the first group is left waiting.
 
+    A task under which a worker has crashed runs alone, so that it takes no
+    other one with it and the cause of another crash is certain.
+
     :param workers: workers by id; the owner updates the dictionary
+    :param crashes: tasks under which workers have crashed
     """
 
-    def __init__(self, workers: dict[str, _workers.Worker]):
+    def __init__(
+        self,
+        workers: dict[str, _workers.Worker],
+        crashes: _crashes.CrashLedger,
+    ):
         self.workers = workers
+        self.crashes = crashes
         self._workers_by_upstream: dict[str, list[_workers.Worker]] = {}
 
     def refresh_workers(self) -> None:
@@ -72,9 +82,15 @@
         )
         others = [w for w in workers if w is not current]
         limit_s = task.job.deadline_s - now_s
-        search = _WorkerSearch(others, limit_s, now_s, _RoundUsage())
+        usage = self._new_usage(now_s)
+        search = _WorkerSearch(others, limit_s, now_s, usage)
         return search.find_worker(task) is not None
 
+    def _new_usage(self, now_s: float) -> '_RoundUsage':
+        return _RoundUsage(
+            self.crashes, self.crashes.paused_queues(len(self.workers), now_s)
+        )
+
     def choose_starts(
         self,
         waiting: list[_jobs.JobState],
@@ -88,7 +104,7 @@
             these only. ``None`` means that all jobs are tried on all
             workers.
         """
-        usage = _RoundUsage()
+        usage = self._new_usage(now_s)
         starts: list[Start] = []
         on_time: list[tuple[float, int, _jobs.JobState]] = []
         late: list[tuple[float, int, _jobs.JobState]] = []
@@ -180,9 +196,20 @@
 
 
 class _RoundUsage:
-    """Resources that the starts of one round have reserved."""
+    """Resources that the starts of one round have reserved.
+
+    :param crashes: tasks under which workers have crashed
+    :param paused_queues: queues whose suspects must wait
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        crashes: _crashes.CrashLedger,
+        paused_queues: typing.Collection[str],
+    ) -> None:
+        self.crashes = crashes
+        self.paused_queues = paused_queues
+        self._suspect_worker_ids: set[str] = set()
         self._free: dict[str, _records.Resources] = {}
         self.n_started: dict[str, int] = {}
         self._n_started_by_step: dict[tuple[str, str, int], int] = {}
@@ -233,6 +260,25 @@
             self._n_started_by_step.get(step, 0) + 1
         )
         self.n_started[worker.id] = self.n_started.get(worker.id, 0) + 1
+        if self.crashes.is_suspect(task.key):
+            self._suspect_worker_ids.add(worker.id)
+
+    def is_empty(self, worker: _workers.Worker) -> bool:
+        """Return whether a worker has no run."""
+        return not worker.runs and not self.n_started.get(worker.id)
+
+    def blocks(self, task: _jobs.TaskState, worker: _workers.Worker) -> bool:
+        """Return whether a task must not join the runs of a worker."""
+        return self.has_suspect(worker) or (
+            self.crashes.is_suspect(task.key) and not self.is_empty(worker)
+        )
+
+    def has_suspect(self, worker: _workers.Worker) -> bool:
+        """Return whether a worker has a run that may crash it."""
+        return bool(self.crashes) and (
+            worker.id in self._suspect_worker_ids
+            or any(self.crashes.is_suspect(key) for key in worker.runs)
+        )
 
 
 class _WorkerSearch:
@@ -280,6 +326,12 @@
         step = task.step
         cpu_millicores = step.room.cpu_millicores
         expected_s = task.job.expected_s
+        if (
+            self.usage.paused_queues
+            and task.job.job.queue.name in self.usage.paused_queues
+            and self.usage.crashes.is_suspect(task.key)
+        ):
+            return None
         position = self._first_fitting.get(task.key.step, 0)
         fallback = None
         is_first = True
@@ -317,6 +369,8 @@
             return False
         if worker.n_suspensions and self.usage.n_started.get(worker.id):
             return False
+        if self.usage.blocks(task, worker):
+            return False
         if step.required_label and (
             step.required_label not in worker.info.labels
         ):
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -167,13 +167,17 @@
         self.last_heard_s = now_s
         self.closed_s = math.inf
 
-    def record_closed(self, now_s: float) -> None:
+    def record_closed(self, now_s: float) -> bool:
         """Record that the worker closed or refused a connection.
 
         One that was silent before has probably lost its power or its network.
+
+        :returns: whether it is the first since the worker last answered
         """
-        if not self.n_missed_responses:
-            self.closed_s = min(self.closed_s, now_s)
+        if self.n_missed_responses or self.closed_s < math.inf:
+            return False
+        self.closed_s = now_s
+        return True
 
     def is_unresponsive(self) -> bool:
         """Return whether the worker seems to be unreachable."""
--- a/src/orioleloom_standins/leased/_load.py
+++ b/src/orioleloom_standins/leased/_load.py
@@ -80,6 +80,13 @@
         self.n_refused = 0
         # Jobs without an outcome or with an unknown one.
         self.n_held = 0
+        # Jobs that could be done, and that were answered as failed.
+        self.n_falsely_failed = 0
+        # Jobs that could be done, and that were not started again because of
+        # crashes that were not proven.
+        self.n_given_up = 0
+        # Jobs with a task that crashes its workers.
+        self.n_deadly = 0
         # Possible and earned worth by second of arrival.
         self.by_second: dict[int, list[float]] = {}
 
@@ -108,6 +115,8 @@
     sent_s: float
     objective_s: float
     worth: float
+    is_deadly: bool = False
+    is_poison: bool = False
 
 
 def offer_load(
@@ -118,16 +127,22 @@
     scale: float = 1.0,
     kinds: typing.Sequence[JobKind] = SITE_KINDS,
     poison_share: float = 0.0,
+    deadly_shares: typing.Mapping[str, float] = {},
     bursts: typing.Mapping[str, tuple[float, float, float]] = {},
+    random_state: random.Random | None = None,
 ) -> LoadReport:
     """Send jobs with Poisson arrivals and report the earned worth.
 
     :param scale: factor on the arrival rates of ``kinds``
     :param poison_share: share of jobs that fail on every worker
+    :param deadly_shares: share of the jobs of a queue with a task that crashes
+        its workers, by queue name; these jobs are not counted in the worth
     :param bursts: rate factor, start and end in seconds of a burst, by queue
         name; the name ``''`` applies to all queues
+    :param random_state: source of the jobs; that of the world if ``None``.
+        With a source of its own the jobs do not depend on the dispatcher.
     """
-    rng = world.random_state
+    rng = random_state or world.random_state
     start_s = world.now_s
     sent: dict[str, _SentJob] = {}
 
@@ -142,7 +157,15 @@
     def arrive(kind: JobKind) -> None:
         if world.now_s - start_s >= duration_s:
             return
-        _send_job(world, dispatcher, kind, sent, rng, poison_share)
+        _send_job(
+            world,
+            dispatcher,
+            kind,
+            sent,
+            rng,
+            poison_share,
+            deadly_shares.get(kind.queue.name, 0.0),
+        )
         world.after(
             rng.expovariate(kind.per_s * factor(kind)), lambda: arrive(kind)
         )
@@ -163,6 +186,7 @@
     sent: dict[str, _SentJob],
     rng: random.Random,
     poison_share: float,
+    deadly_share: float,
 ) -> None:
     n_tasks = max(1, round(kind.n_tasks * _lognormal_factor(rng, 0.4)))
     work_s = kind.work_s * _lognormal_factor(rng, 0.4)
@@ -180,13 +204,21 @@
             ),
         ),
     )
-    world.declare(job, tasks_s, rng.random() < poison_share)
+    is_poison = rng.random() < poison_share
+    world.declare(job, tasks_s, is_poison)
+    is_deadly = deadly_share > 0 and rng.random() < deadly_share
+    if is_deadly:
+        world.set_crashing(
+            dispatch.TaskKey(job.id, 0, 0), rng.uniform(0.0, tasks_s[0])
+        )
     size = sum(tasks_s) / (kind.n_tasks * kind.work_s)
     sent[job.id] = _SentJob(
         kind,
         world.now_s,
         1.6 * max(tasks_s) + kind.queue.target_latency_s,
         kind.worth * min(4.0, 0.3 + 0.7 * size),
+        is_deadly,
+        is_poison,
     )
     # Request and answer each take 1 ms between caller and dispatcher.
     world.after(
@@ -204,13 +236,23 @@
 def _collect(dispatcher: typing.Any, sent: dict[str, _SentJob]) -> LoadReport:
     report = LoadReport()
     for job_id, job in sent.items():
+        if job.is_deadly:
+            report.n_deadly += 1
+            continue
         report.n_jobs += 1
         earned = 0.0
         ended = dispatcher.outcomes.get(job_id)
         if ended is None or ended[0].kind is dispatch.OutcomeKind.UNKNOWN:
             report.n_held += 1
+            report.n_given_up += ended is not None and (
+                'crashed' in ended[0].reason
+            )
         elif ended[0].kind is dispatch.OutcomeKind.NOT_RUN:
             report.n_refused += 1
+        elif ended[0].kind is dispatch.OutcomeKind.FAILED and (
+            not job.is_poison
+        ):
+            report.n_falsely_failed += 1
         else:
             took_s = ended[1] + 0.001 - job.sent_s
             if took_s <= job.objective_s:
