Keep the crashes under tasks over changes of the leader

Cause: the count was in the leader's memory. After a handover, the death of the leader or a loss of all instances a task could crash two workers again.

Change: a message Crashes carries them: from the leader to the instances that hold the jobs and to its successor, and from each instance to a new leader before its jobs. It is a message of its own because a NamedTuple of msgspec rejects further fields, so that an earlier build could not read a longer message; an unknown one it drops.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """Dispatch of repeatable jobs to workers that run tasks under leases."""
 
+from orioleloom.dispatch._crashes import CrashLedger
 from orioleloom.dispatch._crashes import CrashRecord
 from orioleloom.dispatch._dispatcher import Dispatcher
 from orioleloom.dispatch._dispatcher import OUTCOME_RETENTION_S
@@ -31,6 +32,7 @@
 
 __all__ = [
     'AnswerJob',
+    'CrashLedger',
     'CrashRecord',
     'Dispatcher',
     'Effect',
--- a/src/orioleloom/dispatch/_crashes.py
+++ b/src/orioleloom/dispatch/_crashes.py
@@ -155,7 +155,7 @@
         return self._prove(
             crash
             for crash in self._crashes.values()
-            if crash.worker_id == worker_id and crash.life < life
+            if crash.worker_id == worker_id and 0 < crash.life < life
         )
 
     def prove_replacement(
@@ -289,7 +289,7 @@
             if (
                 crash_id in self._refuted_s
                 or record.key in self._cleared_s
-                or record.age_s > _RETENTION_S
+                or not 0 <= record.age_s <= _RETENTION_S
             ):
                 continue
             crash = self._get_or_add(
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1175,6 +1175,38 @@
                 tasks=_task_names(keys),
             )
 
+    def add_crashes(
+        self, records: typing.Iterable[_crashes.CrashRecord], now_s: float
+    ) -> None:
+        """Use an earlier dispatcher's knowledge of crashes."""
+        records = list(records)
+        self.crashes.add_records(records, now_s)
+        ids_by_address = {
+            worker.info.address: worker.id
+            for worker in self.workers.values()
+            if worker.is_listed
+        }
+        for record in records:
+            worker = self.workers.get(record.worker_id)
+            if worker is not None:
+                self._log_proof(
+                    self.crashes.prove_restart(worker.id, worker.info.life),
+                    worker.id,
+                    'restarted',
+                )
+                if (
+                    worker.info.life == record.life
+                    and worker.last_heard_s > now_s - record.age_s
+                ):
+                    self._refute_crash(worker, now_s)
+            new_id = ids_by_address.get(record.address, record.worker_id)
+            if new_id != record.worker_id:
+                self._log_proof(
+                    self.crashes.prove_replacement(record.address, new_id),
+                    new_id,
+                    'replaced',
+                )
+
     def _end_blocked_jobs(self, now_s: float) -> None:
         """Stop the jobs with a task that has crashed too many workers.
 
--- a/src/orioleloom/node/__init__.py
+++ b/src/orioleloom/node/__init__.py
@@ -5,6 +5,7 @@
 from orioleloom.node._node import Node
 from orioleloom.node._node import Settings
 from orioleloom.node._ports import ClosedError
+from orioleloom.node._ports import CrashRow
 from orioleloom.node._ports import HistoryLostError
 from orioleloom.node._ports import IngressLimits
 from orioleloom.node._ports import MemberInfo
@@ -19,6 +20,7 @@
 
 __all__ = [
     'ClosedError',
+    'CrashRow',
     'HistoryLostError',
     'IngressLimits',
     'LogWriter',
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -117,6 +117,8 @@
             is_fleet_wide=scope == leadership.FLEET,
         )
         self.followers: dict[str, Follower] = {}
+        # Jobs whose crashes have changed since they were last written.
+        self.unsaved_crash_job_ids: set[str] = set()
         self.sequence = 0
         # Version of the configuration in force here.
         self.routing_version = 0
@@ -439,6 +441,26 @@
                 self.reconnect(member_id)
             self._send_heartbeat(follower, alive, n_unstarted)
 
+    def send_crashes(self, now_s: float) -> None:
+        """Tell the instances that hold the jobs of changed crashes.
+
+        They tell the next leader, also while the store is away.
+        """
+        crashes = self.dispatcher.crashes
+        changed = crashes.take_changed_job_ids()
+        self.unsaved_crash_job_ids |= changed
+        job_ids_by_holder: dict[str, list[str]] = {}
+        for job_id in sorted(changed):
+            job = self.dispatcher.jobs.get(job_id)
+            if job is not None and job.instance_id != self.instance_id:
+                job_ids_by_holder.setdefault(job.instance_id, []).append(
+                    job_id
+                )
+        for instance_id, job_ids in job_ids_by_holder.items():
+            records = crashes.records(now_s, job_ids)
+            if records:
+                self.send(instance_id, _messages.Crashes(records))
+
     def get_or_add_follower(self, member_id: str) -> Follower:
         """Return the state of an instance, creating it if necessary."""
         follower = self.followers.get(member_id)
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -155,6 +155,17 @@
     outcomes: dict[str, dispatch.Outcome] = {}
 
 
+class Crashes(typing.NamedTuple):
+    """Tells which workers have crashed under which tasks.
+
+    The leader tells the instances that hold the jobs and its successor;
+    instances tell a new leader. It is a message of its own, since earlier
+    builds ignore an unknown message and reject unknown fields.
+    """
+
+    records: list[dispatch.CrashRecord]
+
+
 Message = (
     Probe
     | Beat
@@ -165,6 +176,7 @@
     | JobUnknown
     | Tables
     | Handover
+    | Crashes
 )
 
 _KINDS: dict[str, type] = {
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -8,6 +8,7 @@
 
 from orioleloom import dispatch
 from orioleloom import leadership
+from orioleloom.node import _crash_rows
 from orioleloom.node import _leader
 from orioleloom.node import _log
 from orioleloom.node import _messages
@@ -182,6 +183,8 @@
         # Results that callers may ask for again elsewhere, if the answer was
         # lost on its way to them, and when they were delivered.
         self._delivered: dict[str, tuple[dispatch.Outcome, float]] = {}
+        # What this instance knows of crashes, for the next leader.
+        self._crashes = dispatch.CrashLedger()
         # Highest fencing token received from any leader.
         self._highest_token = 0
         self._workers: dict[str, dispatch.WorkerInfo] = {}
@@ -324,6 +327,9 @@
         _log.log('leadership_handed_over', successor=successor_id)
         # The successor's own copy of the workers may be seconds old.
         self._send_tables(successor_id, now_s)
+        crashes = leader.dispatcher.crashes.records(now_s)
+        if crashes:
+            self.send(successor_id, _messages.Crashes(crashes))
         for member_id in leader.instances_in_contact():
             if member_id == successor_id:
                 message = _messages.Handover(
@@ -437,6 +443,8 @@
                 ):
                     pending.assigned_leader = None
                     self._submit_pending(pending, now_s)
+            case _messages.Crashes():
+                self._handle_crashes(message, now_s)
             case _messages.Tables():
                 self._handle_tables(sender_id, message)
             case _messages.Handover():
@@ -504,6 +512,14 @@
             self.worker_watch.must_report = True
         self._add_members({m.instance_id: m for m in tables.members}, 0)
 
+    def _handle_crashes(
+        self, message: _messages.Crashes, now_s: float
+    ) -> None:
+        self._crashes.drop_old(now_s)
+        self._crashes.add_records(message.records, now_s)
+        if self.leader is not None:
+            self.leader.dispatcher.add_crashes(message.records, now_s)
+
     def _is_routing_stale(self, now_s: float) -> bool:
         """Return whether the store has long not confirmed the routing."""
         return (
@@ -575,6 +591,12 @@
                 else {},
             ),
         )
+        if (sender.instance_id, beat.term) != previous_leader:
+            # Before the jobs that they concern.
+            self._crashes.drop_old(now_s)
+            crashes = self._crashes.records(now_s)
+            if crashes:
+                self.send(sender.instance_id, _messages.Crashes(crashes))
         for pending in list(self.pending.values()):
             if pending.assigned_leader != (sender.instance_id, beat.term):
                 self._submit_pending(pending, now_s)
@@ -627,6 +649,14 @@
         )
         leader.routing_version = self.routing.version if self.routing else 0
         self._nursery.start_soon(leader.run)
+        self._crashes.drop_old(now_s)
+        leader.dispatcher.add_crashes(self._crashes.records(now_s), now_s)
+        self._nursery.start_soon(
+            _log.run_guarded,
+            'crash rows',
+            _crash_rows.CrashRows(self.store, self.wall_time).run,
+            leader,
+        )
         leader.dispatcher.add_progress((), self._recent_results(), now_s)
         if handover is not None:
             leader.dispatcher.add_progress(
@@ -654,6 +684,9 @@
             return
         self.leader = None
         leader.close()
+        self._crashes.add_records(
+            leader.dispatcher.crashes.records(now_s), now_s
+        )
         self._worker_watch_scope.cancel()
         self._last_leader_contact_s = now_s
         self._highest_token = max(self._highest_token, leader.dispatcher.token)
@@ -815,6 +848,7 @@
             return
         now_s = trio.current_time()
         leader.send_heartbeats(self.peers.members)
+        leader.send_crashes(now_s)
         self._update_successors(leader, now_s)
         successor = leader.find_successor(
             self.settings.rank, now_s, is_stopping=self.is_stopping
--- a/src/orioleloom/node/_ports.py
+++ b/src/orioleloom/node/_ports.py
@@ -64,6 +64,20 @@
     rank: float = 0.0
 
 
+class CrashRow(typing.NamedTuple):
+    """A crash of a worker under a task, as :class:`dispatch.CrashRecord`.
+
+    :param crashed_unix_s: Unix time of the crash, in seconds
+    """
+
+    key: dispatch.TaskKey
+    worker_id: str
+    life: int
+    address: str
+    is_proven: bool
+    crashed_unix_s: float
+
+
 class StoreError(Exception):
     """A call to the store failed or was not answered."""
 
@@ -110,6 +124,17 @@
     routing: Table[Routing]
     workers: Table[dispatch.WorkerInfo]
     members: Table[MemberInfo]
+    # By job id.
+    crashes: Table[list[CrashRow]]
+
+    async def write_crashes(
+        self, rows: typing.Mapping[str, list[CrashRow] | None]
+    ) -> None:
+        """Write crashes under the tasks of jobs, by job id.
+
+        :param rows: ``None`` removes a row; at most 100
+        :raises StoreError: the call failed
+        """
 
     async def put_member(self, member: MemberInfo) -> None:
         """Write this instance's entry to the member table."""
--- a/src/orioleloom/platform/_store.py
+++ b/src/orioleloom/platform/_store.py
@@ -22,6 +22,7 @@
 _MEMBER_TABLE = 'orioleloom-members'
 _LEADER_HEARTBEAT_TABLE = 'orioleloom-leader'
 _LEADER_HEARTBEAT_KEY = 'sign'
+_CRASH_TABLE = 'orioleloom-crashes'
 
 
 class _StoreTable(typing.Generic[_T]):
@@ -130,6 +131,10 @@
             self, _MEMBER_TABLE, _wire.decode_member
         )
 
+        self.crashes: _StoreTable[list[node.CrashRow]] = _StoreTable(
+            self, _CRASH_TABLE, _wire.decode_crashes
+        )
+
     async def _call(
         self, method: str, target: str, body: bytes = b''
     ) -> http1.Response:
@@ -162,6 +167,12 @@
             raise node.StoreError(str(exc)) from exc
 
     async def _put(self, table: str, key: str, value: bytes) -> None:
+        await self._write(table, {key: value})
+
+    async def _write(
+        self, table: str, values: typing.Mapping[str, bytes | None]
+    ) -> None:
+        """Write rows of a table; ``None`` removes a row."""
         body = msgspec.json.encode(
             {
                 'expectedRevision': [],
@@ -172,12 +183,30 @@
                         'key': key,
                         'value': base64.b64encode(value).decode(),
                     }
+                    for key, value in values.items()
+                    if value is not None
+                ],
+                'remove': [
+                    {'table': table, 'part': '', 'key': key}
+                    for key, value in values.items()
+                    if value is None
                 ],
-                'remove': [],
             }
         )
         await self._call('POST', '/rows-tx', body)
 
+    async def write_crashes(
+        self, rows: typing.Mapping[str, list[node.CrashRow] | None]
+    ) -> None:
+        """Write or remove rows of the table of crashes, by job id."""
+        await self._write(
+            _CRASH_TABLE,
+            {
+                job_id: None if row is None else _wire.encode_crashes(row)
+                for job_id, row in rows.items()
+            },
+        )
+
     async def put_member(self, member: node.MemberInfo) -> None:
         """Write an instance's entry to the member table."""
         await self._put(
--- a/src/orioleloom/platform/_wire.py
+++ b/src/orioleloom/platform/_wire.py
@@ -157,6 +157,27 @@
         raise WireError(f'member {key!r}: {exc}') from exc
 
 
+# Crashes, in a table that only orioleloom uses
+
+_CRASHES_DECODER = msgspec.json.Decoder(list[node.CrashRow])
+
+
+def encode_crashes(rows: list[node.CrashRow]) -> bytes:
+    """Encode a job's row of the table of crashes."""
+    return msgspec.json.encode(rows)
+
+
+def decode_crashes(key: str, data: bytes) -> list[node.CrashRow]:
+    """Decode a job's row of the table of crashes.
+
+    :raises WireError: the row is invalid
+    """
+    try:
+        return _CRASHES_DECODER.decode(data)
+    except msgspec.MsgspecError as exc:
+        raise WireError(f'crashes {key!r}: {exc}') from exc
+
+
 # Jobs
 
 
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -282,6 +282,7 @@
         self.changed = trio.Event()
         self.is_down = False
         self.n_rows_read = 0
+        self.n_crash_writes = 0
         # Ids of instances whose calls fail.
         self.rejected_instances: set[str] = set()
         self.leader_heartbeat = ''
@@ -304,6 +305,7 @@
         self.routing = _Table(self, 'routing')
         self.workers = _Table(self, 'workers')
         self.members = _Table(self, 'members')
+        self.crashes = _Table(self, 'crashes')
 
     async def call(self) -> None:
         """Simulate the latency and faults of a store call.
@@ -330,6 +332,15 @@
         await self.call()
         self.data.put('members', member.instance_id, member)
 
+    async def write_crashes(
+        self, rows: typing.Mapping[str, list[node.CrashRow] | None]
+    ) -> None:
+        """Write or remove rows of crashes."""
+        await self.call()
+        self.data.n_crash_writes += 1
+        for job_id, row in rows.items():
+            self.data.put('crashes', job_id, row)
+
     async def write_leader_heartbeat(self, heartbeat: str) -> None:
         """Write the leader's heartbeat."""
         await self.call()
@@ -349,6 +360,10 @@
         self.instance_id = instance_id
 
     async def _reach(self, worker_id: str) -> _worker.LeasedWorker:
+        """Return a worker that receives a request.
+
+        :raises RefusedError: the worker refuses connections
+        """
         await trio.sleep(_LATENCY_S)
         worker = self.fleet.workers.get(worker_id)
         if (
@@ -357,10 +372,23 @@
             or not self.fleet.network.reaches(self.instance_id, worker_id)
         ):
             await trio.sleep_forever()
+        if worker.is_closed():
+            raise node.RefusedError(worker_id)
         return worker
 
+    def _check_address(self, info: dispatch.WorkerInfo) -> None:
+        """Check that no other worker uses a worker's address.
+
+        :raises RejectedError: another worker answers there
+        """
+        if self.fleet.world.has_new_worker(info.id, info.address):
+            raise node.RejectedError(dispatch.Rejection.OTHER_INCARNATION)
+
     async def _return_answer(self, worker_id: str) -> None:
-        await self._reach(worker_id)
+        try:
+            await self._reach(worker_id)
+        except node.RefusedError as exc:
+            raise node.ClosedError(worker_id) from exc
 
     async def _late(self, worker: _worker.LeasedWorker) -> None:
         if self.fleet.random_state.random() < worker.late_share:
@@ -370,6 +398,7 @@
 
     async def start(self, command: dispatch.StartRun) -> int:
         await self.fleet.reach_pause_point(self.instance_id, 'start sent')
+        self._check_address(command.worker)
         worker = await self._reach(command.worker.id)
         work = self.fleet.world.task_work[command.key]
 
@@ -393,6 +422,8 @@
                 )
             )
             self.fleet.world.check_duplicate_runs(worker)
+            if rejection is None:
+                self.fleet.schedule_crash(worker, command.key, command.run_id)
             return rejection
 
         if self.fleet.random_state.random() < worker.late_share:
@@ -424,6 +455,7 @@
         wait_s: float,
     ) -> dispatch.WorkerReport:
         await self.fleet.reach_pause_point(self.instance_id, 'report sent')
+        self._check_address(info)
         worker = await self._reach(info.id)
         if self.fleet.random_state.random() < worker.late_share:
             await trio.sleep_forever()
@@ -433,6 +465,8 @@
             raise node.RejectedError(dispatch.Rejection.FENCED)
         deadline_s = now_s + wait_s
         while True:
+            if worker.is_closed():
+                raise node.ClosedError(info.id)
             now_s = trio.current_time()
             worker.advance(now_s)
             if worker.ends or now_s >= deadline_s:
@@ -497,6 +531,8 @@
         self._n_starts = 0
         self.pauses = _Pauses()
         self.starts: list[ExecutedStart] = []
+        # Times of the crashes by tasks.
+        self.crash_log: list[tuple[float, dispatch.TaskKey]] = []
         # Messages between instances, for tests of their cost.
         self.n_frames = 0
         self._data_centres = {
@@ -508,6 +544,52 @@
             )
             self.store.put('workers', worker.info.id, worker.info)
 
+    def schedule_crash(
+        self, worker: _worker.LeasedWorker, key: dispatch.TaskKey, run_id: int
+    ) -> None:
+        """Let a task that was started crash its worker, if it does so."""
+        after_s = self.world.task_work[key].crash_after_s
+        if after_s is None:
+            return
+
+        def crash() -> None:
+            if (key, run_id) in worker.running():
+                self.crash_log.append((trio.current_time(), key))
+                self.crash_worker(worker.info.id, takes_new_id=True)
+
+        self.call_after(after_s, crash)
+
+    def crash_worker(
+        self, worker_id: str, *, takes_new_id: bool = False
+    ) -> None:
+        """Crash a worker, which is back some seconds later.
+
+        :param takes_new_id: whether it comes back as another worker at the
+            same address
+        """
+        worker = self.workers[worker_id]
+        if not worker.is_up:
+            return
+        worker.crash(trio.current_time())
+
+        def bring_back() -> None:
+            if takes_new_id:
+                del self.workers[worker_id]
+                worker.info = worker.info._replace(id=f'{worker_id}+')
+                self.workers[worker.info.id] = worker
+                self.network.set_data_centre(
+                    worker.info.id, worker.info.data_centre
+                )
+            worker.restart(trio.current_time())
+            self.call_after(_world.LIST_LAG_S, update_list)
+
+        def update_list() -> None:
+            if worker.info.id != worker_id:
+                self.store.put('workers', worker_id, None)
+            self.store.put('workers', worker.info.id, worker.info)
+
+        self.call_after(_world.RESTART_DELAY_S, bring_back)
+
     def sync_world_clock(self) -> None:
         """Copy trio's time to the world that checks the invariants."""
         self.world.now_s = trio.current_time()
--- a/src/orioleloom_standins/leased/_world.py
+++ b/src/orioleloom_standins/leased/_world.py
@@ -15,9 +15,9 @@
 # Range of the delay before a late command is executed.
 _LATE_DELAY_RANGE_S = (2.0, 12.0)
 # Time from a crash until the worker is back.
-_RESTART_DELAY_S = 3.2
+RESTART_DELAY_S = 3.2
 # How long a row lags behind what it shows.
-_LIST_LAG_S = 0.8
+LIST_LAG_S = 0.8
 
 
 class Violation(AssertionError):
@@ -446,7 +446,7 @@
             return
         worker.crash(self.now_s)
         self.after(
-            _RESTART_DELAY_S, lambda: self._bring_back(worker, takes_new_id)
+            RESTART_DELAY_S, lambda: self._bring_back(worker, takes_new_id)
         )
 
     def _bring_back(
@@ -458,7 +458,7 @@
             self.workers[worker.info.id] = worker
             self._list(worker, False)
         worker.restart(self.now_s)
-        self.after(_LIST_LAG_S, lambda: self._list(worker, True))
+        self.after(LIST_LAG_S, lambda: self._list(worker, True))
 
     def _list(self, worker: _worker.LeasedWorker, is_listed: bool) -> None:
         worker.is_listed = is_listed
--- a/src/orioleloom_standins/wire/_store.py
+++ b/src/orioleloom_standins/wire/_store.py
@@ -73,6 +73,8 @@
                 fields = msgspec.json.decode(request.body)
                 for row in fields['puts']:
                     self._put(row['table'], row['key'], row['value'])
+                for row in fields['remove']:
+                    self.remove(row['table'], row['key'])
                 self._respond(connection, [])
             case _:
                 connection.respond(404)
