Start nothing on unguarded workers whose free room is not certain

Cause: workers of a service without an admission check start whatever they are told to. The dispatcher placed tasks beside runs of an earlier leader whose size it does not know, on a restarted worker by the capacity of its earlier life, and by a list of workers of any age.

Change: the configuration's admission check reaches the dispatcher. Workers that check their capacity get starts as before, since a rejection costs less than idle room. Given up: while the store is away for longer, unguarded workers get no starts.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -2,6 +2,7 @@
 import math
 import typing
 
+from orioleloom.dispatch import _capacity
 from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _estimates
 from orioleloom.dispatch import _foreign_runs
@@ -113,7 +114,10 @@
         self.jobs: dict[str, _jobs.JobState] = {}
         self.run_times = _estimates.RunTimeEstimator()
         self.crashes = _crashes.CrashLedger()
-        self.placement = _placement.Placement(self.workers, self.crashes)
+        self.capacity = _capacity.CapacityGuard()
+        self.placement = _placement.Placement(
+            self.workers, self.crashes, self.capacity
+        )
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
         self._foreign_runs = _foreign_runs.ForeignRuns()
         self._recent_outcomes: dict[str, tuple[_records.Outcome, float]] = {}
@@ -173,6 +177,7 @@
                     'replaced',
                 )
                 continue
+            worker.listed_life = info.life
             if info.life > worker.info.life:
                 self._begin_incarnation(worker, info, now_s)
                 self._start_polling(worker, now_s)
@@ -253,6 +258,8 @@
             return True
         if self._foreign_runs.has_runs_on(worker_id):
             return True
+        if worker.has_unknown_runs and worker.is_listed:
+            return True
         if worker.n_missed_responses and worker.is_listed:
             return True
         worker.is_polled[loop_index] = False
@@ -348,6 +355,11 @@
                     else _records.LossCause.NOT_LISTED
                 )
                 self._mark_run_lost(run, cause, now_s)
+        worker.has_unknown_runs = any(
+            key not in worker.runs for key in listed_run_ids
+        )
+        if worker.has_unknown_runs:
+            self._start_polling(worker, now_s)
         self._foreign_runs.drop_unlisted(worker_id, listed_run_ids)
         self._release_held_jobs(now_s)
         self._request_placement(now_s)
--- a/src/orioleloom/dispatch/_placement.py
+++ b/src/orioleloom/dispatch/_placement.py
@@ -2,6 +2,7 @@
 import math
 import typing
 
+from orioleloom.dispatch import _capacity
 from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _records
@@ -38,15 +39,18 @@
 
     :param workers: workers by id; the owner updates the dictionary
     :param crashes: tasks under which workers have crashed
+    :param capacity: decides whether the free resources of a worker are certain
     """
 
     def __init__(
         self,
         workers: dict[str, _workers.Worker],
         crashes: _crashes.CrashLedger,
+        capacity: _capacity.CapacityGuard,
     ):
         self.workers = workers
         self.crashes = crashes
+        self.capacity = capacity
         self._workers_by_upstream: dict[str, list[_workers.Worker]] = {}
 
     def refresh_workers(self) -> None:
@@ -88,7 +92,9 @@
 
     def _new_usage(self, now_s: float) -> '_RoundUsage':
         return _RoundUsage(
-            self.crashes, self.crashes.paused_queues(len(self.workers), now_s)
+            self.crashes,
+            self.crashes.paused_queues(len(self.workers), now_s),
+            self.capacity,
         )
 
     def choose_starts(
@@ -200,15 +206,18 @@
 
     :param crashes: tasks under which workers have crashed
     :param paused_queues: queues whose suspects must wait
+    :param capacity: see :class:`Placement`
     """
 
     def __init__(
         self,
         crashes: _crashes.CrashLedger,
         paused_queues: typing.Collection[str],
+        capacity: _capacity.CapacityGuard,
     ) -> None:
         self.crashes = crashes
         self.paused_queues = paused_queues
+        self.capacity = capacity
         self._suspect_worker_ids: set[str] = set()
         self._free: dict[str, _records.Resources] = {}
         self.n_started: dict[str, int] = {}
@@ -369,6 +378,8 @@
             return False
         if worker.n_suspensions and self.usage.n_started.get(worker.id):
             return False
+        if not self.usage.capacity.may_start(worker, self.now_s):
+            return False
         if self.usage.blocks(task, worker):
             return False
         if step.required_label and (
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -92,6 +92,12 @@
         self.is_known = False
         self.is_listed = True
         self.delisted_s = math.inf
+        # The newest report shows runs that are not in ``runs``, so that the
+        # resources which they take are unknown.
+        self.has_unknown_runs = False
+        # Incarnation in the worker's entry of the list. Its capacity may
+        # differ from that of a later one.
+        self.listed_life = info.life
         # Whether each of the two polling loops is active.
         self.is_polled = [False, False]
         # Difference between the worker's clock and ours, in seconds.
@@ -135,6 +141,7 @@
         """Reset the state that ends with the previous incarnation."""
         self.update_info(info)
         self.is_known = False
+        self.has_unknown_runs = False
         self.newest_report_ms = 0
         self.acked_through = 0
         self.n_missed_responses = 0
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -137,6 +137,13 @@
         self._nursery: trio.Nursery | None = None
         self._effects_available = trio.Event()
 
+    def use_routing(self, routing: _ports.Routing) -> None:
+        """Use a configuration."""
+        self.routing_version = routing.version
+        self.dispatcher.capacity.unguarded_upstreams = frozenset(
+            routing.unguarded_upstreams
+        )
+
     async def run(self) -> None:
         """Process the dispatcher's effects until :meth:`close`."""
         with self._cancel_scope:
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -352,7 +352,7 @@
             return
         self.routing = newest
         if self.leader is not None:
-            self.leader.routing_version = newest.version
+            self.leader.use_routing(newest)
         _log.log(
             'configuration_in_force',
             version=newest.version,
@@ -647,7 +647,8 @@
             n_workers=len(self._workers),
             workers_age_s=round(now_s - self.worker_watch.last_success_s, 3),
         )
-        leader.routing_version = self.routing.version if self.routing else 0
+        if self.routing is not None:
+            leader.use_routing(self.routing)
         self._nursery.start_soon(leader.run)
         self._crashes.drop_old(now_s)
         leader.dispatcher.add_crashes(self._crashes.records(now_s), now_s)
@@ -749,6 +750,9 @@
         ):
             self._probe_peers(now_s)
         if self.leader is not None:
+            self.leader.dispatcher.capacity.list_read_s = (
+                self.worker_watch.last_success_s
+            )
             self.leader.tick(now_s)
         self._expire_pending(now_s)
 
--- a/src/orioleloom/node/_ports.py
+++ b/src/orioleloom/node/_ports.py
@@ -32,11 +32,14 @@
     :param version: increases with each change
     :param limits: limits on callers' requests, or ``None`` to keep the
         current ones
+    :param unguarded_upstreams: groups of workers that do not reject runs which
+        exceed their capacity
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: IngressLimits | None = None
+    unguarded_upstreams: tuple[str, ...] = ()
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, if any."""
--- a/src/orioleloom/platform/_wire.py
+++ b/src/orioleloom/platform/_wire.py
@@ -39,9 +39,16 @@
     idle_timeout_ms: float = 15_000
 
 
+class _ServiceFields(msgspec.Struct, rename='camel'):
+    name: str = ''
+    # The service's workers reject what does not fit.
+    admission_check: bool = False
+
+
 class _ConfigurationFields(msgspec.Struct):
     version: int
     routes: list[_RouteFields] = []
+    services: list[_ServiceFields] = []
     limits: _IngressFields | None = None
 
 
@@ -84,6 +91,11 @@
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
         ),
+        tuple(
+            service.name
+            for service in fields.services
+            if not service.admission_check
+        ),
     )
 
 
--- a/src/orioleloom_standins/leased/_worker.py
+++ b/src/orioleloom_standins/leased/_worker.py
@@ -59,6 +59,8 @@
         self.checks_capacity = True
         self.n_starts_over_capacity = 0
         self.n_crashes = 0
+        self._earlier_capacity = info.capacity
+        self._earlier_until_s = 0.0
         self.fails_all = False
         self.late_share = 0.0
         self.slowdown = 1.0
@@ -91,8 +93,16 @@
         """Return whether connections are closed and refused."""
         return self.is_reset or not self.is_up
 
-    def set_capacity(self, capacity: dispatch.Resources) -> None:
-        """Shrink or grow the capacity; runs go on in any case."""
+    def set_capacity(
+        self, capacity: dispatch.Resources, now_s: float, notice_s: float
+    ) -> None:
+        """Shrink or grow the capacity; runs go on in any case.
+
+        :param notice_s: time in which starts may still count on the earlier
+            capacity
+        """
+        self._earlier_capacity = self.info.capacity
+        self._earlier_until_s = now_s + notice_s
         self.info = self.info._replace(capacity=capacity)
 
     def slow_down(self, factor: float, now_s: float) -> None:
@@ -185,7 +195,10 @@
         if not self.info.capacity.can_fit(used.add(room)):
             if self.checks_capacity:
                 return dispatch.Rejection.NO_ROOM
-            self.n_starts_over_capacity += 1
+            if now_s > self._earlier_until_s or (
+                not self._earlier_capacity.can_fit(used.add(room))
+            ):
+                self.n_starts_over_capacity += 1
         self.highest_run_ids[command.key] = command.run_id
         fails = self.fails_all or is_poison
         duration_s = work_s / self.speed
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -9,6 +9,7 @@
 import pytest
 
 from orioleloom import dispatch
+from orioleloom import node
 from orioleloom.platform import _wire
 
 QUEUE = dispatch.Queue('q', 'pool')
@@ -141,6 +142,43 @@
     assert routing.find('other', '/p/') is None
 
 
+def test_services_that_do_not_check_their_capacity():
+    """Fields that are false may be left out on the wire."""
+    services = [
+        {'name': 'pool', 'admissionCheck': True},
+        {'name': 'bulk', 'admissionCheck': False},
+        {'name': 'rest'},
+    ]
+    routing = _wire.decode_configuration(
+        json.dumps({**CONFIGURATION, 'services': services}).encode()
+    )
+    assert routing.unguarded_upstreams == ('bulk', 'rest')
+
+
+def test_row_of_crashes_is_read_as_it_was_written():
+    rows = [
+        node.CrashRow(
+            dispatch.TaskKey('a' * 16, 0, 1),
+            'i-1',
+            7,
+            '10.0.0.1:80',
+            True,
+            1.5,
+        )
+    ]
+    assert _wire.decode_crashes('job', _wire.encode_crashes(rows)) == rows
+
+
+@pytest.mark.parametrize(
+    'data',
+    [b'', b'{}', b'[[]]', b'[[["a", 0], "i", 7, "x", true, 1]]', b'\xff'],
+)
+def test_invalid_row_of_crashes_is_rejected(data):
+    """Tables may contain rows of other writers."""
+    with pytest.raises(_wire.WireError):
+        _wire.decode_crashes('job', data)
+
+
 def test_longest_prefix_selects_the_route():
     routes = [
         {**ROUTE, 'name': 'short', 'pathPrefix': '/p/'},
