--- a/src/orioleloom_standins/leased/__init__.py
+++ b/src/orioleloom_standins/leased/__init__.py
@@ -11,6 +11,7 @@
 from orioleloom_standins.leased._fleet import PlannedPause
 from orioleloom_standins.leased._fleet import seed_scheduler
 from orioleloom_standins.leased._history import HistoryReport
+from orioleloom_standins.leased._history import LimitError
 from orioleloom_standins.leased._history import run_history
 from orioleloom_standins.leased._history import run_pause
 from orioleloom_standins.leased._history import UnservedError
@@ -25,6 +26,7 @@
 
 __all__ = [
     'HistoryReport',
+    'LimitError',
     'UnservedError',
     'run_history',
     'run_pause',
--- a/src/orioleloom_standins/leased/_history.py
+++ b/src/orioleloom_standins/leased/_history.py
@@ -20,6 +20,10 @@
 _GRACE_S = 3.0
 # Interval between the stops of two instances in a rolling stop.
 _ROLLING_STOP_INTERVAL_S = 1.5
+# Share of the jobs with a task that crashes its workers, if there are any.
+_DEADLY_SHARE = 0.04
+# Time after a change of capacity in which starts may still exceed it.
+_CAPACITY_NOTICE_S = 4.5
 _QUEUE = dispatch.Queue('lookup', 'pool', 1, 3, 1.6, 0.06)
 
 
@@ -38,9 +42,15 @@
 
 class _History:
     def __init__(
-        self, fleet: _fleet.Fleet, rng: random.Random, *, has_stops: bool
+        self,
+        fleet: _fleet.Fleet,
+        rng: random.Random,
+        *,
+        has_stops: bool,
+        has_crashes: bool = False,
     ):
         self.has_stops = has_stops
+        self.has_crashes = has_crashes
         self.fleet = fleet
         self.rng = rng
         self.faults: list[str] = []
@@ -48,6 +58,7 @@
         # Unanswered jobs by id, with the id of the instance that holds each.
         self.waiting: dict[str, tuple[dispatch.Job, list[float], str]] = {}
         self.outcomes: dict[str, dispatch.Outcome] = {}
+        self.is_recovering = False
         self.start_s = trio.current_time()
 
     def log_fault(self, text: str) -> None:
@@ -76,8 +87,17 @@
             )
             self.n_jobs += 1
             self.fleet.world.declare(job, [work_s] * n_tasks)
+            if self.has_crashes and not self.is_recovering:
+                self._let_some_crash(job, work_s)
             self.send(job)
 
+    def _let_some_crash(self, job: dispatch.Job, work_s: float) -> None:
+        if self.rng.random() < _DEADLY_SHARE:
+            self.fleet.world.set_crashing(
+                dispatch.TaskKey(job.id, 0, 0),
+                self.rng.uniform(0.0, work_s),
+            )
+
     async def cancel_some_jobs(self, duration_s: float) -> None:
         """Let callers leave while their jobs run."""
         end_s = trio.current_time() + duration_s
@@ -171,6 +191,12 @@
                 self._rolling_stop,
                 self._clock_jumps,
             )
+        if self.has_crashes:
+            actions += (
+                self._worker_crashes,
+                self._workers_reset,
+                self._capacity_changes,
+            )
         while True:
             await trio.sleep(self.rng.expovariate(0.8))
             if trio.current_time() >= end_s:
@@ -289,6 +315,49 @@
         worker.restart(trio.current_time())
         self.fleet.store.put('workers', worker.info.id, worker.info)
 
+    def _worker_crashes(self, for_s: float) -> None:
+        worker = self._any_worker()
+        takes_new_id = self.rng.random() < 0.5
+        self.log_fault(f'worker {worker.info.id} crashes')
+        self.fleet.crash_worker(worker.info.id, takes_new_id=takes_new_id)
+
+    def _workers_reset(self, for_s: float) -> None:
+        workers = self.rng.sample(list(self.fleet.workers.values()), 3)
+        names = [worker.info.id for worker in workers]
+        self.log_fault(f'cut with reset of {names} for {for_s:.1f}')
+        for worker in workers:
+            worker.is_reset = True
+
+        def end() -> None:
+            for worker in workers:
+                worker.is_reset = False
+
+        self.fleet.call_after(for_s, end)
+
+    def _capacity_changes(self, for_s: float) -> None:
+        worker = self._any_worker()
+        self.log_fault(f'capacity of {worker.info.id} changes')
+        full = worker.info.capacity
+
+        def change(cpu_millicores: int) -> None:
+            worker.set_capacity(
+                full._replace(cpu_millicores=cpu_millicores),
+                trio.current_time(),
+                _CAPACITY_NOTICE_S,
+            )
+            self.fleet.call_after(
+                0.8,
+                lambda: (
+                    worker.is_up
+                    and self.fleet.store.put(
+                        'workers', worker.info.id, worker.info
+                    )
+                ),
+            )
+
+        change(self.rng.choice((8_000, 12_000)))
+        self.fleet.call_after(for_s, lambda: change(full.cpu_millicores))
+
     def _worker_unreachable(self, for_s: float) -> None:
         worker = self._any_worker()
         self.log_fault(f'worker {worker.info.id} unreachable for {for_s:.1f}')
@@ -325,7 +394,7 @@
         )
 
 
-async def _run(seed: int, has_stops: bool) -> HistoryReport:
+async def _run(seed: int, has_stops: bool, has_crashes: bool) -> HistoryReport:
     rng = random.Random(seed)
     async with trio.open_nursery() as nursery:
         fleet = _fleet.Fleet(
@@ -334,19 +403,28 @@
             ['dc0', 'dc0', 'dc1', 'dc2', 'dc2', 'dc3'],
             random_state=rng,
         )
-        fleet.store.put('routing', 'config', node.Routing(1, ()))
+        routing = node.Routing(1, ())
+        if has_crashes and seed % 2:
+            routing = routing._replace(unguarded_upstreams=('pool',))
+            for worker in fleet.workers.values():
+                worker.checks_capacity = False
+        fleet.store.put('routing', 'config', routing)
         fleet.start()
         await trio.sleep(1.5)
-        history = _History(fleet, rng, has_stops=has_stops)
+        history = _History(
+            fleet, rng, has_stops=has_stops, has_crashes=has_crashes
+        )
         async with trio.open_nursery() as inner:
             inner.start_soon(history.send_jobs, _FAULTS_S)
             inner.start_soon(history.inject_faults, _FAULTS_S)
         await trio.sleep(_RECOVERY_S)
         n_jobs_before = history.n_jobs
+        history.is_recovering = True
         # At this rate the workers have capacity for every job.
         await history.send_jobs(2.0, per_s=4.0)
         await trio.sleep(_RECOVERY_S)
         _check_recovery(seed, history, n_jobs_before)
+        _check_crashes(seed, history)
         nursery.cancel_scope.cancel()
     counts: dict[str, int] = {}
     for outcome in history.outcomes.values():
@@ -379,6 +457,44 @@
         )
 
 
+class LimitError(AssertionError):
+    """A limit on the starts of a task or on a worker was exceeded."""
+
+
+def _check_crashes(seed: int, history: _History) -> None:
+    """Check the starts of deadly tasks and of workers that check nothing.
+
+    :raises LimitError: a task was started three times after three workers
+        have crashed under it, or a start exceeded a worker's capacity
+    """
+    faults = '; '.join(history.faults)
+    fleet = history.fleet
+    crashes_s: dict[dispatch.TaskKey, list[float]] = {}
+    for time_s, key in fleet.crash_log:
+        crashes_s.setdefault(key, []).append(time_s)
+    for key, times_s in crashes_s.items():
+        if len(times_s) < 3:
+            continue
+        n_later = sum(
+            1
+            for start in fleet.starts
+            if start.key == key
+            and start.rejection is None
+            and start.time_s > times_s[2]
+        )
+        if n_later >= 3:
+            raise LimitError(
+                f'seed {seed}: {key} was started {n_later} times after three '
+                f'crashes; {faults}'
+            )
+    for worker in fleet.workers.values():
+        if worker.n_starts_over_capacity:
+            raise LimitError(
+                f'seed {seed}: {worker.n_starts_over_capacity} starts over '
+                f'the capacity of {worker.info.id}; {faults}'
+            )
+
+
 async def _run_pause(seed: int, pause: _fleet.PlannedPause) -> _fleet.Fleet:
     rng = random.Random(seed)
     async with trio.open_nursery() as nursery:
@@ -427,18 +543,26 @@
     )
 
 
-def run_history(seed: int, *, has_stops: bool = False) -> HistoryReport:
+def run_history(
+    seed: int, *, has_stops: bool = False, has_crashes: bool = False
+) -> HistoryReport:
     """Run a fleet under random faults on a mock clock.
 
     :param has_stops: also inject planned stops, rolling stops and wall clock
         errors
+    :param has_crashes: also inject crashes of workers, tasks that cause them,
+        cuts that reset connections and changes of capacity. With odd seeds
+        the workers do not check their capacity.
     :raises Violation: a task ran on two workers at the same time
     :raises UnservedError: the fleet did not recover
+    :raises LimitError: a task crashed too many workers, or a start exceeded
+        the capacity of a worker
     """
     _fleet.seed_scheduler(seed)
     return trio.run(
         _run,
         seed,
         has_stops,
+        has_crashes,
         clock=trio.testing.MockClock(autojump_threshold=0),
     )
