--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -29,6 +29,9 @@
 from orioleloom.dispatch._records import TaskKey
 from orioleloom.dispatch._records import WorkerInfo
 from orioleloom.dispatch._records import WorkerReport
+from orioleloom.dispatch._worker_lists import ListInUse
+from orioleloom.dispatch._worker_lists import WorkerListState
+from orioleloom.dispatch._worker_lists import WorkerListTracker
 
 __all__ = [
     'AnswerJob',
@@ -40,6 +43,7 @@
     'EndKind',
     'Job',
     'OUTCOME_RETENTION_S',
+    'ListInUse',
     'LogDecision',
     'LossCause',
     'Outcome',
@@ -57,6 +61,8 @@
     'Superseded',
     'TaskKey',
     'WorkerInfo',
+    'WorkerListState',
+    'WorkerListTracker',
     'WorkerReport',
     'check_job',
     'latest_useful_start_s',
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -2,6 +2,7 @@
 
 from orioleloom.dispatch import _estimates
 from orioleloom.dispatch import _records
+from orioleloom.dispatch import _worker_lists
 from orioleloom.dispatch import _workers
 
 # A late job is still useful to its caller up to this multiple of the time
@@ -102,6 +103,8 @@
         # since ``handed_over_s``.
         self.held_until_s = 0.0
         self.handed_over_s = 0.0
+        # Workers that the earlier dispatcher used.
+        self.earlier_list = _worker_lists.ListInUse()
         self.expected_s = 0.0
         self.objective_s = 0.0
         self.useful_until_s = 0.0
@@ -132,9 +135,17 @@
             self._is_step_released[number] = True
             self.was_in_placement_round = False
             self.waiting.extend(
-                task for task in self.tasks[number] if not task.is_done
+                task
+                for task in self.tasks[number]
+                if not task.is_done and task.run is None
             )
 
+    def requeue(self, task: TaskState) -> None:
+        """Queue a task again before the others, if its step may run."""
+        if self._is_step_released[task.key.step]:
+            self.waiting.insert(0, task)
+            self.was_in_placement_round = False
+
     def is_done(self) -> bool:
         """Return whether every task has succeeded."""
         return not any(self.n_unfinished_tasks)
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -4,6 +4,7 @@
 simulated minute takes a few seconds.
 """
 
+import bisect
 import collections
 import collections.abc
 import random
@@ -131,6 +132,10 @@
         self._until_s[instance_id] = trio.current_time() + duration_s
         self.on_begin(instance_id)
 
+    def end(self, instance_id: str) -> None:
+        """End the pause of an instance."""
+        self._until_s.pop(instance_id, None)
+
     def is_paused(self, instance_id: str) -> bool:
         """Return whether an instance is paused."""
         return trio.current_time() < self._until_s.get(instance_id, 0.0)
@@ -179,7 +184,7 @@
         super().subscribe(name, interval_s, call_unless_paused, jitter=jitter)
 
 
-class _PeerSocket:
+class PeerSocket:
     """In-memory replacement for :class:`orioleloom.peer_api.PeerSocket`.
 
     Implements only the methods that nodes use.
@@ -243,7 +248,7 @@
             del self.fleet.sockets[self.address]
 
 
-class _Table:
+class Table:
     """One instance's view of a table in the simulated store."""
 
     def __init__(self, store: 'Store', name: str):
@@ -263,26 +268,50 @@
         await self.store.call()
         deadline_s = trio.current_time() + wait_s
         while True:
-            rows = self.store.data.tables.get(self.name, {})
-            changed = {k: v for k, (v, ver) in rows.items() if ver > after}
-            if changed or trio.current_time() >= deadline_s:
+            history = self.store.data.changes.get(self.name, [])
+            first = bisect.bisect_right(
+                history, after, key=lambda c: c.version
+            )
+            if first < len(history) or trio.current_time() >= deadline_s:
+                end = first + self.store.data.max_rows_per_response
+                version = (
+                    self.store.data.version
+                    if end >= len(history)
+                    else history[end - 1].version
+                )
+                changes = history[first:end]
                 await self.store.call()
-                self.store.data.n_rows_read += len(changed)
-                return node.Snapshot(self.store.data.version, changed)
+                self.store.data.n_rows_read += len(changes)
+                return node.Snapshot(
+                    version,
+                    {change.key: change.value for change in changes},
+                    {c.key: c.version for c in changes if c.value is None},
+                )
             with trio.move_on_at(deadline_s):
                 await self.store.data.changed.wait()
 
 
+class _Change(typing.NamedTuple):
+    """A row that was written, or removed if its value is ``None``."""
+
+    version: int
+    key: str
+    value: typing.Any
+
+
 class StoreData:
     """Rows shared by all instances, and faults injected into the store."""
 
     def __init__(self) -> None:
         self.tables: dict[str, dict[str, tuple[typing.Any, int]]] = {}
+        self.changes: dict[str, list[_Change]] = {}
         self.version = 0
         self.changed = trio.Event()
         self.is_down = False
         self.n_rows_read = 0
         self.n_crash_writes = 0
+        # Maximum number of changed rows in one response.
+        self.max_rows_per_response = 500
         # Ids of instances whose calls fail.
         self.rejected_instances: set[str] = set()
         self.leader_heartbeat = ''
@@ -291,6 +320,9 @@
         """Write a row; the value ``None`` deletes it."""
         self.version += 1
         self.tables.setdefault(table, {})[key] = (value, self.version)
+        self.changes.setdefault(table, []).append(
+            _Change(self.version, key, value)
+        )
         self.changed.set()
         self.changed = trio.Event()
 
@@ -302,10 +334,10 @@
         self.data = fleet.store
         self.fleet = fleet
         self.instance_id = instance_id
-        self.routing = _Table(self, 'routing')
-        self.workers = _Table(self, 'workers')
-        self.members = _Table(self, 'members')
-        self.crashes = _Table(self, 'crashes')
+        self.routing = Table(self, 'routing')
+        self.workers = Table(self, 'workers')
+        self.members = Table(self, 'members')
+        self.crashes = Table(self, 'crashes')
 
     async def call(self) -> None:
         """Simulate the latency and faults of a store call.
@@ -518,7 +550,7 @@
         self.random_state = random_state
         self.network = Network()
         self.store = StoreData()
-        self.sockets: dict[str, _PeerSocket] = {}
+        self.sockets: dict[str, PeerSocket] = {}
         self.world = _world.World(workers, random_state)
         self.workers = self.world.workers
         self.nodes: dict[str, node.Node] = {}
@@ -570,7 +602,7 @@
         worker = self.workers[worker_id]
         if not worker.is_up:
             return
-        worker.crash(trio.current_time())
+        worker.crash_process(trio.current_time())
 
         def bring_back() -> None:
             if takes_new_id:
@@ -619,6 +651,15 @@
         for instance_id in instance_ids or self._data_centres:
             self.nursery.start_soon(self._run, instance_id)
 
+    def _new_store(self, instance_id: str) -> Store:
+        return Store(self, instance_id)
+
+    def _new_gateway(self, instance_id: str) -> typing.Any:
+        return _Gateway(self, instance_id)
+
+    def _new_peer_socket(self, instance_id: str, address: str) -> PeerSocket:
+        return PeerSocket(self, instance_id, address)
+
     async def _run(self, instance_id: str) -> None:
         data_centre = self._data_centres[instance_id]
         address = _peer_address(instance_id)
@@ -637,10 +678,10 @@
                     for name in list(self._data_centres)[:_N_SEEDS]
                 ),
             ),
-            store=Store(self, instance_id),
-            gateway=_Gateway(self, instance_id),
+            store=self._new_store(instance_id),
+            gateway=self._new_gateway(instance_id),
             timer_service=service,
-            peer_socket=_PeerSocket(self, instance_id, address),
+            peer_socket=self._new_peer_socket(instance_id, address),
             wall_time=lambda: (
                 _START_UNIX_S
                 + trio.current_time()
--- a/src/orioleloom_standins/leased/_worker.py
+++ b/src/orioleloom_standins/leased/_worker.py
@@ -76,6 +76,13 @@
         self.lease_until_s = now_s
         self.highest_run_ids: dict[dispatch.TaskKey, int] = {}
         self.n_starts = 0
+        # Tasks that were started beside an earlier run here, and its id.
+        self.overlapping_starts: list[tuple[dispatch.TaskKey, int]] = []
+
+    def crash(self) -> None:
+        """End all runs at once and answer nothing until a restart."""
+        self.runs.clear()
+        self.is_reachable = False
 
     def restart(self, now_s: float) -> None:
         """Restart the worker under a new life number and lose all state."""
@@ -83,8 +90,8 @@
         self.is_up = True
         self.reset(now_s)
 
-    def crash(self, now_s: float) -> None:
-        """End everything at once and close all connections."""
+    def crash_process(self, now_s: float) -> None:
+        """End everything at once; the machine closes all connections."""
         self.is_up = False
         self.n_crashes += 1
         self.reset(now_s)
@@ -199,6 +206,8 @@
                 not self._earlier_capacity.can_fit(used.add(room))
             ):
                 self.n_starts_over_capacity += 1
+        if known is not None:
+            self.overlapping_starts.append((command.key, known.run_id))
         self.highest_run_ids[command.key] = command.run_id
         fails = self.fails_all or is_poison
         duration_s = work_s / self.speed
