--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -98,11 +98,14 @@
         # Incarnation in the worker's entry of the list. Its capacity may
         # differ from that of a later one.
         self.listed_life = info.life
-        # Versions of the list of workers that first had and lacked it.
-        self.listed_version = 0
+        # Version of the list of workers that first lacked it.
         self.delisted_version = 0
+        # Runs of other dispatchers that no job has taken over.
+        self.n_foreign_runs = 0
         # All instances in contact know that the worker is in use.
         self.is_acknowledged = True
+        # Latest announcement that did not say so.
+        self.unused_announcement = 0
         # Whether each of the two polling loops is active.
         self.is_polled = [False, False]
         # Difference between the worker's clock and ours, in seconds.
@@ -210,7 +213,8 @@
 
     def can_start_now(self, now_s: float) -> bool:
         """Return whether the worker takes new work now."""
-        if not self.is_usable():
+        if not self.is_usable() or self.n_foreign_runs:
+            # A start would renew the leases of foreign runs.
             return False
         if self.n_suspensions and now_s >= self.suspended_until_s:
             # After a suspension, one run at a time until one succeeds.
