--- a/src/orioleloom_standins/leased/_world.py
+++ b/src/orioleloom_standins/leased/_world.py
@@ -75,6 +75,7 @@
         )
         self.outcomes: dict[str, tuple[dispatch.Outcome, float]] = {}
         self.n_superseded = 0
+        self._n_announcements = 0
         self._tick()
 
     def _tick(self) -> None:
@@ -94,6 +95,11 @@
             },
             self.world.now_s,
         )
+        if self.dispatcher.has_unacknowledged_workers():
+            # There are no other instances that have to know them.
+            self._n_announcements += 1
+            self.dispatcher.announce_workers(self._n_announcements)
+            self.dispatcher.acknowledge_workers(self._n_announcements)
         self.carry_out()
 
     def carry_out(self) -> None:
