--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -1,5 +1,7 @@
 """Dispatch of repeatable jobs to workers that run tasks under leases."""
 
+from orioleloom.dispatch._crashes import CrashLedger
+from orioleloom.dispatch._crashes import CrashRecord
 from orioleloom.dispatch._dispatcher import Dispatcher
 from orioleloom.dispatch._dispatcher import OUTCOME_RETENTION_S
 from orioleloom.dispatch._dispatcher import Settings
@@ -11,6 +13,7 @@
 from orioleloom.dispatch._records import EndKind
 from orioleloom.dispatch._records import Job
 from orioleloom.dispatch._records import LogDecision
+from orioleloom.dispatch._records import LossCause
 from orioleloom.dispatch._records import Outcome
 from orioleloom.dispatch._records import OutcomeKind
 from orioleloom.dispatch._records import PollWorker
@@ -32,6 +35,8 @@
 
 __all__ = [
     'AnswerJob',
+    'CrashLedger',
+    'CrashRecord',
     'Dispatcher',
     'Effect',
     'EndedRun',
@@ -40,6 +45,7 @@
     'OUTCOME_RETENTION_S',
     'ListInUse',
     'LogDecision',
+    'LossCause',
     'Outcome',
     'OutcomeKind',
     'PollWorker',
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -2,6 +2,8 @@
 import math
 import typing
 
+from orioleloom.dispatch import _capacity
+from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _estimates
 from orioleloom.dispatch import _foreign_runs
 from orioleloom.dispatch import _jobs
@@ -65,6 +67,10 @@
 _RETRY_AFTER_S = (1.0, 3.0)
 
 
+def _task_names(keys: typing.Iterable[_records.TaskKey]) -> list[str]:
+    return [f'{key.job_id}.{key.position()}' for key in keys]
+
+
 class Settings(typing.NamedTuple):
     """Settings of a dispatcher.
 
@@ -125,7 +131,11 @@
         self._forgotten_version = 0
         self.jobs: dict[str, _jobs.JobState] = {}
         self.run_times = _estimates.RunTimeEstimator()
-        self.placement = _placement.Placement(self.workers)
+        self.crashes = _crashes.CrashLedger()
+        self.capacity = _capacity.CapacityGuard()
+        self.placement = _placement.Placement(
+            self.workers, self.crashes, self.capacity
+        )
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
         self._foreign_runs = _foreign_runs.ForeignRuns(
             self.workers, earlier_contact_s, now_s
@@ -198,9 +208,17 @@
                     self._withdraw_worker(worker)
                 if is_new:
                     self._start_polling(worker, now_s)
+                    self._log_proof(
+                        self.crashes.prove_replacement(
+                            info.address, worker_id
+                        ),
+                        worker_id,
+                        'replaced',
+                    )
                     continue
+            worker.listed_life = info.life
             if info.life > worker.info.life:
-                self._begin_incarnation(worker, info)
+                self._begin_incarnation(worker, info, now_s)
                 self._start_polling(worker, now_s)
             else:
                 # The list may lag behind the worker's own reports and still
@@ -350,6 +368,10 @@
             return True
         if worker.n_foreign_runs:
             return True
+        if worker.has_unknown_runs and worker.is_listed:
+            return True
+        if self.capacity.needs_report(worker):
+            return True
         if worker.n_missed_responses and worker.is_listed:
             return True
         worker.is_polled[loop_index] = False
@@ -396,9 +418,10 @@
             return
         if report.life > worker.info.life:
             self._begin_incarnation(
-                worker, worker.info._replace(life=report.life)
+                worker, worker.info._replace(life=report.life), now_s
             )
         worker.update_clock(report.clock_ms, now_s)
+        self._refute_crash(worker, now_s)
         self._changed_workers[worker_id] = worker
         worker.confirmed_s = max(worker.confirmed_s, requested_s)
         if worker.n_missed_responses:
@@ -416,6 +439,8 @@
             if end.number <= worker.acked_through:
                 continue
             worker.acked_through = end.number
+            if end.kind in (_records.EndKind.DONE, _records.EndKind.FAILED):
+                self.crashes.clear(end.key, now_s)
             self._handle_run_end(worker, end, now_s)
         if report.clock_ms < worker.newest_report_ms:
             # A newer report was applied already. Runs that this one shows
@@ -436,18 +461,40 @@
             if not run.is_accepted and run.stop_confirmed_s >= requested_s:
                 continue
             if run.key not in listed_run_ids:
-                self._mark_run_lost(run, 'not in report', now_s)
+                cause = (
+                    _records.LossCause.RESTARTED
+                    if 0 < run.life < worker.info.life
+                    else _records.LossCause.NOT_LISTED
+                )
+                self._mark_run_lost(run, cause, now_s)
+        worker.has_unknown_runs = any(
+            key not in worker.runs for key in listed_run_ids
+        )
+        if worker.has_unknown_runs:
+            self._start_polling(worker, now_s)
         self._foreign_runs.drop_unlisted(worker_id, listed_run_ids)
         self._release_held_jobs(now_s)
         self._request_placement(now_s)
 
     def handle_poll_failure(
-        self, worker_id: str, reason: str, now_s: float
+        self,
+        worker_id: str,
+        reason: str,
+        now_s: float,
+        *,
+        is_closed: bool = False,
     ) -> None:
-        """Handle a poll that a worker rejected or did not answer."""
+        """Handle a poll that a worker rejected or did not answer.
+
+        :param is_closed: whether the connection was refused or closed
+        """
         worker = self.workers.get(worker_id)
         if worker is None:
             return
+        if is_closed:
+            self._record_closed(worker, now_s)
+        if reason == _records.Rejection.OTHER_INCARNATION:
+            self._prove_replacement(worker)
         worker.n_missed_responses += 1
         if worker.n_missed_responses == 1:
             self._record_unanswered(now_s)
@@ -455,6 +502,7 @@
                 'worker_silent',
                 worker=worker_id,
                 reason=reason,
+                is_closed=is_closed,
                 n_runs=len(worker.runs),
                 heard_ago_s=round(now_s - worker.last_heard_s, 3)
                 if worker.is_known
@@ -462,7 +510,10 @@
             )
 
     def _begin_incarnation(
-        self, worker: _workers.Worker, info: _records.WorkerInfo
+        self,
+        worker: _workers.Worker,
+        info: _records.WorkerInfo,
+        now_s: float,
     ) -> None:
         """Handle the restart of a worker under the same id.
 
@@ -473,14 +524,21 @@
             self._log(
                 'worker_life_ended', worker=worker.id, reason='restarted'
             )
+            self._record_crash(worker, now_s)
+            self._log_proof(
+                self.crashes.prove_restart(worker.id, info.life),
+                worker.id,
+                'restarted',
+            )
         worker.begin_incarnation(info)
 
-    def _end_incarnation(
-        self, worker: _workers.Worker, reason: str, now_s: float
-    ) -> None:
-        self._log('worker_life_ended', worker=worker.id, reason=reason)
+    def _end_incarnation(self, worker: _workers.Worker, now_s: float) -> None:
+        """Handle the reply of another worker at a worker's address."""
+        self._log('worker_life_ended', worker=worker.id, reason='replaced')
+        self._record_crash(worker, now_s)
+        self._prove_replacement(worker)
         for run in list(worker.runs.values()):
-            self._mark_run_lost(run, reason, now_s)
+            self._mark_run_lost(run, _records.LossCause.REPLACED, now_s)
         self._foreign_runs.drop_unlisted(worker.id, {})
 
     # Runs on workers
@@ -502,7 +560,7 @@
             return
         if run is not None:
             # Another dispatcher has restarted the task.
-            self._mark_run_lost(run, 'replaced by another dispatcher', now_s)
+            self._mark_run_lost(run, _records.LossCause.TAKEN_OVER, now_s)
         # Another dispatcher may just have granted the run a full lease.
         worker.record_lease(self.settings.lease_s, now_s)
         if listed_run.key in self._foreign_runs:
@@ -640,11 +698,12 @@
         self._requeue(task, now_s)
 
     def _mark_run_lost(
-        self, run: _workers.Run, reason: str, now_s: float
+        self, run: _workers.Run, cause: _records.LossCause, now_s: float
     ) -> None:
         """Drop a run that has certainly ended, without a known result."""
         self._release_run(run)
         self.counters['runs_lost'] += 1
+        self.counters[f'runs_lost_{cause}'] += 1
         task = self._tasks.get(run.key)
         if task is not None and task.run is run:
             self._log(
@@ -653,7 +712,7 @@
                 task=run.key.position(),
                 worker=run.worker.id,
                 run=run.run_id,
-                reason=reason,
+                reason=cause,
             )
             self._requeue(task, now_s)
         self._request_placement(now_s)
@@ -812,9 +871,7 @@
                 self._start_polling(worker, now_s)
             case _records.Rejection.OTHER_INCARNATION:
                 worker.is_listed = False
-                self._end_incarnation(
-                    worker, 'worker reports another incarnation', now_s
-                )
+                self._end_incarnation(worker, now_s)
             case _records.Rejection.UNHEALTHY:
                 worker.suspend(now_s)
             case _records.Rejection.REFUSED:
@@ -829,15 +886,20 @@
         run_id: int,
         is_sent: bool,
         now_s: float,
+        *,
+        is_closed: bool = False,
     ) -> None:
         """Handle a start request without a response.
 
         :param is_sent: false if the request was certainly not sent
+        :param is_closed: whether the connection was refused or closed
         """
         run = self._find_run(worker_id, key, run_id)
         self.counters['starts_unanswered'] += 1
         if run is None or run.is_accepted:
             return
+        if is_closed:
+            self._record_closed(run.worker, now_s)
         self._record_unanswered(now_s)
         self._log(
             'start_unanswered',
@@ -846,6 +908,7 @@
             worker=worker_id,
             run=run_id,
             is_sent=is_sent,
+            is_closed=is_closed,
         )
         if not is_sent:
             run.worker.n_missed_responses += 1
@@ -897,7 +960,10 @@
         state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
         # Tasks of an earlier submission may have run, so that this one must
         # not be refused as not run.
-        state.may_have_run_elsewhere = job.id in self._unknown_ended_s
+        state.may_have_run_elsewhere = (
+            job.id in self._unknown_ended_s
+            or self.crashes.has_suspects(job.id)
+        )
         state.set_expected_run_time(_jobs.critical_path_s(job, self.run_times))
         self.jobs[job.id] = state
         self.counters['jobs'] += 1
@@ -1181,6 +1247,13 @@
         self.token = token
         self._paused_instance_ids.update(instance_ids)
 
+    def poll_unguarded_workers(self, now_s: float) -> None:
+        """Request reports after :meth:`raise_token` where starts need them."""
+        self.capacity.token_raised_s = now_s
+        for worker in self.workers.values():
+            if self.capacity.needs_report(worker):
+                self._start_polling(worker, now_s)
+
     def resume_instance(self, instance_id: str, now_s: float) -> None:
         """Resume the jobs of an instance that still uses this dispatcher."""
         if instance_id in self._paused_instance_ids:
@@ -1192,7 +1265,9 @@
         waiting = [
             job
             for job in self.jobs.values()
-            if job.waiting and job.instance_id not in self._paused_instance_ids
+            if job.waiting
+            and job.instance_id not in self._paused_instance_ids
+            and not self.crashes.is_blocked(job.job.id)
         ]
         if not waiting:
             return
@@ -1223,6 +1298,7 @@
             self._drop_unlisted_workers(now_s)
         self._search_all_workers = True
         self._expire_leases(now_s)
+        self._end_blocked_jobs(now_s)
         self._repeat_stops(now_s)
         self._stop_foreign_runs(now_s)
         self._release_held_jobs(now_s)
@@ -1234,11 +1310,136 @@
     def _expire_leases(self, now_s: float) -> None:
         for worker in self.workers.values():
             if worker.runs and now_s > worker.lease_until_s:
+                self._record_crash(worker, now_s)
+                cause = (
+                    _records.LossCause.CRASHED
+                    if worker.closed_s < math.inf
+                    else _records.LossCause.SILENT
+                )
                 for run in list(worker.runs.values()):
-                    self._mark_run_lost(run, 'lease ended', now_s)
+                    self._mark_run_lost(run, cause, now_s)
                 worker.is_known = False
                 self._start_polling(worker, now_s)
 
+    # Crashes of workers
+
+    def _record_closed(self, worker: _workers.Worker, now_s: float) -> None:
+        """Record that a worker closed or refused a connection."""
+        if not worker.record_closed(now_s):
+            return
+        for run in worker.runs.values():
+            if self.crashes.is_suspect(run.key):
+                self.crashes.record_failed_trial(run.queue, now_s)
+
+    def _record_crash(self, worker: _workers.Worker, now_s: float) -> None:
+        """Record a crash if the worker has closed its connections.
+
+        Runs that were started later cannot be the cause.
+        """
+        keys = [
+            run.key
+            for run in worker.runs.values()
+            if run.started_s <= worker.closed_s
+        ]
+        if worker.closed_s == math.inf or not keys:
+            return
+        self.crashes.record(worker.info, keys, now_s)
+        self.counters['worker_crashes'] += 1
+        self._log(
+            'worker_crashed',
+            worker=worker.id,
+            life=worker.info.life,
+            closed_ago_s=round(now_s - worker.closed_s, 3),
+            tasks=_task_names(keys),
+        )
+
+    def _prove_replacement(self, worker: _workers.Worker) -> None:
+        """Prove the crashes of a worker whose address another one has."""
+        self._log_proof(
+            self.crashes.prove_replacement(worker.info.address, ''),
+            worker.id,
+            'replaced',
+        )
+
+    def _log_proof(
+        self, keys: list[_records.TaskKey], worker_id: str, reason: str
+    ) -> None:
+        if keys:
+            self.counters['crashes_proven'] += 1
+            self._log(
+                'crash_proven',
+                worker=worker_id,
+                reason=reason,
+                tasks=_task_names(keys),
+            )
+
+    def _refute_crash(self, worker: _workers.Worker, now_s: float) -> None:
+        keys = self.crashes.refute(worker.id, worker.info.life, now_s)
+        if keys:
+            self.counters['crashes_refuted'] += 1
+            self._log(
+                'crash_refuted',
+                worker=worker.id,
+                life=worker.info.life,
+                tasks=_task_names(keys),
+            )
+
+    def add_crashes(
+        self, records: typing.Iterable[_crashes.CrashRecord], now_s: float
+    ) -> None:
+        """Use an earlier dispatcher's knowledge of crashes."""
+        records = list(records)
+        self.crashes.add_records(records, now_s)
+        ids_by_address = {
+            worker.info.address: worker.id
+            for worker in self.workers.values()
+            if worker.is_listed
+        }
+        for record in records:
+            worker = self.workers.get(record.worker_id)
+            if worker is not None:
+                self._log_proof(
+                    self.crashes.prove_restart(worker.id, worker.info.life),
+                    worker.id,
+                    'restarted',
+                )
+                if (
+                    worker.info.life == record.life
+                    and worker.last_heard_s > now_s - record.age_s
+                ):
+                    self._refute_crash(worker, now_s)
+            new_id = ids_by_address.get(record.address, record.worker_id)
+            if new_id != record.worker_id:
+                self._log_proof(
+                    self.crashes.prove_replacement(record.address, new_id),
+                    new_id,
+                    'replaced',
+                )
+
+    def _end_blocked_jobs(self, now_s: float) -> None:
+        """Stop the jobs with a task that has crashed too many workers.
+
+        They have failed if the crashes are proven. Until then they start
+        nothing, since a crash may still be refuted.
+        """
+        for job_id in self.crashes.blocked_job_ids():
+            job = self.jobs.get(job_id)
+            if job is None:
+                continue
+            if self.crashes.is_condemned(job_id):
+                self._finish_job(
+                    job,
+                    _records.Outcome(
+                        _records.OutcomeKind.FAILED,
+                        self.crashes.reason(job_id),
+                    ),
+                    now_s,
+                )
+                continue
+            for task in job.all_tasks():
+                if task.run is not None:
+                    self._stop_run(task.run, now_s)
+
     def _repeat_stops(self, now_s: float) -> None:
         for run, due_s in list(self._stop_due_s.items()):
             if now_s < due_s:
@@ -1315,11 +1516,19 @@
                     if may_have_started
                     else _records.OutcomeKind.NOT_RUN
                 )
+                reason = (
+                    f'deadline, {self.crashes.reason(job.job.id)}'
+                    if self.crashes.is_blocked(job.job.id)
+                    else 'deadline'
+                )
                 self._finish_job(
                     job,
-                    _records.Outcome(kind, 'deadline', self._retry_after_s()),
+                    _records.Outcome(kind, reason, self._retry_after_s()),
                     now_s,
                 )
+            elif self.crashes.is_blocked(job.job.id):
+                # It is answered as soon as the crashes are proven.
+                continue
             elif not job.n_sent and self._is_too_late(job, now_s):
                 self._finish_job(
                     job,
@@ -1352,6 +1561,7 @@
         return self.random_state.uniform(*_RETRY_AFTER_S)
 
     def _drop_old_results(self, now_s: float) -> None:
+        self.crashes.drop_old(now_s)
         self._foreign_runs.drop_old_completions(now_s)
         for job_id, (_, ended_s) in list(self._recent_outcomes.items()):
             if now_s - ended_s <= OUTCOME_RETENTION_S:
@@ -1369,6 +1579,7 @@
             'age_s': round(now_s - self.created_s, 3),
             'counters': dict(self.counters),
             'n_orphans': len(self._foreign_runs),
+            'suspects': self.crashes.state(),
             'jobs': {
                 job.job.id: {
                     'queue': job.job.queue.name,
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -126,6 +126,8 @@
             earlier_list=earlier_list,
         )
         self.followers: dict[str, Follower] = {}
+        # Jobs whose crashes have changed since they were last written.
+        self.unsaved_crash_job_ids: set[str] = set()
         self.sequence = 0
         # Version of the configuration in force here.
         self.routing_version = 0
@@ -146,6 +148,13 @@
         self._nursery: trio.Nursery | None = None
         self._effects_available = trio.Event()
 
+    def use_routing(self, routing: _ports.Routing | None) -> None:
+        """Use a configuration, or none while none has been read."""
+        self.routing_version = routing.version if routing else 0
+        self.dispatcher.capacity.unguarded_upstreams = (
+            frozenset(routing.unguarded_upstreams) if routing else None
+        )
+
     async def run(self) -> None:
         """Process the dispatcher's effects until :meth:`close`."""
         with self._cancel_scope:
@@ -236,13 +245,19 @@
             dispatcher.handle_start_rejected(
                 *run_args, exc.reason, trio.current_time()
             )
-        except _ports.NotSentError:
+        except _ports.NotSentError as exc:
             dispatcher.handle_start_unanswered(
-                *run_args, False, trio.current_time()
+                *run_args,
+                False,
+                trio.current_time(),
+                is_closed=isinstance(exc, _ports.RefusedError),
             )
-        except (_ports.NoAnswerError, trio.TooSlowError):
+        except (_ports.NoAnswerError, trio.TooSlowError) as exc:
             dispatcher.handle_start_unanswered(
-                *run_args, True, trio.current_time()
+                *run_args,
+                True,
+                trio.current_time(),
+                is_closed=isinstance(exc, _ports.ClosedError),
             )
         except Exception:
             # The request may have been sent.
@@ -335,7 +350,12 @@
         ) as exc:
             reason = f'{type(exc).__name__}: {exc}'
             self.dispatcher.handle_poll_failure(
-                worker_id, reason, trio.current_time()
+                worker_id,
+                reason,
+                trio.current_time(),
+                is_closed=isinstance(
+                    exc, _ports.RefusedError | _ports.ClosedError
+                ),
             )
             self.schedule_effects()
             return False
@@ -439,6 +459,26 @@
                 self.reconnect(member_id)
             self._send_heartbeat(follower, alive, n_unstarted)
 
+    def send_crashes(self, now_s: float) -> None:
+        """Tell the instances that hold the jobs of changed crashes.
+
+        They tell the next leader, also while the store is away.
+        """
+        crashes = self.dispatcher.crashes
+        changed = crashes.take_changed_job_ids()
+        self.unsaved_crash_job_ids |= changed
+        job_ids_by_holder: dict[str, list[str]] = {}
+        for job_id in sorted(changed):
+            job = self.dispatcher.jobs.get(job_id)
+            if job is not None and job.instance_id != self.instance_id:
+                job_ids_by_holder.setdefault(job.instance_id, []).append(
+                    job_id
+                )
+        for instance_id, job_ids in job_ids_by_holder.items():
+            records = crashes.records(now_s, job_ids)
+            if records:
+                self.send(instance_id, _messages.Crashes(records))
+
     def get_or_add_follower(self, member_id: str) -> Follower:
         """Return the state of an instance, creating it if necessary."""
         follower = self.followers.get(member_id)
@@ -644,4 +684,5 @@
         self._token_step = min(2 * self._token_step, _MAX_TOKEN_STEP)
         self._first_sequence_of_token = self.sequence + 1
         self.dispatcher.raise_token(token, self.followers)
+        self.dispatcher.poll_unguarded_workers(now_s)
         _log.log('token_raised', token=self.dispatcher.token)
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -8,6 +8,7 @@
 
 from orioleloom import dispatch
 from orioleloom import leadership
+from orioleloom.node import _crash_rows
 from orioleloom.node import _leader
 from orioleloom.node import _log
 from orioleloom.node import _messages
@@ -197,6 +198,8 @@
         # Results that callers may ask for again elsewhere, if the answer was
         # lost on its way to them, and when they were delivered.
         self._delivered: dict[str, tuple[dispatch.Outcome, float]] = {}
+        # What this instance knows of crashes, for the next leader.
+        self._crashes = dispatch.CrashLedger()
         # Highest fencing token received from any leader.
         self._highest_token = 0
         self._worker_list = dispatch.WorkerListTracker()
@@ -340,6 +343,9 @@
         _log.log('leadership_handed_over', successor=successor_id)
         # The successor's own copy of the workers may be seconds old.
         self._send_tables(successor_id, now_s)
+        crashes = leader.dispatcher.crashes.records(now_s)
+        if crashes:
+            self.send(successor_id, _messages.Crashes(crashes))
         for member_id in leader.instances_in_contact():
             if member_id == successor_id:
                 message = _messages.Handover(
@@ -364,7 +370,7 @@
             return
         self.routing = newest
         if self.leader is not None:
-            self.leader.routing_version = newest.version
+            self.leader.use_routing(newest)
         _log.log(
             'configuration_in_force',
             version=newest.version,
@@ -474,6 +480,8 @@
                 ):
                     pending.assigned_leader = None
                     self._submit_pending(pending, now_s)
+            case _messages.Crashes():
+                self._handle_crashes(message, now_s)
             case _messages.Tables():
                 self._handle_tables(sender_id, message)
             case _messages.Handover():
@@ -553,6 +561,14 @@
             _tables.TableVersion(0),
         )
 
+    def _handle_crashes(
+        self, message: _messages.Crashes, now_s: float
+    ) -> None:
+        self._crashes.drop_old(now_s)
+        self._crashes.add_records(message.records, now_s)
+        if self.leader is not None:
+            self.leader.dispatcher.add_crashes(message.records, now_s)
+
     def _is_routing_stale(self, now_s: float) -> bool:
         """Return whether the store has long not confirmed the routing."""
         return (
@@ -627,6 +643,12 @@
                 else {},
             ),
         )
+        if (sender.instance_id, beat.term) != previous_leader:
+            # Before the jobs that they concern.
+            self._crashes.drop_old(now_s)
+            crashes = self._crashes.records(now_s)
+            if crashes:
+                self.send(sender.instance_id, _messages.Crashes(crashes))
         for pending in list(self.pending.values()):
             if pending.assigned_leader != (sender.instance_id, beat.term):
                 self._submit_pending(pending, now_s)
@@ -690,8 +712,16 @@
             workers_version=self._worker_list.version,
             workers_age_s=round(now_s - self.worker_watch.last_success_s, 3),
         )
-        leader.routing_version = self.routing.version if self.routing else 0
+        leader.use_routing(self.routing)
         self._nursery.start_soon(leader.run)
+        self._crashes.drop_old(now_s)
+        leader.dispatcher.add_crashes(self._crashes.records(now_s), now_s)
+        self._nursery.start_soon(
+            _log.run_guarded,
+            'crash rows',
+            _crash_rows.CrashRows(self.store, self.wall_time).run,
+            leader,
+        )
         leader.dispatcher.add_progress((), self._recent_results(), now_s)
         if handover is not None:
             leader.dispatcher.add_progress(
@@ -723,6 +753,9 @@
             leader.list_in_use,
         )
         leader.close()
+        self._crashes.add_records(
+            leader.dispatcher.crashes.records(now_s), now_s
+        )
         self._worker_watch_scope.cancel()
         self._last_leader_contact_s = now_s
         self._highest_token = max(self._highest_token, leader.dispatcher.token)
@@ -785,6 +818,9 @@
         ):
             self._probe_peers(now_s)
         if self.leader is not None:
+            self.leader.dispatcher.capacity.list_read_s = (
+                self.worker_watch.last_success_s
+            )
             self._confirm_worker_list()
             self.leader.tick(now_s)
         self._expire_pending(now_s)
@@ -885,6 +921,7 @@
             return
         now_s = trio.current_time()
         leader.send_heartbeats(self.peers.members)
+        leader.send_crashes(now_s)
         self._update_successors(leader, now_s)
         successor = leader.find_successor(
             self.settings.rank, now_s, is_stopping=self.is_stopping
--- a/src/orioleloom/node/_ports.py
+++ b/src/orioleloom/node/_ports.py
@@ -32,11 +32,14 @@
     :param version: increases with each change
     :param limits: limits on callers' requests, or ``None`` to keep the
         current ones
+    :param unguarded_upstreams: groups of workers that do not reject runs which
+        exceed their capacity
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: IngressLimits | None = None
+    unguarded_upstreams: tuple[str, ...] = ()
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, if any."""
@@ -64,6 +67,20 @@
     rank: float = 0.0
 
 
+class CrashRow(typing.NamedTuple):
+    """A crash of a worker under a task, as :class:`dispatch.CrashRecord`.
+
+    :param crashed_unix_s: Unix time of the crash, in seconds
+    """
+
+    key: dispatch.TaskKey
+    worker_id: str
+    life: int
+    address: str
+    is_proven: bool
+    crashed_unix_s: float
+
+
 class StoreError(Exception):
     """A call to the store failed or was not answered."""
 
@@ -112,6 +129,17 @@
     routing: Table[Routing]
     workers: Table[dispatch.WorkerInfo]
     members: Table[MemberInfo]
+    # By job id.
+    crashes: Table[list[CrashRow]]
+
+    async def write_crashes(
+        self, rows: typing.Mapping[str, list[CrashRow] | None]
+    ) -> None:
+        """Write crashes under the tasks of jobs, by job id.
+
+        :param rows: ``None`` removes a row; at most 100
+        :raises StoreError: the call failed
+        """
 
     async def put_member(self, member: MemberInfo) -> None:
         """Write this instance's entry to the member table."""
@@ -127,10 +155,18 @@
     """A command was not sent, so it was not executed."""
 
 
+class RefusedError(NotSentError):
+    """A worker's address refused the connection for a command."""
+
+
 class NoAnswerError(Exception):
     """A command was not answered and may have been executed."""
 
 
+class ClosedError(NoAnswerError):
+    """A worker closed or reset the connection instead of an answer."""
+
+
 class RejectedError(Exception):
     """A worker rejected a command."""
 
@@ -140,7 +176,11 @@
 
 
 class WorkerGateway(typing.Protocol):
-    """Client of the workers. Callers apply their own timeouts."""
+    """Client of the workers. Callers apply their own timeouts.
+
+    Each method may raise :class:`RefusedError` and :class:`ClosedError` for
+    the errors that they are a kind of.
+    """
 
     async def start(self, command: dispatch.StartRun) -> int:
         """Start a run and return the worker's clock, in milliseconds.
--- a/src/orioleloom/platform/_wire.py
+++ b/src/orioleloom/platform/_wire.py
@@ -39,9 +39,16 @@
     idle_timeout_ms: float = 15_000
 
 
+class _ServiceFields(msgspec.Struct, rename='camel'):
+    name: str = ''
+    # The service's workers reject what does not fit.
+    admission_check: bool = False
+
+
 class _ConfigurationFields(msgspec.Struct):
     version: int
     routes: list[_RouteFields] = []
+    services: list[_ServiceFields] = []
     limits: _IngressFields | None = None
 
 
@@ -84,6 +91,11 @@
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
         ),
+        tuple(
+            service.name
+            for service in fields.services
+            if not service.admission_check
+        ),
     )
 
 
@@ -157,6 +169,27 @@
         raise WireError(f'member {key!r}: {exc}') from exc
 
 
+# Crashes, in a table that only orioleloom uses
+
+_CRASHES_DECODER = msgspec.json.Decoder(list[node.CrashRow])
+
+
+def encode_crashes(rows: list[node.CrashRow]) -> bytes:
+    """Encode a job's row of the table of crashes."""
+    return msgspec.json.encode(rows)
+
+
+def decode_crashes(key: str, data: bytes) -> list[node.CrashRow]:
+    """Decode a job's row of the table of crashes.
+
+    :raises WireError: the row is invalid
+    """
+    try:
+        return _CRASHES_DECODER.decode(data)
+    except msgspec.MsgspecError as exc:
+        raise WireError(f'crashes {key!r}: {exc}') from exc
+
+
 # Jobs
 
 
--- a/src/orioleloom_standins/leased/_worker.py
+++ b/src/orioleloom_standins/leased/_worker.py
@@ -49,6 +49,18 @@
         self.clock_rate = clock_rate
         # Faults that tests inject.
         self.is_reachable = True
+        # Connections are closed and refused, while the worker runs on.
+        self.is_reset = False
+        # False from a crash until the worker is started again.
+        self.is_up = True
+        self.is_listed = True
+        # Rejects starts that exceed the capacity. One that does not check it
+        # counts them.
+        self.checks_capacity = True
+        self.n_starts_over_capacity = 0
+        self.n_crashes = 0
+        self._earlier_capacity = info.capacity
+        self._earlier_until_s = 0.0
         self.fails_all = False
         self.late_share = 0.0
         self.slowdown = 1.0
@@ -75,8 +87,31 @@
     def restart(self, now_s: float) -> None:
         """Restart the worker under a new life number and lose all state."""
         self.info = self.info._replace(life=self.info.life + 1)
+        self.is_up = True
         self.reset(now_s)
 
+    def crash_process(self, now_s: float) -> None:
+        """End everything at once; the machine closes all connections."""
+        self.is_up = False
+        self.n_crashes += 1
+        self.reset(now_s)
+
+    def is_closed(self) -> bool:
+        """Return whether connections are closed and refused."""
+        return self.is_reset or not self.is_up
+
+    def set_capacity(
+        self, capacity: dispatch.Resources, now_s: float, notice_s: float
+    ) -> None:
+        """Shrink or grow the capacity; runs go on in any case.
+
+        :param notice_s: time in which starts may still count on the earlier
+            capacity
+        """
+        self._earlier_capacity = self.info.capacity
+        self._earlier_until_s = now_s + notice_s
+        self.info = self.info._replace(capacity=capacity)
+
     def slow_down(self, factor: float, now_s: float) -> None:
         """Multiply the duration of current and future runs.
 
@@ -165,7 +200,12 @@
             used = used.add(run.room)
         self._extend_lease(command.expires_ms, now_s)
         if not self.info.capacity.can_fit(used.add(room)):
-            return dispatch.Rejection.NO_ROOM
+            if self.checks_capacity:
+                return dispatch.Rejection.NO_ROOM
+            if now_s > self._earlier_until_s or (
+                not self._earlier_capacity.can_fit(used.add(room))
+            ):
+                self.n_starts_over_capacity += 1
         if known is not None:
             self.overlapping_starts.append((command.key, known.run_id))
         self.highest_run_ids[command.key] = command.run_id
