Hold new jobs of a new leader only while they may run elsewhere

Cause: the hold of jobs that nobody hands over waited for every listed worker, also for dead ones that had runs when the earlier leader was last heard, and held jobs that can't have been submitted before.

Change: heartbeats name all workers that do not respond, and the jobs with runs on them; only these jobs wait for such a worker. A job that arrived less than 0.6 s after the last contact is not held: the caller of a failed instance submits it again after 1.3 s, and a leader that is active 0.7 s after the failure has stopped the runs.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -33,8 +33,14 @@
 # the job again, usually after 1.3 s.
 OUTCOME_RETENTION_S = 5.0
 
-# Leases from before this dispatcher was created have ended after this time.
-_MAX_LEASE_LEFT_S = 1.1
+# The same for jobs that nobody hands over, which callers may have submitted
+# before, to an instance that has failed. The last contact with the earlier
+# dispatcher is up to 0.1 s before its end, and its leases last 1.07 s.
+_START_HOLD_S = 1.2
+# Such a job arrives at least this long after the last contact. Callers submit
+# it 1.3 s after the failure of the instance, and a dispatcher that is active
+# 0.7 s after that has stopped the runs.
+_MIN_RESUBMISSION_S = 0.6
 
 # How long a handed over job is tried after it was held back, if it is late by
 # then.
@@ -159,9 +165,8 @@
         self._held_job_ids: set[str] = set()
         # Jobs that are new here are held back, too, at first: their callers
         # may have submitted them before, at an instance that has failed.
-        self._start_held_until_s = min(
-            earlier_contact_s + _HANDOVER_HOLD_S, now_s + _MAX_LEASE_LEFT_S
-        )
+        self._start_held_until_s = earlier_contact_s + _START_HOLD_S
+        self._resubmissions_from_s = earlier_contact_s + _MIN_RESUBMISSION_S
         self._earlier_list = earlier_list or _worker_lists.LISTED_WORKERS
         self._next_fleet_scan_s = now_s
         # Instances that may now belong to another dispatcher.
@@ -287,19 +292,21 @@
         self._announcement = number
         unlisted: set[str] = set()
         unused: set[str] = set()
+        uncertain_job_ids: set[str] = set()
         for worker in self.workers.values():
-            is_idle = not worker.runs and not worker.n_foreign_runs
             if not worker.is_listed:
-                if not is_idle:
+                if worker.runs or worker.n_foreign_runs:
                     unlisted.add(worker.id)
-            elif is_idle and worker.is_unresponsive():
+            elif worker.is_unresponsive() and not worker.n_foreign_runs:
                 unused.add(worker.id)
+                uncertain_job_ids.update(key.job_id for key in worker.runs)
                 self._withdraw_worker(worker)
         return _worker_lists.ListInUse(
             self.list_state.version,
             self.list_state.changed_version,
             frozenset(unlisted),
             frozenset(unused),
+            frozenset(uncertain_job_ids),
         )
 
     def has_unacknowledged_workers(self) -> bool:
@@ -974,7 +981,10 @@
             state.may_have_run_elsewhere = True
             state.hold(now_s, last_contact_s + _HANDOVER_HOLD_S, list_in_use)
             self._held_job_ids.add(job.id)
-        elif now_s < self._start_held_until_s:
+        elif (
+            now_s < self._start_held_until_s
+            and arrived_s >= self._resubmissions_from_s
+        ):
             state.hold(
                 self.created_s, self._start_held_until_s, self._earlier_list
             )
@@ -1070,7 +1080,7 @@
         for job in held:
             if self._knows_workers_of(job.earlier_list) and not any(
                 worker.confirmed_s < job.held_since_s
-                and self._may_be_in_use(worker, job.earlier_list)
+                and self._may_run(worker, job)
                 for worker in unconfirmed
             ):
                 if not job.may_have_run_elsewhere:
@@ -1091,12 +1101,14 @@
         )
 
     @staticmethod
-    def _may_be_in_use(
-        worker: _workers.Worker, used: _worker_lists.ListInUse
-    ) -> bool:
-        """Return whether a dispatcher may have used a worker."""
+    def _may_run(worker: _workers.Worker, job: _jobs.JobState) -> bool:
+        """Return whether a worker may run a task for an earlier dispatcher."""
+        used = job.earlier_list
         if worker.is_listed:
-            return worker.id not in used.unused_worker_ids
+            return (
+                worker.id not in used.unused_worker_ids
+                or job.job.id in used.uncertain_job_ids
+            )
         return (
             worker.delisted_version > used.confirmed_version
             or worker.id in used.unlisted_worker_ids
@@ -1130,13 +1142,11 @@
             and now_s - self._last_confirm_poll_s > interval_s
         ):
             self._last_confirm_poll_s = now_s
-            lists = {
-                self.jobs[job_id].earlier_list for job_id in self._held_job_ids
-            }
+            held = [self.jobs[job_id] for job_id in self._held_job_ids]
             self._effects.extend(
                 _records.PollWorkerOnce(worker.id)
                 for worker in unconfirmed
-                if any(self._may_be_in_use(worker, used) for used in lists)
+                if any(self._may_run(worker, job) for job in held)
             )
 
     def _claim_foreign_runs(self, state: _jobs.JobState, now_s: float) -> None:
--- a/src/orioleloom/dispatch/_worker_lists.py
+++ b/src/orioleloom/dispatch/_worker_lists.py
@@ -45,14 +45,16 @@
         the list up to this version; ``UNKNOWN_VERSION`` if it is not known
     :param changed_version: none of them uses a worker that was added later
     :param unlisted_worker_ids: workers with runs that are not in these lists
-    :param unused_worker_ids: workers without runs in all of these lists that
-        do not respond and get no runs before that is announced
+    :param unused_worker_ids: workers in all of these lists that do not
+        respond and get no further runs before that is announced
+    :param uncertain_job_ids: jobs with runs on such workers
     """
 
     confirmed_version: int = UNKNOWN_VERSION
     changed_version: int = UNKNOWN_VERSION
     unlisted_worker_ids: frozenset[str] = frozenset()
     unused_worker_ids: frozenset[str] = frozenset()
+    uncertain_job_ids: frozenset[str] = frozenset()
 
     def merge(self, other: 'ListInUse') -> 'ListInUse':
         """Return what is known of the workers that either one uses."""
@@ -61,6 +63,7 @@
             max(self.changed_version, other.changed_version),
             self.unlisted_worker_ids | other.unlisted_worker_ids,
             self.unused_worker_ids & other.unused_worker_ids,
+            self.uncertain_job_ids | other.uncertain_job_ids,
         )
 
 
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -54,6 +54,8 @@
 # hash of the instance id. Tokens thus increase without a write to the store,
 # and the hash keeps two instances from using the same token.
 _TOKENS_PER_MS = 1000
+# Time that a process takes to start until its node is created.
+_PROCESS_START_S = 0.3
 # Number of recent leaders whose use of workers is remembered, for jobs that
 # are handed over from one of them.
 _MAX_TRACKED_LEADERS = 8
@@ -209,7 +211,8 @@
         self._successors_updated_s = -1e9
         self._last_probe_s = -1e9
         self._last_leader_contact_s = 0.0
-        self._first_search_s = trio.current_time()
+        # Leaders that this process has not heard ended before it was started.
+        self._first_search_s = trio.current_time() - _PROCESS_START_S
         self._is_checking_reachability = False
         self._nursery: trio.Nursery | None = None
         self.routing_watch = _tables.TableWatch(
