Announce workers with runs of an earlier leader

Cause: a leader names the unlisted workers with runs of its own to its followers, so that the next leader asks them. A worker that has left the list and runs a task of an earlier leader was not among them, and a silent one could be named as unused.

Change: runs of any dispatcher count.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -271,9 +271,9 @@
         unused: set[str] = set()
         for worker in self.workers.values():
             if not worker.is_listed:
-                if worker.runs:
+                if self._has_any_runs(worker):
                     unlisted.add(worker.id)
-            elif worker.is_unresponsive() and not worker.runs:
+            elif worker.is_unresponsive() and not self._has_any_runs(worker):
                 unused.add(worker.id)
                 self._withdraw_worker(worker)
         return _worker_lists.ListInUse(
@@ -283,6 +283,11 @@
             frozenset(unused),
         )
 
+    @staticmethod
+    def _has_any_runs(worker: _workers.Worker) -> bool:
+        """Return whether a worker may run tasks of any dispatcher."""
+        return bool(worker.runs or worker.n_foreign_runs)
+
     def has_unacknowledged_workers(self) -> bool:
         """Return whether a worker waits for an acknowledgement."""
         return bool(self._unacknowledged_ids)
