Hold a job that returns to its leader from another one

Cause: an instance that follows another leader for a moment and comes back submits its jobs again, with the time of its last contact and the workers that the other leader used. A leader that still had such a job ignored both, and could start a waiting task that the other one had started. A hold that a second instance asked for replaced the list of workers of the first one.

Change: the job is held like one that is new here. While a job is held, the lists of workers of all its earlier leaders count.

Measured: test_job_that_returns_from_another_dispatcher_is_held fails before the change, test_job_that_returns_while_it_is_held_keeps_its_earlier_list fails with the first part only. tests/dispatch/test_dispatcher.py: 57 passed.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -957,6 +957,11 @@
         if known is not None:
             known.instance_id = instance_id
             known.deadline_s = max(known.deadline_s, deadline_s)
+            if last_contact_s is not None:
+                # The instance has left this dispatcher and returned.
+                self._hold_handed_over(
+                    known, last_contact_s, list_in_use, now_s
+                )
             return
         recent = self._recent_outcomes.get(job.id)
         if recent is not None and recent[0].is_result():
@@ -978,9 +983,7 @@
             self._tasks[task.key] = task
         self._reattach_stopping_runs(state)
         if last_contact_s is not None:
-            state.may_have_run_elsewhere = True
-            state.hold(now_s, last_contact_s + _HANDOVER_HOLD_S, list_in_use)
-            self._held_job_ids.add(job.id)
+            self._hold_handed_over(state, last_contact_s, list_in_use, now_s)
         elif (
             now_s < self._start_held_until_s
             and arrived_s >= self._resubmissions_from_s
@@ -992,6 +995,20 @@
         self._claim_foreign_runs(state, now_s)
         self._request_placement(now_s)
 
+    def _hold_handed_over(
+        self,
+        job: _jobs.JobState,
+        last_contact_s: float,
+        list_in_use: _worker_lists.ListInUse,
+        now_s: float,
+    ) -> None:
+        """Hold a job back that another dispatcher may have started."""
+        if job.job.id in self._held_job_ids:
+            list_in_use = list_in_use.merge(job.earlier_list)
+        job.may_have_run_elsewhere = True
+        job.hold(now_s, last_contact_s + _HANDOVER_HOLD_S, list_in_use)
+        self._held_job_ids.add(job.job.id)
+
     def _reattach_stopping_runs(self, state: _jobs.JobState) -> None:
         """Let a resubmitted job wait for the ends of its earlier runs.
 
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -419,6 +419,53 @@
     assert len(harness.starts()) == 1
 
 
+def test_job_that_returns_from_another_dispatcher_is_held():
+    """Its instance followed another leader for a moment and came back.
+
+    The other one may have started the task that was waiting here.
+    """
+    harness = Harness('w1', 'w2')
+    job = one_step_job(n_tasks=5)
+    harness.submit(job)
+    starts = harness.starts()
+    assert len(starts) == 4
+    harness.now_s += 0.1
+    submit_handed_over(harness, 0, job=job)
+    harness.now_s += 0.01
+    by_worker = {'w1': [], 'w2': []}
+    for start in starts:
+        by_worker[start.worker.id].append(start)
+        harness.accept(start)
+    first, second = by_worker['w1']
+    harness.end(first, running=[second])
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.report(
+        'w2', running=[(run.key, run.run_id) for run in by_worker['w2']]
+    )
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
+def test_job_that_returns_while_it_is_held_keeps_its_earlier_list():
+    """The instance that submits it now does not know what the first one did.
+
+    Guards against a second run beside that on a worker of the first list.
+    """
+    harness = Harness('w1', 'w2')
+    harness.after(1.0)
+    delist(harness, 'w2')
+    submit_handed_over(harness, 4)
+    submit_handed_over(harness, 5)
+    harness.now_s += 0.01
+    harness.report('w1')
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.report('w2')
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
 def test_departed_worker_of_a_new_dispatcher_is_asked():
     """Its run is adopted although the worker was never listed here."""
     harness = Harness('w1')
