Stop late starts in the next life of their worker, too

Cause: a start without an answer is stopped, and the stop keeps it from beginning later. A worker that restarts forgets the stop, the token and the run ids, and its clock begins at zero, so that the expiry of the late start lies ahead. If the platform carries commands out after a restart, which is not known, the run begins beside the one that was started in its place.

When their worker begins another life, it stops each of them there, again until that is confirmed.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -7,6 +7,7 @@
 from orioleloom.dispatch import _estimates
 from orioleloom.dispatch import _foreign_runs
 from orioleloom.dispatch import _jobs
+from orioleloom.dispatch import _late_starts
 from orioleloom.dispatch import _loss_detector
 from orioleloom.dispatch import _placement
 from orioleloom.dispatch import _records
@@ -172,6 +173,7 @@
         # Instances that may now belong to another dispatcher.
         self._paused_instance_ids: set[str] = set()
         self._loss_detector = _loss_detector.LossDetector()
+        self._late_starts = _late_starts.LateStarts()
         self.counters: collections.Counter[str] = collections.Counter()
 
     # Effects and bookkeeping
@@ -538,6 +540,8 @@
                 'restarted',
             )
         worker.begin_incarnation(info)
+        self._late_starts.begin_incarnation(worker.id, now_s)
+        self._stop_late_starts(now_s)
 
     def _end_incarnation(self, worker: _workers.Worker, now_s: float) -> None:
         """Handle the reply of another worker at a worker's address."""
@@ -760,6 +764,7 @@
         self, worker_id: str, key: _records.TaskKey, run_id: int, now_s: float
     ) -> None:
         """Handle a worker's confirmation of a stop request."""
+        self._late_starts.confirm_stop(worker_id, key, run_id)
         run = self._find_run(worker_id, key, run_id)
         if run is not None:
             # The run may take a moment to stop. Only a report that is
@@ -903,7 +908,14 @@
         """
         run = self._find_run(worker_id, key, run_id)
         self.counters['starts_unanswered'] += 1
-        if run is None or run.is_accepted:
+        if run is not None and run.is_accepted:
+            return
+        if is_sent:
+            self._late_starts.record(worker_id, key, run_id, now_s)
+        if run is None:
+            if is_sent:
+                # The worker may have restarted since.
+                self._late_starts.stop(worker_id, key, run_id, now_s)
             return
         if is_closed:
             self._record_closed(run.worker, now_s)
@@ -1472,6 +1484,14 @@
             if now_s < due_s:
                 continue
             self._stop_run(run, now_s)
+        self._stop_late_starts(now_s)
+
+    def _stop_late_starts(self, now_s: float) -> None:
+        """Stop starts of earlier incarnations that may come late."""
+        for worker_id, key, run_id in self._late_starts.take_due_stops(now_s):
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                self._send_stop(worker, key, run_id)
 
     def _move_stragglers(self, now_s: float) -> None:
         for run in _stragglers.find(self.workers.values(), now_s):
