Run the tests of a leader on the virtual clock

Cause: pytest-trio uses a clock only if the test itself requests its fixture. Four tests requested it through the harness, and ran on the real clock. In the failures 7 ms to 1.2 s passed during a sleep of 2 ms; after 0.6 s the leader drops the follower and its jobs.

Change: the tests request the clock, and the harness checks it. No assertion changes.

--- a/tests/node/test_leader.py
+++ b/tests/node/test_leader.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from orioleloom import dispatch
 from orioleloom import leadership
@@ -102,6 +103,8 @@
 
 @pytest.fixture
 async def harness(nursery, autojump_clock):
+    # The clock is used only if the test itself requests it, too.
+    assert isinstance(trio.lowlevel.current_clock(), trio.testing.MockClock)
     harness = Harness(nursery)
     await trio.sleep(0.1)
     harness.leader.send_heartbeats(['e1'])
@@ -109,7 +112,9 @@
     return harness
 
 
-async def test_contact_time_is_that_of_the_answered_heartbeat(harness):
+async def test_contact_time_is_that_of_the_answered_heartbeat(
+    harness, autojump_clock
+):
     """A delayed reply must not extend the contact of a lost follower."""
     leader = harness.leader
     answered = leader.sequence
@@ -126,7 +131,9 @@
     assert leader.get_or_add_follower('e1').is_out_of_contact
 
 
-async def test_reply_to_an_old_heartbeat_does_not_restore_contact(harness):
+async def test_reply_to_an_old_heartbeat_does_not_restore_contact(
+    harness, autojump_clock
+):
     leader = harness.leader
     answered = leader.sequence
     await trio.sleep(0.7)
@@ -142,6 +149,7 @@
 
 async def test_paused_process_starts_no_runs_for_lost_followers(
     harness,
+    autojump_clock,
 ):
     """Guards against running a job that another leader has taken over.
 
@@ -160,7 +168,7 @@
 
 
 async def test_events_of_one_loop_iteration_share_a_placement_round(
-    harness, monkeypatch
+    harness, autojump_clock, monkeypatch
 ):
     """Guards against a placement round for each event of a burst.
 
