Hold jobs on silent workers also after others were released

Cause: when a new leader releases the first job that is new to it, because all workers that its predecessor may still use have reported, it stops holding new jobs. Since the reports that this waits for depend on the job: a job with a run on a worker that the predecessor has named as silent waits for that worker, others do not. If another job was released first, such a job started at once, beside its run on the silent worker.

Change: after that release, jobs that the predecessor has named are held on.

Measured: test_job_on_an_unused_worker_is_held_after_another_was_released fails before the change. tests/dispatch: 138 passed.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -168,6 +168,9 @@
         # may have submitted them before, at an instance that has failed.
         self._start_held_until_s = earlier_contact_s + _START_HOLD_S
         self._resubmissions_from_s = earlier_contact_s + _MIN_RESUBMISSION_S
+        # All workers that the earlier dispatcher may still use have reported,
+        # except those with runs of jobs that it has named.
+        self._has_confirmed_start = False
         self._earlier_list = earlier_list or _worker_lists.LISTED_WORKERS
         self._next_fleet_scan_s = now_s
         # Instances that may now belong to another dispatcher.
@@ -999,6 +1002,10 @@
         elif (
             now_s < self._start_held_until_s
             and arrived_s >= self._resubmissions_from_s
+            and (
+                not self._has_confirmed_start
+                or job.id in self._earlier_list.uncertain_job_ids
+            )
         ):
             state.hold(
                 self.created_s, self._start_held_until_s, self._earlier_list
@@ -1113,7 +1120,7 @@
                 for worker in unconfirmed
             ):
                 if not job.may_have_run_elsewhere:
-                    self._start_held_until_s = -math.inf
+                    self._has_confirmed_start = True
                 job.held_until_s = 0.0
                 self._held_job_ids.discard(job.job.id)
                 self._log_release(job, 'confirmed', now_s)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -551,6 +551,29 @@
     assert {start.key.job_id for start in harness.starts()} == {'b' * 16}
 
 
+def test_job_on_an_unused_worker_is_held_after_another_was_released():
+    """Guards against a second run beside that on a silent worker.
+
+    The reports that release other jobs do not show its run.
+    """
+    harness = new_dispatcher_harness(
+        earlier_contact_s=99.3,
+        earlier_list=dispatch.ListInUse(
+            1,
+            1,
+            unused_worker_ids=frozenset(['w2']),
+            uncertain_job_ids=frozenset(['a' * 16]),
+        ),
+    )
+    harness.submit(one_step_job('b' * 16))
+    harness.report('w1')
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+    harness.submit(one_step_job('a' * 16))
+    harness.after(0.025)
+    assert not harness.starts()
+
+
 def test_worker_announced_as_unused_is_used_after_an_announcement():
     """The next dispatcher would not ask it for its runs."""
     harness = Harness('w1')
