Wait for the report of a worker that has restarted during a hold

Cause: a held job counts a worker that has reported since the handover as one that rejects the earlier leader. If the worker then restarts, it has forgotten the token and accepts commands of the earlier leader, but it still counted.

Change: the next incarnation of a worker must report, too.

Measured: test_handed_over_job_waits_for_a_worker_that_has_restarted_since fails before the change. tests/dispatch: 139 passed.

--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -151,6 +151,8 @@
         self.is_known = False
         self.has_unknown_runs = False
         self.newest_report_ms = 0
+        # It has forgotten the highest token of the previous one.
+        self.confirmed_s = -math.inf
         self.acked_through = 0
         self.n_missed_responses = 0
         self.clear_failures()
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -316,6 +316,26 @@
     assert len(harness.starts()) == 1
 
 
+def test_handed_over_job_waits_for_a_worker_that_has_restarted_since():
+    """Guards against a second run that the earlier dispatcher starts on it.
+
+    The new incarnation has forgotten the token and accepts its commands.
+    """
+    harness = Harness('w1', 'w2')
+    harness.after(1.0)
+    submit_handed_over(harness, 0)
+    harness.now_s += 0.01
+    harness.report('w1')
+    harness.infos['w1'] = worker_info('w1', life=2)
+    harness.dispatcher.set_workers(harness.infos, harness.now_s)
+    harness.report('w2')
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.report('w1', life=2)
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
 def delist(harness, worker_id, **state):
     """Remove a worker from the list, which then has version 5."""
     del harness.infos[worker_id]
