Hold new jobs of a data centre's leader until all leases have ended

Cause: a job that is new to a new leader, and may have been submitted before at an instance that has failed, was released once all workers of its list had reported. The leader of a data centre lists the workers there only, and the earlier leader may have started the job elsewhere. Handed over jobs were not released in this way.

Change: such jobs of a data centre's leader are held until 1.2 s after the last contact with the earlier leader, as when a worker does not report.

Measured: test_new_job_waits_for_workers_outside_the_data_centre fails before the change. tests/dispatch: 140 passed.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1099,14 +1099,10 @@
             elif now_s >= job.held_until_s:
                 self._held_job_ids.discard(job_id)
                 self._log_release(job, 'leases ended', now_s)
-        held = [
-            job
-            for job in map(self.jobs.get, self._held_job_ids)
+        if not self._held_job_ids or not self.is_fleet_wide:
             # The leader of a data centre does not know the workers of others.
-            if self.is_fleet_wide or not job.may_have_run_elsewhere
-        ]
-        if not held:
             return
+        held = [self.jobs[job_id] for job_id in self._held_job_ids]
         newest_s = max(job.held_since_s for job in held)
         unconfirmed = [
             worker
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -707,6 +707,28 @@
     assert len(harness.starts()) == 1
 
 
+def test_new_job_waits_for_workers_outside_the_data_centre():
+    """Guards against a second run of a job that its caller submits again.
+
+    Its first run may be on a worker that is not listed to the leader of one
+    data centre.
+    """
+    harness = new_dispatcher_harness(
+        earlier_contact_s=99.3,
+        earlier_list=dispatch.ListInUse(1, 1),
+        is_fleet_wide=False,
+    )
+    step = dispatch.Step(1, dispatch.Resources(6_800, 64), 1.0)
+    harness.submit(dispatch.Job('a' * 16, QUEUE, 'payload', (step,)))
+    harness.now_s += 0.001
+    harness.report('w1')
+    harness.report('w2')
+    harness.after(0.48)
+    assert not harness.starts()
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
 def test_run_of_an_earlier_dispatcher_is_adopted():
     harness = Harness('w1')
     job = one_step_job()
