Take no jobs from an instance that a leader has not heard yet

Cause: an instance answers the first heartbeat of a leader and submits its jobs with it. If the leader's process is paused in that moment, the reply is too old to count when it is read, but the jobs were taken, since the session had not changed. Instances out of contact do not time out, so that the leader started the jobs however long the pause was, while another one had them.

Change: a leader takes jobs of instances in contact only. An instance whose job was not taken lists it in its next reply and is told that it is unknown.

Measured: test_paused_process_starts_no_runs_for_instances_not_yet_heard fails before the change. tests/node: 114 passed.

--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -595,7 +595,9 @@
     ) -> None:
         """Submit a follower's job to the dispatcher."""
         follower = self.get_or_add_follower(member_id)
-        if message.session != follower.session:
+        if message.session != follower.session or follower.is_out_of_contact:
+            # The instance may follow another leader by now. If it does not,
+            # its next replies name the job.
             return
         contact_s = message.contact_ago_s
         if contact_s is not None and message.token_seen > (
--- a/tests/node/test_leader.py
+++ b/tests/node/test_leader.py
@@ -159,6 +159,25 @@
     assert not leader.dispatcher.jobs
 
 
+async def test_paused_process_starts_no_runs_for_instances_not_yet_heard(
+    nursery, autojump_clock
+):
+    """Guards against running a job that another leader has taken over.
+
+    The process is paused after its first heartbeat. The reply is then too old
+    to count, and the job that came with it is, too.
+    """
+    harness = Harness(nursery)
+    await trio.sleep(0.1)
+    harness.leader.send_heartbeats(['e1'])
+    await trio.sleep(2.0)
+    harness.reply(harness.leader.sequence)
+    harness.submit(1)
+    await trio.sleep(0.1)
+    assert not harness.gateway.starts
+    assert not harness.leader.dispatcher.jobs
+
+
 async def test_events_of_one_loop_iteration_share_a_placement_round(
     harness, monkeypatch
 ):
