Let instances join only with knowledge of the workers in use

Cause: a worker is put in use once all instances in contact have answered a heartbeat that names it. An instance that is not in contact at that moment may join afterwards with a late reply to an earlier heartbeat, together with jobs. If the leader then fails, that instance tells the next one that the worker is unused or not listed, and the next leader does not ask it for its runs.

Change: such a reply does not count. The instance gets the latest heartbeat at once and joins when it has answered that.

Measured: test_instance_that_joins_late_must_know_the_workers_in_use fails before the change. tests/dispatch and tests/node/test_leader.py: 148 passed.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -130,6 +130,9 @@
         self._has_list = False
         # Number of the latest announcement of the workers that are in use.
         self._announcement = 0
+        # Instances that know this announcement, or a later one, know of all
+        # workers that are in use.
+        self.min_known_announcement = 0
         # Workers that get no runs before every instance in contact knows that
         # they are in use.
         self._unacknowledged_ids: set[str] = set()
@@ -331,6 +334,9 @@
             elif number > worker.unused_announcement:
                 self._unacknowledged_ids.discard(worker_id)
                 worker.is_acknowledged = True
+                self.min_known_announcement = max(
+                    self.min_known_announcement, worker.unused_announcement + 1
+                )
                 self._needs_refresh = True
 
     def _start_polling(self, worker: _workers.Worker, now_s: float) -> None:
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -541,6 +541,10 @@
         ):
             return
         if follower.is_out_of_contact:
+            if reply.sequence < self.dispatcher.min_known_announcement:
+                # It does not know yet which workers are in use.
+                self.send_heartbeat(follower)
+                return
             _log.log('follower_joined', peer=member_id)
             follower.joined_s = now_s
         follower.is_out_of_contact = False
--- a/tests/node/test_leader.py
+++ b/tests/node/test_leader.py
@@ -79,20 +79,20 @@
             trio.current_time(),
         )
 
-    def reply(self, sequence, job_ids=()):
-        follower = self.leader.get_or_add_follower('e1')
+    def reply(self, sequence, job_ids=(), member_id='e1'):
+        follower = self.leader.get_or_add_follower(member_id)
         self.leader.handle_heartbeat_reply(
-            'e1',
+            member_id,
             _messages.BeatReply(
                 2, follower.session, sequence, list(job_ids), False
             ),
             trio.current_time(),
         )
 
-    def submit(self, number):
-        follower = self.leader.get_or_add_follower('e1')
+    def submit(self, number, member_id='e1'):
+        follower = self.leader.get_or_add_follower(member_id)
         self.leader.handle_submission(
-            'e1',
+            member_id,
             _messages.SubmitJob(
                 2, follower.session, make_job(number), 0.0, 5.0, None
             ),
@@ -178,6 +178,45 @@
     assert not harness.leader.dispatcher.jobs
 
 
+def announce_as_unused(leader, worker_id):
+    """Send a heartbeat that names a worker as unused."""
+    for _ in range(2):
+        leader.dispatcher.handle_poll_failure(
+            worker_id, 'no answer', trio.current_time()
+        )
+    leader.send_heartbeats(['e1', 'e2'], include_lost=True)
+    assert leader.list_in_use.unused_worker_ids == {worker_id}
+
+
+async def test_instance_that_joins_late_must_know_the_workers_in_use(harness):
+    """Guards against a second run beside that on a worker put in use since.
+
+    The instance would tell the next leader that the worker need not be asked.
+    """
+    leader = harness.leader
+    announce_as_unused(leader, 'w1')
+    unused_sequence = leader.sequence
+    await trio.sleep(0.02)
+    now_s = trio.current_time()
+    leader.dispatcher.handle_report(
+        'w1',
+        dispatch.WorkerReport(int(now_s * 1000), 1, (), ()),
+        now_s,
+        now_s,
+    )
+    leader.send_heartbeats(['e1'])
+    harness.reply(leader.sequence)
+    leader.tick(now_s)
+    harness.reply(unused_sequence, member_id='e2')
+    harness.submit(1, member_id='e2')
+    await trio.sleep(0.01)
+    assert not harness.gateway.starts
+    harness.reply(leader.sequence, member_id='e2')
+    harness.submit(1, member_id='e2')
+    await trio.sleep(0.01)
+    assert len(harness.gateway.starts) == 1
+
+
 async def test_events_of_one_loop_iteration_share_a_placement_round(
     harness, monkeypatch
 ):
