Do not go back to an older list of workers with a late heartbeat

Cause: an instance kept the list of workers of the heartbeat that it received last. When a connection is replaced, an earlier heartbeat of the same leader may be received after a later one, so that a worker that is used since seemed unused. And jobs that are new to a new leader waited for the workers of the leader that was heard last, which a late heartbeat of a former leader may be; counts all leaders of a job, but for handed over jobs only.

Change: a heartbeat with a lower number does not replace the list. New jobs of a new leader wait for the workers of all leaders that were heard within 2 s before the latest one.

--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -59,6 +59,9 @@
 # Number of recent leaders whose use of workers is remembered, for jobs that
 # are handed over from one of them.
 _MAX_TRACKED_LEADERS = 8
+# New jobs of a new leader wait for the workers of all leaders that were heard
+# in this time before the latest heartbeat. Then their leases have ended.
+_EARLIER_LEADERS_S = 2.0
 _RUN_IDS_PER_S = 4
 
 
@@ -83,6 +86,18 @@
     config_apply_s: float = 2.0
 
 
+class _HeardList(typing.NamedTuple):
+    """Workers in use, as a leader's newest heartbeat has named them.
+
+    :param sequence: number of the heartbeat
+    :param heard_s: when a heartbeat of the leader last arrived
+    """
+
+    list_in_use: dispatch.ListInUse
+    sequence: int
+    heard_s: float
+
+
 class PendingJob:
     """A job whose caller is connected to this instance.
 
@@ -206,7 +221,7 @@
         self._highest_token = 0
         self._worker_list = dispatch.WorkerListTracker()
         # Workers that recent leaders have used, by the leader's id and term.
-        self._lists_in_use: dict[tuple[str, int], dispatch.ListInUse] = {}
+        self._lists_in_use: dict[tuple[str, int], _HeardList] = {}
         self._must_update_successors = False
         self._successors_updated_s = -1e9
         self._last_probe_s = -1e9
@@ -605,7 +620,10 @@
         self._leader_session = beat.session
         self._highest_token = max(self._highest_token, beat.token)
         self._record_list_in_use(
-            (sender.instance_id, beat.term), beat.list_in_use
+            (sender.instance_id, beat.term),
+            beat.list_in_use,
+            beat.sequence,
+            now_s,
         )
         self.unstarted_by_queue = beat.n_unstarted
         if (sender.instance_id, beat.term) != previous_leader:
@@ -657,13 +675,42 @@
                 self._submit_pending(pending, now_s)
 
     def _record_list_in_use(
-        self, leader: tuple[str, int], list_in_use: dispatch.ListInUse
+        self,
+        leader: tuple[str, int],
+        list_in_use: dispatch.ListInUse,
+        sequence: int,
+        now_s: float,
     ) -> None:
-        self._lists_in_use.pop(leader, None)
-        self._lists_in_use[leader] = list_in_use
+        earlier = self._lists_in_use.pop(leader, None)
+        if earlier is not None and sequence < earlier.sequence:
+            # A late heartbeat, as when the connection was replaced.
+            list_in_use, sequence, _ = earlier
+        self._lists_in_use[leader] = _HeardList(list_in_use, sequence, now_s)
         while len(self._lists_in_use) > _MAX_TRACKED_LEADERS:
             del self._lists_in_use[next(iter(self._lists_in_use))]
 
+    def _list_of_leader(
+        self, leader: tuple[str, int] | None
+    ) -> dispatch.ListInUse:
+        """Return which workers a leader has used, as far as it is known."""
+        heard = self._lists_in_use.get(leader)
+        return dispatch.ListInUse() if heard is None else heard.list_in_use
+
+    def _list_of_recent_leaders(self) -> dispatch.ListInUse | None:
+        """Return which workers the leader that was last heard has used.
+
+        The late heartbeat of a former leader must not hide what a later one
+        has used.
+        """
+        recent: dispatch.ListInUse | None = None
+        last_heard_s = 0.0
+        for heard in reversed(self._lists_in_use.values()):
+            if recent is None:
+                recent, last_heard_s = heard.list_in_use, heard.heard_s
+            elif heard.heard_s >= last_heard_s - _EARLIER_LEADERS_S:
+                recent = recent.merge(heard.list_in_use)
+        return recent
+
     def _handle_handover(
         self, sender_id: str, message: _messages.Handover, now_s: float
     ) -> None:
@@ -702,7 +749,7 @@
             earlier_contact_s=max(
                 self._last_leader_contact_s, self._first_search_s
             ),
-            earlier_list=next(reversed(self._lists_in_use.values()), None),
+            earlier_list=self._list_of_recent_leaders(),
             now_s=now_s,
             random_state=self.random_state,
         )
@@ -754,6 +801,8 @@
         self._record_list_in_use(
             (self.local_sender.instance_id, leader.term),
             leader.list_in_use,
+            leader.sequence,
+            now_s,
         )
         leader.close()
         self._crashes.add_records(
@@ -1035,9 +1084,7 @@
         contact_s = self._last_leader_contact_s if may_run_elsewhere else None
         if may_run_elsewhere:
             pending.add_earlier_leader(
-                self._lists_in_use.get(
-                    pending.assigned_leader, dispatch.ListInUse()
-                )
+                self._list_of_leader(pending.assigned_leader)
             )
         earlier_list = pending.earlier_list or dispatch.ListInUse()
         if role is leadership.Role.LEADING and self.leader is not None:
