--- a/tests/node/test_leader.py
+++ b/tests/node/test_leader.py
@@ -196,7 +196,9 @@
     assert leader.list_in_use.unused_worker_ids == {worker_id}
 
 
-async def test_instance_that_joins_late_must_know_the_workers_in_use(harness):
+async def test_instance_that_joins_late_must_know_the_workers_in_use(
+    harness, autojump_clock
+):
     """Guards against a second run beside that on a worker put in use since.
 
     The instance would tell the next leader that the worker need not be asked.
