Count leases that late commands renew in the next life of their worker

Cause: a poll names the end of the lease on the worker's clock, which begins at zero in the next life of the worker. A poll without an answer that this life carries out renews the leases there by a full second, without the leader's knowledge. If the worker is out of reach by then, the leader counts its own renewals only and starts the task elsewhere beside the first run. A start that was stopped does the same: a worker takes the expiry also from one that it rejects as old. It is not known whether the platform carries commands out after a restart.

Change: each poll or start of an earlier life that has no answer counts as one more lease, in the order in which they end, until 13 s after it was sent. A run ends with the last of them. Nothing changes for workers that have not restarted within 13 s, and none for those that answer.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -492,14 +492,19 @@
         now_s: float,
         *,
         is_closed: bool = False,
+        renewal_sent_s: float | None = None,
     ) -> None:
         """Handle a poll that a worker rejected or did not answer.
 
         :param is_closed: whether the connection was refused or closed
+        :param renewal_sent_s: when the poll was sent, if it has no answer and
+            may yet renew the leases
         """
         worker = self.workers.get(worker_id)
         if worker is None:
             return
+        if renewal_sent_s is not None:
+            worker.record_unanswered_renewal(renewal_sent_s, now_s)
         if is_closed:
             self._record_closed(worker, now_s)
         if reason == _records.Rejection.OTHER_INCARNATION:
@@ -539,7 +544,7 @@
                 worker.id,
                 'restarted',
             )
-        worker.begin_incarnation(info)
+        worker.begin_incarnation(info, now_s)
         self._late_starts.begin_incarnation(worker.id, now_s)
         self._stop_late_starts(now_s)
 
@@ -912,6 +917,9 @@
             return
         if is_sent:
             self._late_starts.record(worker_id, key, run_id, now_s)
+            if worker_id in self.workers:
+                # It renews the leases even if it is rejected as stopped.
+                self.workers[worker_id].record_unanswered_renewal(now_s, now_s)
         if run is None:
             if is_sent:
                 # The worker may have restarted since.
@@ -1348,7 +1356,9 @@
 
     def _expire_leases(self, now_s: float) -> None:
         for worker in self.workers.values():
-            if worker.runs and now_s > worker.lease_until_s:
+            if worker.runs and worker.have_leases_ended(
+                self.settings.lease_s, now_s
+            ):
                 self._record_crash(worker, now_s)
                 cause = (
                     _records.LossCause.CRASHED
--- a/src/orioleloom/dispatch/_late_starts.py
+++ b/src/orioleloom/dispatch/_late_starts.py
@@ -1,8 +1,6 @@
 from orioleloom.dispatch import _records
+from orioleloom.dispatch import _workers
 
-# How long a start without an answer may still be carried out. The platform
-# carries out such commands up to 12 s later.
-_MAX_DELAY_S = 13.0
 # Interval between stops of one start until the worker confirms one.
 _STOP_INTERVAL_S = 0.175
 
@@ -63,7 +61,7 @@
     def _drop_old(self, now_s: float) -> None:
         for worker_id, starts in list(self._unanswered_s.items()):
             for (key, run_id), sent_s in list(starts.items()):
-                if now_s - sent_s <= _MAX_DELAY_S:
+                if now_s - sent_s <= _workers.MAX_DELAY_S:
                     break
                 del starts[key, run_id]
                 self._stop_due_s.pop((worker_id, key, run_id), None)
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -25,6 +25,14 @@
 # Allowance for the time between the computation of a lease and its arrival at
 # the worker.
 _LEASE_MARGIN_S = 0.05
+# How long a command without an answer may still be carried out. The platform
+# carries out such commands up to 12 s later.
+MAX_DELAY_S = 13.0
+
+
+def _max_lease_s(lease_s: float) -> float:
+    """Return the longest time that a lease may last, on our clock."""
+    return lease_s * (1 + _CLOCK_DRIFT) + _LEASE_MARGIN_S
 
 
 class Run:
@@ -112,6 +120,11 @@
         self.clock_offset_s = 0.0
         # Time on our clock by which all leases of the worker have expired.
         self.lease_until_s = 0.0
+        # When the commands were sent that would renew the leases and have no
+        # answer, the latest ones.
+        self._unanswered_renewals_s: list[float] = []
+        # When the present incarnation was noticed.
+        self._incarnation_since_s = -math.inf
         # The worker's clock in its newest report, in milliseconds.
         self.newest_report_ms = 0
         self.acked_through = 0
@@ -145,9 +158,12 @@
             self.free = info.capacity.subtract(used)
         self.info = info
 
-    def begin_incarnation(self, info: _records.WorkerInfo) -> None:
+    def begin_incarnation(
+        self, info: _records.WorkerInfo, now_s: float
+    ) -> None:
         """Reset the state that ends with the previous incarnation."""
         self.update_info(info)
+        self._incarnation_since_s = now_s
         self.is_known = False
         self.has_unknown_runs = False
         self.newest_report_ms = 0
@@ -168,9 +184,35 @@
 
     def record_lease(self, lease_s: float, now_s: float) -> None:
         """Record a lease that began now or earlier."""
-        until_s = now_s + lease_s * (1 + _CLOCK_DRIFT) + _LEASE_MARGIN_S
+        until_s = now_s + _max_lease_s(lease_s)
         self.lease_until_s = max(self.lease_until_s, until_s)
 
+    def record_unanswered_renewal(self, sent_s: float, now_s: float) -> None:
+        """Record a command without an answer that would renew the leases."""
+        self._unanswered_renewals_s = [
+            earlier_s
+            for earlier_s in self._unanswered_renewals_s
+            if now_s - earlier_s <= MAX_DELAY_S
+        ]
+        self._unanswered_renewals_s.append(sent_s)
+
+    def have_leases_ended(self, lease_s: float, now_s: float) -> bool:
+        """Return whether all leases have ended, also those renewed late.
+
+        A command that an earlier incarnation left unanswered renews the
+        leases if the present one carries it out, since the expiry that it
+        names lies ahead on the new clock. It revives no lease that has
+        ended. In its own incarnation it comes after that expiry.
+        """
+        end_s = self.lease_until_s
+        if now_s <= end_s:
+            return False
+        for sent_s in sorted(self._unanswered_renewals_s):
+            if sent_s < self._incarnation_since_s:
+                latest_s = min(end_s, sent_s + MAX_DELAY_S)
+                end_s = max(end_s, latest_s + _max_lease_s(lease_s))
+        return now_s > end_s
+
     def renew_lease_ms(self, lease_s: float, now_s: float) -> int:
         """Renew the lease and return its expiry on the worker's clock."""
         self.record_lease(lease_s, now_s)
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -327,6 +327,8 @@
         expires_ms, acked_through = self.dispatcher.renew_lease(
             worker_id, requested_s
         )
+        # What a failure without an answer leaves in doubt.
+        renewal_sent_s = None if expires_ms is None else requested_s
         try:
             with trio.fail_after(wait_s + _REPORT_TIMEOUT_MARGIN_S):
                 report = await self.gateway.report(
@@ -356,13 +358,19 @@
                 is_closed=isinstance(
                     exc, _ports.RefusedError | _ports.ClosedError
                 ),
+                renewal_sent_s=None
+                if isinstance(exc, _ports.NotSentError)
+                else renewal_sent_s,
             )
             self.schedule_effects()
             return False
         except Exception:
             _log.log_unexpected_error('report')
             self.dispatcher.handle_poll_failure(
-                worker_id, 'internal error', trio.current_time()
+                worker_id,
+                'internal error',
+                trio.current_time(),
+                renewal_sent_s=renewal_sent_s,
             )
             self.schedule_effects()
             return False
--- a/src/orioleloom_standins/leased/_world.py
+++ b/src/orioleloom_standins/leased/_world.py
@@ -290,7 +290,11 @@
             state['is_open'] = False
             if report is None:
                 self.dispatcher.handle_poll_failure(
-                    worker_id, reason, world.now_s, is_closed=is_closed
+                    worker_id,
+                    reason,
+                    world.now_s,
+                    is_closed=is_closed,
+                    renewal_sent_s=None if expires_ms is None else asked_s,
                 )
             else:
                 self.dispatcher.handle_report(
