Show an end that a late poll acknowledges in the next life of its worker

Cause: a poll without an answer also acknowledges the ends that the leader has received from that life. In the next life, which counts from one again, the worker forgets its first ends. If the leader has not seen one of them, the worker reports neither a run nor an end, and the task starts again after it was done. It is not known whether the platform carries commands out after a restart.

Not fixed: a poll can be made harmless by a higher token only. That would end late starts and late renewals of leases in the next life as well; the followers must know it before the leader uses it.

--- a/tests/node/test_late_polls.py
+++ b/tests/node/test_late_polls.py
@@ -23,6 +23,9 @@
     (dispatch.Step(1, dispatch.Resources(6_800, 64), 20.0),),
 )
 DELAY_S = 4.0
+# A task that takes this long and starts when its worker has restarted ends
+# shortly before the late poll is carried out.
+WORK_S = DELAY_S - 1.0
 
 
 async def start_fleet(nursery, monkeypatch, is_late_after_restart):
@@ -101,3 +104,43 @@
     # A second run would end the simulation with a violation.
     await trio.sleep(DELAY_S)
     assert fleet.workers[other_id].runs
+
+
+@pytest.mark.parametrize('is_late_after_restart', [False, True])
+async def test_end_that_a_late_poll_acknowledges(
+    nursery, autojump_clock, monkeypatch, is_late_after_restart
+):
+    """The late poll reaches the next life while the leader does not.
+
+    It acknowledges an end of the earlier life, and the worker forgets the
+    first end of the next one. Guards against a task that starts again after
+    it was done.
+    """
+    fleet = await start_fleet(nursery, monkeypatch, is_late_after_restart)
+    (leader_id,) = fleet.leaders()
+    dispatcher = fleet.nodes[leader_id].leader.dispatcher
+    first = JOB._replace(id='b' * 16)
+    worker = await submit_on_one_worker(fleet, first, 0.1)
+    await trio.sleep(0.5)
+    assert fleet.outcomes[first.id].kind is dispatch.OutcomeKind.COMPLETED
+    assert dispatcher.workers[worker.info.id].acked_through == 1
+    assert worker is await submit_on_one_worker(fleet, JOB, WORK_S)
+    noticed_s = await leave_one_poll_unanswered(fleet, worker)
+    await trio.sleep(0.5)
+    worker.restart(trio.current_time())
+    fleet.store.put('workers', worker.info.id, worker.info)
+    await trio.sleep_until(noticed_s + DELAY_S - 0.7)
+    assert worker.runs
+    fault = cut(fleet, worker)
+    await trio.sleep_until(noticed_s + DELAY_S)
+    worker.advance(trio.current_time())
+    assert not worker.runs
+    fleet.network.faults.remove(fault)
+    await trio.sleep(DELAY_S + WORK_S)
+    starts = [
+        start
+        for start in fleet.starts
+        if start.key.job_id == JOB.id and start.time_s > noticed_s
+    ]
+    assert len(starts) == 1
+    assert fleet.outcomes[JOB.id].kind is dispatch.OutcomeKind.COMPLETED
