Let the simulated worker renew leases with starts that it rejects as old

Cause: a worker takes the end of the lease also from a start that it rejects as old, and from one of a run that is already there (PROTOCOL.md, "Running tasks"). The simulated worker took it from a start that it rejects for lack of room only, so that runs ended sooner than on the platform.

Change: every start with a sufficient token counts, as in the protocol.

--- a/src/orioleloom_standins/leased/_worker.py
+++ b/src/orioleloom_standins/leased/_worker.py
@@ -188,6 +188,8 @@
             return dispatch.Rejection.OTHER_INCARNATION
         if self._is_fenced(command.token):
             return dispatch.Rejection.FENCED
+        # Also if the start is rejected as stale or for lack of room.
+        self._extend_lease(command.expires_ms, now_s)
         known = self.runs.get(command.key)
         if known is not None and known.run_id == command.run_id:
             return None
@@ -198,7 +200,6 @@
         used = dispatch.Resources(0)
         for run in self.runs.values():
             used = used.add(run.room)
-        self._extend_lease(command.expires_ms, now_s)
         if not self.info.capacity.can_fit(used.add(room)):
             if self.checks_capacity:
                 return dispatch.Rejection.NO_ROOM
