Keep the longer hold of a job that returns while it is held

Cause: since a job that comes back from another leader is held again. A job that was held already got the end of the new hold, also an earlier one: an instance that had lost its earlier leader long ago cut the hold short that the first instance had asked for, whose leader may still lease workers.

Change: the later end counts.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1026,7 +1026,9 @@
         if job.job.id in self._held_job_ids:
             list_in_use = list_in_use.merge(job.earlier_list)
         job.may_have_run_elsewhere = True
-        job.hold(now_s, last_contact_s + _HANDOVER_HOLD_S, list_in_use)
+        # The dispatcher that an earlier hold waits for may lease for longer.
+        until_s = max(job.held_until_s, last_contact_s + _HANDOVER_HOLD_S)
+        job.hold(now_s, until_s, list_in_use)
         self._held_job_ids.add(job.job.id)
 
     def _reattach_stopping_runs(self, state: _jobs.JobState) -> None:
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -466,6 +466,26 @@
     assert len(harness.starts()) == 1
 
 
+def test_job_that_returns_while_it_is_held_is_held_as_long():
+    """The instance that submits it now lost its earlier leader long ago.
+
+    Guards against a second run beside that of the leader which the first
+    instance had contact with, whose leases have not ended.
+    """
+    harness = Harness('w1', 'w2')
+    harness.after(1.0)
+    submit_handed_over(harness, 0)
+    harness.after(0.1)
+    harness.submit(
+        one_step_job(), instance_id='e2', last_contact_s=harness.now_s - 1.7
+    )
+    for seconds in (0.2, 1.4):
+        harness.after(seconds)
+        assert not harness.starts()
+    harness.after(0.2)
+    assert len(harness.starts()) == 1
+
+
 def test_departed_worker_of_a_new_dispatcher_is_asked():
     """Its run is adopted although the worker was never listed here."""
     harness = Harness('w1')
