Let a deadly task of the stand-in crash fast workers, too

Cause: found by more histories with crashes on. The stand-in crashes the worker a fixed time after the start; a worker that is 1.6 times as fast had done the task before, and the end that it reported cleared the count, as it must.

Change: the crash comes before the work is done, whatever the worker's speed.

--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -590,6 +590,8 @@
         after_s = self.world.task_work[key].crash_after_s
         if after_s is None:
             return
+        # A fast worker must not finish the task before.
+        after_s = worker.limit_to_run(key, after_s, trio.current_time())
 
         def crash() -> None:
             if (key, run_id) in worker.running():
--- a/src/orioleloom_standins/leased/_worker.py
+++ b/src/orioleloom_standins/leased/_worker.py
@@ -150,6 +150,12 @@
                 dispatch.EndedRun(self.n_ends, run.key, run.run_id, kind)
             )
 
+    def limit_to_run(
+        self, key: dispatch.TaskKey, after_s: float, now_s: float
+    ) -> float:
+        """Shorten a time so that it passes before a run has done its work."""
+        return min(after_s, 0.9 * (self.runs[key].done_s - now_s))
+
     def next_end_s(self) -> float:
         """Return when the next run ends if no further command arrives."""
         return min(
--- a/src/orioleloom_standins/leased/_world.py
+++ b/src/orioleloom_standins/leased/_world.py
@@ -460,6 +460,8 @@
         after_s = self.task_work[key].crash_after_s
         if after_s is None:
             return
+        # A fast worker must not finish the task before.
+        after_s = worker.limit_to_run(key, after_s, self.now_s)
 
         def crash() -> None:
             if (key, run_id) in worker.running():
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -167,6 +167,17 @@
     assert count_crashes(world) == 2
 
 
+def test_fast_worker_does_not_finish_a_deadly_task():
+    """Guards the stand-in: such a task crashes each worker that starts it."""
+    world, side = world_of()
+    for worker in world.workers.values():
+        worker.speed = 1.6
+    side.submit(deadly_job(world, crash_after_s=0.19), deadline_s=12.0)
+    world.run_until(10.0)
+    assert count_crashes(world) == 2
+    assert side.outcomes[JOB_ID][0].kind is dispatch.OutcomeKind.FAILED
+
+
 def lost_twice(is_cut):
     """Return a world in which two workers stopped under the same task."""
     world, side = world_of()
--- a/tests/leased/test_histories.py
+++ b/tests/leased/test_histories.py
@@ -43,6 +43,8 @@
 CRASH_REGRESSIONS = {
     19: 'start by a report that was older than the raised token',
     27: 'start by a leader that had no configuration yet',
+    # The stand-in let a fast worker finish a task that crashes its workers.
+    126: 'the crashes under a task were forgotten when it was done',
 }
 
 
