--- a/tests/dispatch/test_capacity.py
+++ b/tests/dispatch/test_capacity.py
@@ -164,9 +164,7 @@
     assert not harness.starts()
 
 
-@pytest.mark.parametrize(
-    ('age_s', 'n_starts'), [(2.4, 1), (3.0, 0), (4.5, 0)]
-)
+@pytest.mark.parametrize(('age_s', 'n_starts'), [(2.4, 1), (3.0, 0), (4.5, 0)])
 def test_unguarded_worker_gets_no_start_from_an_old_list(age_s, n_starts):
     """Guards against a capacity that has shrunk while nothing was read.
 
