Close the sockets of a test site after its tasks have ended

Cause: the fixture closed the sockets of the daemons and then cancelled their tasks. A task that was already due to run read from its closed socket. The daemon itself closes them after its tasks.

Change: the fixture waits for the tasks before it closes the sockets. No check changes.

--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -42,23 +42,26 @@
 @pytest.fixture
 async def daemons(site, nursery):
     daemons = []
-    for number in range(1, N_INSTANCES + 1):
-        settings = msgspec.convert(
-            site.settings(number, N_INSTANCES),
-            _settings.PlatformSettings,
-            strict=False,
-        )
-        daemon = _daemon.Daemon(settings)
-        daemons.append(daemon)
-        nursery.start_soon(daemon.run)
-    with trio.fail_after(5):
-        while not all(
-            d.node.is_ready() and d.node.elector.leader_id for d in daemons
-        ):
-            await trio.sleep(0.02)
-    # The leader first requests a report from each worker.
-    await trio.sleep(0.2)
-    yield daemons
+    async with trio.open_nursery() as running:
+        for number in range(1, N_INSTANCES + 1):
+            settings = msgspec.convert(
+                site.settings(number, N_INSTANCES),
+                _settings.PlatformSettings,
+                strict=False,
+            )
+            daemon = _daemon.Daemon(settings)
+            daemons.append(daemon)
+            running.start_soon(daemon.run)
+        with trio.fail_after(5):
+            while not all(
+                d.node.is_ready() and d.node.elector.leader_id for d in daemons
+            ):
+                await trio.sleep(0.02)
+        # The leader first requests a report from each worker.
+        await trio.sleep(0.2)
+        yield daemons
+        running.cancel_scope.cancel()
+    # A task that is about to receive must not find its socket closed.
     for daemon in daemons:
         daemon.node.close()
     nursery.cancel_scope.cancel()
