--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -130,6 +130,9 @@
         self._has_list = False
         # Number of the latest announcement of the workers that are in use.
         self._announcement = 0
+        # Instances that know this announcement, or a later one, know of all
+        # workers that are in use.
+        self.min_known_announcement = 0
         # Workers that get no runs before every instance in contact knows that
         # they are in use.
         self._unacknowledged_ids: set[str] = set()
@@ -168,6 +171,9 @@
         # may have submitted them before, at an instance that has failed.
         self._start_held_until_s = earlier_contact_s + _START_HOLD_S
         self._resubmissions_from_s = earlier_contact_s + _MIN_RESUBMISSION_S
+        # All workers that the earlier dispatcher may still use have reported,
+        # except those with runs of jobs that it has named.
+        self._has_confirmed_start = False
         self._earlier_list = earlier_list or _worker_lists.LISTED_WORKERS
         self._next_fleet_scan_s = now_s
         # Instances that may now belong to another dispatcher.
@@ -328,6 +334,9 @@
             elif number > worker.unused_announcement:
                 self._unacknowledged_ids.discard(worker_id)
                 worker.is_acknowledged = True
+                self.min_known_announcement = max(
+                    self.min_known_announcement, worker.unused_announcement + 1
+                )
                 self._needs_refresh = True
 
     def _start_polling(self, worker: _workers.Worker, now_s: float) -> None:
@@ -999,6 +1008,10 @@
         elif (
             now_s < self._start_held_until_s
             and arrived_s >= self._resubmissions_from_s
+            and (
+                not self._has_confirmed_start
+                or job.id in self._earlier_list.uncertain_job_ids
+            )
         ):
             state.hold(
                 self.created_s, self._start_held_until_s, self._earlier_list
@@ -1092,14 +1105,10 @@
             elif now_s >= job.held_until_s:
                 self._held_job_ids.discard(job_id)
                 self._log_release(job, 'leases ended', now_s)
-        held = [
-            job
-            for job in map(self.jobs.get, self._held_job_ids)
+        if not self._held_job_ids or not self.is_fleet_wide:
             # The leader of a data centre does not know the workers of others.
-            if self.is_fleet_wide or not job.may_have_run_elsewhere
-        ]
-        if not held:
             return
+        held = [self.jobs[job_id] for job_id in self._held_job_ids]
         newest_s = max(job.held_since_s for job in held)
         unconfirmed = [
             worker
@@ -1113,7 +1122,7 @@
                 for worker in unconfirmed
             ):
                 if not job.may_have_run_elsewhere:
-                    self._start_held_until_s = -math.inf
+                    self._has_confirmed_start = True
                 job.held_until_s = 0.0
                 self._held_job_ids.discard(job.job.id)
                 self._log_release(job, 'confirmed', now_s)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -316,6 +316,26 @@
     assert len(harness.starts()) == 1
 
 
+def test_handed_over_job_waits_for_a_worker_that_has_restarted_since():
+    """Guards against a second run that the earlier dispatcher starts on it.
+
+    The new incarnation has forgotten the token and accepts its commands.
+    """
+    harness = Harness('w1', 'w2')
+    harness.after(1.0)
+    submit_handed_over(harness, 0)
+    harness.now_s += 0.01
+    harness.report('w1')
+    harness.infos['w1'] = worker_info('w1', life=2)
+    harness.dispatcher.set_workers(harness.infos, harness.now_s)
+    harness.report('w2')
+    harness.after(0.025)
+    assert not harness.starts()
+    harness.report('w1', life=2)
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
 def delist(harness, worker_id, **state):
     """Remove a worker from the list, which then has version 5."""
     del harness.infos[worker_id]
@@ -551,6 +571,29 @@
     assert {start.key.job_id for start in harness.starts()} == {'b' * 16}
 
 
+def test_job_on_an_unused_worker_is_held_after_another_was_released():
+    """Guards against a second run beside that on a silent worker.
+
+    The reports that release other jobs do not show its run.
+    """
+    harness = new_dispatcher_harness(
+        earlier_contact_s=99.3,
+        earlier_list=dispatch.ListInUse(
+            1,
+            1,
+            unused_worker_ids=frozenset(['w2']),
+            uncertain_job_ids=frozenset(['a' * 16]),
+        ),
+    )
+    harness.submit(one_step_job('b' * 16))
+    harness.report('w1')
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+    harness.submit(one_step_job('a' * 16))
+    harness.after(0.025)
+    assert not harness.starts()
+
+
 def test_worker_announced_as_unused_is_used_after_an_announcement():
     """The next dispatcher would not ask it for its runs."""
     harness = Harness('w1')
@@ -664,6 +707,28 @@
     assert len(harness.starts()) == 1
 
 
+def test_new_job_waits_for_workers_outside_the_data_centre():
+    """Guards against a second run of a job that its caller submits again.
+
+    Its first run may be on a worker that is not listed to the leader of one
+    data centre.
+    """
+    harness = new_dispatcher_harness(
+        earlier_contact_s=99.3,
+        earlier_list=dispatch.ListInUse(1, 1),
+        is_fleet_wide=False,
+    )
+    step = dispatch.Step(1, dispatch.Resources(6_800, 64), 1.0)
+    harness.submit(dispatch.Job('a' * 16, QUEUE, 'payload', (step,)))
+    harness.now_s += 0.001
+    harness.report('w1')
+    harness.report('w2')
+    harness.after(0.48)
+    assert not harness.starts()
+    harness.after(0.025)
+    assert len(harness.starts()) == 1
+
+
 def test_run_of_an_earlier_dispatcher_is_adopted():
     harness = Harness('w1')
     job = one_step_job()
