--- a/tests/node/test_leader.py
+++ b/tests/node/test_leader.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from orioleloom import dispatch
 from orioleloom import leadership
@@ -79,20 +80,20 @@
             trio.current_time(),
         )
 
-    def reply(self, sequence, job_ids=()):
-        follower = self.leader.get_or_add_follower('e1')
+    def reply(self, sequence, job_ids=(), member_id='e1'):
+        follower = self.leader.get_or_add_follower(member_id)
         self.leader.handle_heartbeat_reply(
-            'e1',
+            member_id,
             _messages.BeatReply(
                 2, follower.session, sequence, list(job_ids), False
             ),
             trio.current_time(),
         )
 
-    def submit(self, number):
-        follower = self.leader.get_or_add_follower('e1')
+    def submit(self, number, member_id='e1'):
+        follower = self.leader.get_or_add_follower(member_id)
         self.leader.handle_submission(
-            'e1',
+            member_id,
             _messages.SubmitJob(
                 2, follower.session, make_job(number), 0.0, 5.0, None
             ),
@@ -102,6 +103,8 @@
 
 @pytest.fixture
 async def harness(nursery, autojump_clock):
+    # The clock is used only if the test itself requests it, too.
+    assert isinstance(trio.lowlevel.current_clock(), trio.testing.MockClock)
     harness = Harness(nursery)
     await trio.sleep(0.1)
     harness.leader.send_heartbeats(['e1'])
@@ -109,7 +112,9 @@
     return harness
 
 
-async def test_contact_time_is_that_of_the_answered_heartbeat(harness):
+async def test_contact_time_is_that_of_the_answered_heartbeat(
+    harness, autojump_clock
+):
     """A delayed reply must not extend the contact of a lost follower."""
     leader = harness.leader
     answered = leader.sequence
@@ -126,7 +131,9 @@
     assert leader.get_or_add_follower('e1').is_out_of_contact
 
 
-async def test_reply_to_an_old_heartbeat_does_not_restore_contact(harness):
+async def test_reply_to_an_old_heartbeat_does_not_restore_contact(
+    harness, autojump_clock
+):
     leader = harness.leader
     answered = leader.sequence
     await trio.sleep(0.7)
@@ -142,6 +149,7 @@
 
 async def test_paused_process_starts_no_runs_for_lost_followers(
     harness,
+    autojump_clock,
 ):
     """Guards against running a job that another leader has taken over.
 
@@ -159,8 +167,68 @@
     assert not leader.dispatcher.jobs
 
 
+async def test_paused_process_starts_no_runs_for_instances_not_yet_heard(
+    nursery, autojump_clock
+):
+    """Guards against running a job that another leader has taken over.
+
+    The process is paused after its first heartbeat. The reply is then too old
+    to count, and the job that came with it is, too.
+    """
+    harness = Harness(nursery)
+    await trio.sleep(0.1)
+    harness.leader.send_heartbeats(['e1'])
+    await trio.sleep(2.0)
+    harness.reply(harness.leader.sequence)
+    harness.submit(1)
+    await trio.sleep(0.1)
+    assert not harness.gateway.starts
+    assert not harness.leader.dispatcher.jobs
+
+
+def announce_as_unused(leader, worker_id):
+    """Send a heartbeat that names a worker as unused."""
+    for _ in range(2):
+        leader.dispatcher.handle_poll_failure(
+            worker_id, 'no answer', trio.current_time()
+        )
+    leader.send_heartbeats(['e1', 'e2'], include_lost=True)
+    assert leader.list_in_use.unused_worker_ids == {worker_id}
+
+
+async def test_instance_that_joins_late_must_know_the_workers_in_use(
+    harness, autojump_clock
+):
+    """Guards against a second run beside that on a worker put in use since.
+
+    The instance would tell the next leader that the worker need not be asked.
+    """
+    leader = harness.leader
+    announce_as_unused(leader, 'w1')
+    unused_sequence = leader.sequence
+    await trio.sleep(0.02)
+    now_s = trio.current_time()
+    leader.dispatcher.handle_report(
+        'w1',
+        dispatch.WorkerReport(int(now_s * 1000), 1, (), ()),
+        now_s,
+        now_s,
+    )
+    leader.send_heartbeats(['e1'])
+    harness.reply(leader.sequence)
+    leader.tick(now_s)
+    harness.reply(unused_sequence, member_id='e2')
+    harness.submit(1, member_id='e2')
+    await trio.sleep(0.01)
+    assert not harness.gateway.starts
+    harness.reply(leader.sequence, member_id='e2')
+    harness.submit(1, member_id='e2')
+    await trio.sleep(0.01)
+    assert len(harness.gateway.starts) == 1
+
+
 async def test_events_of_one_loop_iteration_share_a_placement_round(
-    harness, monkeypatch
+    harness, autojump_clock, monkeypatch
 ):
     """Guards against a placement round for each event of a burst.
 
