--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -390,6 +390,8 @@
             return True
         if self.capacity.needs_report(worker):
             return True
+        if worker.is_clock_old(now_s):
+            return True
         if worker.n_missed_responses and worker.is_listed:
             return True
         worker.is_polled[loop_index] = False
@@ -501,14 +503,19 @@
         now_s: float,
         *,
         is_closed: bool = False,
+        renewal_sent_s: float | None = None,
     ) -> None:
         """Handle a poll that a worker rejected or did not answer.
 
         :param is_closed: whether the connection was refused or closed
+        :param renewal_sent_s: when the poll was sent, if it has no answer and
+            may yet renew the leases
         """
         worker = self.workers.get(worker_id)
         if worker is None:
             return
+        if renewal_sent_s is not None:
+            worker.record_unanswered_renewal(renewal_sent_s, now_s)
         if is_closed:
             self._record_closed(worker, now_s)
         if reason == _records.Rejection.OTHER_INCARNATION:
@@ -548,7 +555,7 @@
                 worker.id,
                 'restarted',
             )
-        worker.begin_incarnation(info)
+        worker.begin_incarnation(info, now_s)
         self._late_starts.begin_incarnation(worker.id, now_s)
         self._stop_late_starts(now_s)
 
@@ -921,6 +928,9 @@
             return
         if is_sent:
             self._late_starts.record(worker_id, key, run_id, now_s)
+            if worker_id in self.workers:
+                # It renews the leases even if it is rejected as stopped.
+                self.workers[worker_id].record_unanswered_renewal(now_s, now_s)
         if run is None:
             if is_sent:
                 # The worker may have restarted since.
@@ -1031,7 +1041,9 @@
         if job.job.id in self._held_job_ids:
             list_in_use = list_in_use.merge(job.earlier_list)
         job.may_have_run_elsewhere = True
-        job.hold(now_s, last_contact_s + _HANDOVER_HOLD_S, list_in_use)
+        # The dispatcher that an earlier hold waits for may lease for longer.
+        until_s = max(job.held_until_s, last_contact_s + _HANDOVER_HOLD_S)
+        job.hold(now_s, until_s, list_in_use)
         self._held_job_ids.add(job.job.id)
 
     def _reattach_stopping_runs(self, state: _jobs.JobState) -> None:
@@ -1344,6 +1356,7 @@
             )
             self._move_stragglers(now_s)
             self._drop_unlisted_workers(now_s)
+            self._read_old_clocks(now_s)
         self._search_all_workers = True
         self._expire_leases(now_s)
         self._end_blocked_jobs(now_s)
@@ -1355,9 +1368,16 @@
         self._drop_old_results(now_s)
         self._request_placement(now_s)
 
+    def _read_old_clocks(self, now_s: float) -> None:
+        for worker in self.workers.values():
+            if worker.is_clock_old(now_s):
+                self._start_polling(worker, now_s)
+
     def _expire_leases(self, now_s: float) -> None:
         for worker in self.workers.values():
-            if worker.runs and now_s > worker.lease_until_s:
+            if worker.runs and worker.have_leases_ended(
+                self.settings.lease_s, now_s
+            ):
                 self._record_crash(worker, now_s)
                 cause = (
                     _records.LossCause.CRASHED
