Correct two comments found on the last reading

One said that the list of a single leader is returned where several are merged; the other did not say what an unanswered poll leaves in doubt.

--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -327,7 +327,7 @@
         expires_ms, acked_through = self.dispatcher.renew_lease(
             worker_id, requested_s
         )
-        # What a failure without an answer leaves in doubt.
+        # A poll without an answer may renew the leases later.
         renewal_sent_s = None if expires_ms is None else requested_s
         try:
             with trio.fail_after(wait_s + _REPORT_TIMEOUT_MARGIN_S):
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -697,7 +697,7 @@
         return dispatch.ListInUse() if heard is None else heard.list_in_use
 
     def _list_of_recent_leaders(self) -> dispatch.ListInUse | None:
-        """Return which workers the leader that was last heard has used.
+        """Return which workers the leaders that were heard last have used.
 
         The late heartbeat of a former leader must not hide what a later one
         has used.
