Log and measure how far a leader falls behind its work

A monitor of the event loop (an instrument of trio) measures its turns at each instance; a leader writes leader_load once a second with the turns, the age of the oldest reply to a heartbeat, the time-outs that were noticed late and the jobs that wait for their first start. No decision uses them yet.

--- a/src/orioleloom/node/__init__.py
+++ b/src/orioleloom/node/__init__.py
@@ -2,6 +2,7 @@
 
 from orioleloom.node._log import log
 from orioleloom.node._log import LogWriter
+from orioleloom.node._loop_monitor import LoopMonitor
 from orioleloom.node._node import Node
 from orioleloom.node._node import Settings
 from orioleloom.node._ports import ClosedError
@@ -24,6 +25,7 @@
     'HistoryLostError',
     'IngressLimits',
     'LogWriter',
+    'LoopMonitor',
     'MemberInfo',
     'NoAnswerError',
     'Node',
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -5,7 +5,9 @@
 
 from orioleloom import dispatch
 from orioleloom import leadership
+from orioleloom.node import _leader_load
 from orioleloom.node import _log
+from orioleloom.node import _loop_monitor
 from orioleloom.node import _messages
 from orioleloom.node import _ports
 
@@ -88,6 +90,7 @@
         search for one began
     :param earlier_list: workers that it used, if there was one
     :param random_state: source of the random numbers of its dispatcher
+    :param loop_monitor: monitor of the event loop that the leader runs in
     """
 
     def __init__(
@@ -107,6 +110,7 @@
         earlier_list: dispatch.ListInUse | None,
         now_s: float,
         random_state: random.Random,
+        loop_monitor: _loop_monitor.LoopMonitor,
     ):
         self.instance_id = instance_id
         self.term = term
@@ -125,6 +129,7 @@
             earlier_contact_s=earlier_contact_s,
             earlier_list=earlier_list,
         )
+        self.load = _leader_load.LeaderLoad(loop_monitor, now_s)
         self.followers: dict[str, Follower] = {}
         # Jobs whose crashes have changed since they were last written.
         self.unsaved_crash_job_ids: set[str] = set()
@@ -238,8 +243,9 @@
         dispatcher = self.dispatcher
         worker_id = command.worker.id
         run_args = (worker_id, command.key, command.run_id)
+        due_s = trio.current_time() + _START_TIMEOUT_S
         try:
-            with trio.fail_after(_START_TIMEOUT_S):
+            with trio.fail_at(due_s):
                 clock_ms = await self.gateway.start(command)
         except _ports.RejectedError as exc:
             dispatcher.handle_start_rejected(
@@ -253,10 +259,13 @@
                 is_closed=isinstance(exc, _ports.RefusedError),
             )
         except (_ports.NoAnswerError, trio.TooSlowError) as exc:
+            now_s = trio.current_time()
+            if isinstance(exc, trio.TooSlowError):
+                self.load.record_timeout(due_s, now_s)
             dispatcher.handle_start_unanswered(
                 *run_args,
                 True,
-                trio.current_time(),
+                now_s,
                 is_closed=isinstance(exc, _ports.ClosedError),
             )
         except Exception:
@@ -272,8 +281,9 @@
         self.schedule_effects()
 
     async def _stop_run(self, command: dispatch.StopRun) -> None:
+        due_s = trio.current_time() + _STOP_TIMEOUT_S
         try:
-            with trio.fail_after(_STOP_TIMEOUT_S):
+            with trio.fail_at(due_s):
                 await self.gateway.stop(command)
         except (
             _ports.RejectedError,
@@ -281,6 +291,8 @@
             _ports.NoAnswerError,
             trio.TooSlowError,
         ) as exc:
+            if isinstance(exc, trio.TooSlowError):
+                self.load.record_timeout(due_s, trio.current_time())
             _log.log(
                 'stop_unanswered',
                 job=command.key.job_id,
@@ -329,8 +341,9 @@
         )
         # A poll without an answer may renew the leases later.
         renewal_sent_s = None if expires_ms is None else requested_s
+        due_s = requested_s + wait_s + _REPORT_TIMEOUT_MARGIN_S
         try:
-            with trio.fail_after(wait_s + _REPORT_TIMEOUT_MARGIN_S):
+            with trio.fail_at(due_s):
                 report = await self.gateway.report(
                     worker.info, token, expires_ms, acked_through, wait_s
                 )
@@ -350,11 +363,14 @@
             _ports.NoAnswerError,
             trio.TooSlowError,
         ) as exc:
+            now_s = trio.current_time()
+            if isinstance(exc, trio.TooSlowError):
+                self.load.record_timeout(due_s, now_s)
             reason = f'{type(exc).__name__}: {exc}'
             self.dispatcher.handle_poll_failure(
                 worker_id,
                 reason,
-                trio.current_time(),
+                now_s,
                 is_closed=isinstance(
                     exc, _ports.RefusedError | _ports.ClosedError
                 ),
@@ -387,6 +403,9 @@
         self._expire_followers(now_s)
         self._acknowledge_workers()
         self.dispatcher.tick(now_s)
+        self.load.log_if_due(
+            self.dispatcher, len(self.instances_in_contact()) - 1, now_s
+        )
         self.schedule_effects()
 
     def _expire_followers_if_due(self) -> None:
@@ -543,6 +562,8 @@
         # reply may have been queued here, so its arrival does not prove
         # later contact.
         heard_s = self._heartbeat_sent_s.get(reply.sequence, -1e9)
+        if heard_s > 0:
+            self.load.record_reply(now_s - heard_s)
         if (
             reply.session != follower.session
             or now_s - heard_s > leadership.FOLLOWER_TIMEOUT_S
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -11,6 +11,7 @@
 from orioleloom.node import _crash_rows
 from orioleloom.node import _leader
 from orioleloom.node import _log
+from orioleloom.node import _loop_monitor
 from orioleloom.node import _messages
 from orioleloom.node import _peers
 from orioleloom.node import _ports
@@ -157,6 +158,7 @@
     :param random_state: source of all random numbers of the node and of the
         leaders that it creates
     :param incarnation: unique name of this start of the instance
+    :param loop_monitor: monitor of the event loop that the node runs in
     """
 
     def __init__(
@@ -170,6 +172,7 @@
         wall_time: typing.Callable[[], float] = time.time,
         random_state: random.Random,
         incarnation: str,
+        loop_monitor: _loop_monitor.LoopMonitor | None = None,
     ):
         self.settings = settings
         self.store = store
@@ -178,6 +181,7 @@
         self.wall_time = wall_time
         self.random_state = random_state
         self.incarnation = incarnation
+        self.loop_monitor = loop_monitor or _loop_monitor.LoopMonitor()
         self.peer_socket = peer_socket or peer_api.PeerSocket(
             settings.peer_bind, f'{settings.instance_id}/{self.incarnation}'
         )
@@ -472,6 +476,8 @@
     ) -> None:
         sender_id = sender.instance_id
         leader = self.leader
+        if leader is not None:
+            leader.load.record_message()
         match message:
             case _messages.Probe():
                 self._handle_probe(sender, message, now_s)
@@ -752,6 +758,7 @@
             earlier_list=self._list_of_recent_leaders(),
             now_s=now_s,
             random_state=self.random_state,
+            loop_monitor=self.loop_monitor,
         )
         _log.log(
             'leading',
--- a/src/orioleloom/node/metrics.py
+++ b/src/orioleloom/node/metrics.py
@@ -66,6 +66,13 @@
         self._set('orioleloom_node_ready', int(node.is_ready()))
         self._set('orioleloom_node_leading', int(node.leader is not None))
         self._set('orioleloom_connects_total', self.client.n_connects)
+        totals = node.loop_monitor.totals
+        self._set('orioleloom_loop_turns_total', totals.n_turns)
+        self._set('orioleloom_loop_busy_seconds_total', totals.busy_s)
+        self._set(
+            'orioleloom_loop_recent_longest_turn_seconds',
+            node.loop_monitor.recent_longest_s(),
+        )
         if node.routing is not None:
             self._set('orioleloom_configuration_version', node.routing.version)
         if node.leader is not None:
--- a/src/orioleloom/peer_api/_socket.py
+++ b/src/orioleloom/peer_api/_socket.py
@@ -15,7 +15,7 @@
 _HIGH_WATER_MARK_MESSAGES = 1_000
 
 # Frames received without waiting before other trio tasks may run.
-_FRAMES_PER_CHECKPOINT = 64
+FRAMES_PER_CHECKPOINT = 64
 
 _ADDRESS = re.compile(r'tcp://(\[[0-9A-Fa-f:.]+\]|[0-9.]+):(\d{1,5})')
 
@@ -164,7 +164,7 @@
                     await trio.lowlevel.wait_readable(file_descriptor)
                 continue
             n_frames += 1
-            if n_frames >= _FRAMES_PER_CHECKPOINT:
+            if n_frames >= FRAMES_PER_CHECKPOINT:
                 n_frames = 0
                 await trio.lowlevel.checkpoint()
             self.counters.received_messages += 1
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -37,10 +37,14 @@
 
     :param settings: settings from the platform's settings file
     :param metrics_port: port of the metrics page, or 0 to disable it
+    :param loop_monitor: monitor of the event loop, an instrument of trio
     """
 
     def __init__(
-        self, settings: _settings.PlatformSettings, metrics_port: int = 0
+        self,
+        settings: _settings.PlatformSettings,
+        metrics_port: int = 0,
+        loop_monitor: node.LoopMonitor | None = None,
     ):
         self.settings = settings
         self.metrics_port = metrics_port
@@ -62,6 +66,7 @@
             timer_service=self.timers,
             random_state=random_state,
             incarnation=secrets.token_hex(8),
+            loop_monitor=loop_monitor,
         )
         self.metrics = metrics.NodeMetrics(self.node, self.client)
         ingress = _ingress.Ingress(self.node)
@@ -200,15 +205,21 @@
     writer = node.LogWriter(sys.stdout.fileno(), settings.instance_id)
     writer.start()
 
+    loop_monitor = node.LoopMonitor()
+
     async def run() -> None:
-        daemon = Daemon(settings, arguments.metrics_port)
+        daemon = Daemon(settings, arguments.metrics_port, loop_monitor)
         daemon.timers.subscribe(
             'log_flush', _LOG_FLUSH_INTERVAL_S, writer.flush
         )
         await daemon.run()
 
     try:
-        trio.run(run, clock=timers.SuspendAwareClock())
+        trio.run(
+            run,
+            clock=timers.SuspendAwareClock(),
+            instruments=[loop_monitor],
+        )
     finally:
         writer.stop()
     return 0
--- a/tests/node/test_leader.py
+++ b/tests/node/test_leader.py
@@ -10,6 +10,7 @@
 from orioleloom import dispatch
 from orioleloom import leadership
 from orioleloom.node import _leader
+from orioleloom.node import _loop_monitor
 from orioleloom.node import _messages
 
 QUEUE = dispatch.Queue('check', 'pool', 0, 3, 1.6, 0.06)
@@ -64,6 +65,7 @@
             earlier_list=None,
             now_s=trio.current_time(),
             random_state=random.Random(1),
+            loop_monitor=_loop_monitor.LoopMonitor(),
         )
         nursery.start_soon(self.leader.run)
         self.leader.dispatcher.set_workers(
