Show a leader that collapses under an overload and stays collapsed

Simulated instances can be given a processor that works in turns, and callers that submit jobs at a changing rate and again after an unknown outcome.

--- a/src/orioleloom_standins/leased/__init__.py
+++ b/src/orioleloom_standins/leased/__init__.py
@@ -20,13 +20,16 @@
 from orioleloom_standins.leased._load import JobKind
 from orioleloom_standins.leased._load import LoadReport
 from orioleloom_standins.leased._load import offer_load
+from orioleloom_standins.leased._load import offer_load_to_fleet
 from orioleloom_standins.leased._load import SITE_KINDS
 from orioleloom_standins.leased._load import site_workers
+from orioleloom_standins.leased._processor import Costs
 from orioleloom_standins.leased._worker import LeasedWorker
 from orioleloom_standins.leased._world import Violation
 from orioleloom_standins.leased._world import World
 
 __all__ = [
+    'Costs',
     'HistoryReport',
     'LimitError',
     'UnservedError',
@@ -45,6 +48,7 @@
     'World',
     'new_fleet',
     'offer_load',
+    'offer_load_to_fleet',
     'seed_scheduler',
     'site_workers',
 ]
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -7,6 +7,7 @@
 import bisect
 import collections
 import collections.abc
+import itertools
 import random
 import typing
 
@@ -16,6 +17,7 @@
 from orioleloom import node
 from orioleloom import peer_api
 from orioleloom import timers
+from orioleloom_standins.leased import _processor
 from orioleloom_standins.leased import _worker
 from orioleloom_standins.leased import _world
 
@@ -167,6 +169,8 @@
         super().__init__(random_state=random.Random(1))
         self.fleet = fleet
         self.instance_id = instance_id
+        # Timers that are due and wait for the processor.
+        self._names_in_process: set[str] = set()
 
     def subscribe(
         self,
@@ -181,7 +185,28 @@
             if not self.fleet.pauses.is_paused(self.instance_id):
                 callback()
 
-        super().subscribe(name, interval_s, call_unless_paused, jitter=jitter)
+        def call_when_processed() -> None:
+            processor = self.fleet.processors.get(self.instance_id)
+            if processor is None:
+                call_unless_paused()
+            elif name not in self._names_in_process:
+                self._names_in_process.add(name)
+                self.fleet.nursery.start_soon(
+                    self._call_in_turn, processor, name, call_unless_paused
+                )
+
+        super().subscribe(name, interval_s, call_when_processed, jitter=jitter)
+
+    async def _call_in_turn(
+        self,
+        processor: _processor.Processor,
+        name: str,
+        call: typing.Callable[[], None],
+    ) -> None:
+        await processor.process(0.0)
+        self._names_in_process.discard(name)
+        if self.fleet.processors.get(self.instance_id) is processor:
+            call()
 
 
 class PeerSocket:
@@ -203,6 +228,9 @@
 
     def send(self, address: str, frame: bytes) -> bool:
         self.fleet.n_frames += 1
+        processor = self.fleet.processors.get(self.instance_id)
+        if processor is not None:
+            processor.charge(processor.costs.send_s)
         peer_api.check_peer_address(address)
         target = self.fleet.sockets.get(address)
         now_s = trio.current_time()
@@ -224,12 +252,32 @@
         )
         self._arrived.set()
 
+    async def _process_arrivals(self) -> int:
+        """Wait for the processor and return how many frames it takes."""
+        processor = self.fleet.processors.get(self.instance_id)
+        if processor is None:
+            return 1
+        now_s = trio.current_time()
+        n_frames = sum(
+            1
+            for due_s, _, _ in itertools.islice(
+                self._arrivals, peer_api.FRAMES_PER_CHECKPOINT
+            )
+            if due_s <= now_s
+        )
+        await processor.process(n_frames * processor.costs.receive_s)
+        return n_frames
+
     async def receive(self) -> collections.abc.AsyncIterator[bytes]:
+        n_processed = 0
         while True:
             while self._arrivals:
                 due_s, sender, frame = self._arrivals[0]
                 if due_s > trio.current_time():
                     await trio.sleep_until(due_s)
+                if not n_processed:
+                    n_processed = await self._process_arrivals()
+                n_processed -= 1
                 self._arrivals.popleft()
                 await self.fleet.reach_pause_point(
                     self.instance_id, 'message received'
@@ -428,7 +476,24 @@
                 self.fleet.random_state.uniform(*_LATE_DELAY_RANGE_S)
             )
 
+    def _charge_request(self) -> None:
+        processor = self.fleet.processors.get(self.instance_id)
+        if processor is not None:
+            processor.charge(processor.costs.request_s)
+
+    async def _process_answer(self) -> None:
+        """Wait until the processor has come to an answer.
+
+        A time-out that is due meanwhile has no effect: the event loop
+        processes what has arrived first.
+        """
+        processor = self.fleet.processors.get(self.instance_id)
+        if processor is not None:
+            with trio.CancelScope(shield=True):
+                await processor.process(processor.costs.answer_s)
+
     async def start(self, command: dispatch.StartRun) -> int:
+        self._charge_request()
         await self.fleet.reach_pause_point(self.instance_id, 'start sent')
         self._check_address(command.worker)
         worker = await self._reach(command.worker.id)
@@ -473,16 +538,19 @@
             await trio.sleep_forever()
         rejection = execute()
         await self._return_answer(command.worker.id)
+        await self._process_answer()
         await self.fleet.reach_pause_point(self.instance_id, 'start answered')
         if rejection is not None:
             raise node.RejectedError(rejection)
         return worker.clock_ms(trio.current_time())
 
     async def stop(self, command: dispatch.StopRun) -> None:
+        self._charge_request()
         await self.fleet.reach_pause_point(self.instance_id, 'stop sent')
         worker = await self._reach(command.worker.id)
         worker.stop(command, trio.current_time())
         await self._return_answer(command.worker.id)
+        await self._process_answer()
         await self.fleet.reach_pause_point(self.instance_id, 'stop answered')
 
     async def report(
@@ -493,6 +561,7 @@
         acked_through: int,
         wait_s: float,
     ) -> dispatch.WorkerReport:
+        self._charge_request()
         await self.fleet.reach_pause_point(self.instance_id, 'report sent')
         self._check_address(info)
         worker = await self._reach(info.id)
@@ -515,6 +584,7 @@
             )
         report = worker.report(trio.current_time())
         await self._return_answer(info.id)
+        await self._process_answer()
         await self.fleet.reach_pause_point(self.instance_id, 'report answered')
         return report
 
@@ -569,6 +639,9 @@
         self._scopes: dict[str, trio.CancelScope] = {}
         self._n_starts = 0
         self.pauses = _Pauses()
+        # Processor time of events by instance id; none is charged without.
+        self.processors: dict[str, _processor.Processor] = {}
+        self.processor_costs: _processor.Costs | None = None
         self.starts: list[ExecutedStart] = []
         # Times of the crashes by tasks.
         self.crash_log: list[tuple[float, dispatch.TaskKey]] = []
@@ -676,6 +749,11 @@
         random_state = random.Random(self.random_state.random())
         service = _TimerService(self, instance_id)
         self._n_starts += 1
+        loop_monitor = node.LoopMonitor()
+        if self.processor_costs is not None:
+            self.processors[instance_id] = _processor.Processor(
+                self.processor_costs, loop_monitor
+            )
         instance = node.Node(
             settings=node.Settings(
                 instance_id,
@@ -698,6 +776,7 @@
             ),
             random_state=random_state,
             incarnation=f'{self._n_starts}',
+            loop_monitor=loop_monitor,
         )
         self.nodes[instance_id] = instance
         with trio.CancelScope() as scope:
--- a/src/orioleloom_standins/leased/_load.py
+++ b/src/orioleloom_standins/leased/_load.py
@@ -2,6 +2,8 @@
 import random
 import typing
 
+import trio
+
 from orioleloom import dispatch
 from orioleloom_standins.leased import _worker
 from orioleloom_standins.leased import _world
@@ -10,6 +12,10 @@
 # earns this share of the job's worth; a later one earns nothing.
 _LATE_FACTOR = 3.0
 _LATE_SHARE = 0.2
+# Callers submit a job again this long after an unknown outcome.
+_RESUBMISSION_DELAY_S = 1.3
+# No caller waits for longer than this.
+_MAX_DEADLINE_S = 7.0
 
 
 class JobKind(typing.NamedTuple):
@@ -188,12 +194,36 @@
     poison_share: float,
     deadly_share: float,
 ) -> None:
+    job, tasks_s = draw_job(kind, len(sent), rng)
+    is_poison = rng.random() < poison_share
+    world.declare(job, tasks_s, is_poison)
+    is_deadly = deadly_share > 0 and rng.random() < deadly_share
+    if is_deadly:
+        world.set_crashing(
+            dispatch.TaskKey(job.id, 0, 0), rng.uniform(0.0, tasks_s[0])
+        )
+    sent[job.id] = _describe(
+        kind, tasks_s, world.now_s, is_deadly=is_deadly, is_poison=is_poison
+    )
+    # Request and answer each take 1 ms between caller and dispatcher.
+    world.after(
+        0.001,
+        lambda: dispatcher.submit(
+            job, deadline_s=world.now_s + rng.uniform(1.9, 7)
+        ),
+    )
+
+
+def draw_job(
+    kind: JobKind, number: int, rng: random.Random
+) -> tuple[dispatch.Job, list[float]]:
+    """Return a random job of a kind, and the work of its tasks in seconds."""
     n_tasks = max(1, round(kind.n_tasks * _lognormal_factor(rng, 0.4)))
     work_s = kind.work_s * _lognormal_factor(rng, 0.4)
     tasks_s = [work_s * _lognormal_factor(rng, 0.15) for _ in range(n_tasks)]
     cpu = int(min(10_000, 6_800 * _lognormal_factor(rng, 0.2)))
     job = dispatch.Job(
-        f'{len(sent):016x}',
+        f'{number:016x}',
         kind.queue,
         'payload',
         (
@@ -204,29 +234,106 @@
             ),
         ),
     )
-    is_poison = rng.random() < poison_share
-    world.declare(job, tasks_s, is_poison)
-    is_deadly = deadly_share > 0 and rng.random() < deadly_share
-    if is_deadly:
-        world.set_crashing(
-            dispatch.TaskKey(job.id, 0, 0), rng.uniform(0.0, tasks_s[0])
-        )
+    return job, tasks_s
+
+
+def _describe(
+    kind: JobKind,
+    tasks_s: list[float],
+    sent_s: float,
+    *,
+    is_deadly: bool = False,
+    is_poison: bool = False,
+) -> _SentJob:
     size = sum(tasks_s) / (kind.n_tasks * kind.work_s)
-    sent[job.id] = _SentJob(
+    return _SentJob(
         kind,
-        world.now_s,
+        sent_s,
         1.6 * max(tasks_s) + kind.queue.target_latency_s,
         kind.worth * min(4.0, 0.3 + 0.7 * size),
         is_deadly,
         is_poison,
     )
-    # Request and answer each take 1 ms between caller and dispatcher.
-    world.after(
-        0.001,
-        lambda: dispatcher.submit(
-            job, deadline_s=world.now_s + rng.uniform(1.9, 7)
-        ),
-    )
+
+
+class _FleetCallers:
+    """Callers that submit jobs to the instances of a fleet.
+
+    They submit a job again whose outcome is unknown, at any instance.
+    """
+
+    def __init__(self, fleet: typing.Any, random_state: random.Random) -> None:
+        self.fleet = fleet
+        self.random_state = random_state
+        self.sent: dict[str, _SentJob] = {}
+        # The last outcome of each job, and when it was known.
+        self.outcomes: dict[str, tuple[dispatch.Outcome, float]] = {}
+
+    async def send_jobs(
+        self,
+        kind: JobKind,
+        rate_factor: typing.Callable[[float], float],
+        end_s: float,
+    ) -> None:
+        """Submit jobs of one kind until a time."""
+        start_s = trio.current_time()
+        while True:
+            factor = rate_factor(trio.current_time() - start_s)
+            await trio.sleep(
+                self.random_state.expovariate(kind.per_s * factor)
+            )
+            now_s = trio.current_time()
+            if now_s >= end_s:
+                return
+            job, tasks_s = draw_job(kind, len(self.sent), self.random_state)
+            self.fleet.world.declare(job, tasks_s)
+            self.sent[job.id] = _describe(kind, tasks_s, now_s)
+            self._submit(job, now_s + self.random_state.uniform(1.9, 7))
+
+    def _submit(self, job: dispatch.Job, deadline_s: float) -> None:
+        nodes = self.fleet.nodes
+        name = self.random_state.choice(sorted(nodes))
+
+        def record(outcome: dispatch.Outcome) -> None:
+            now_s = trio.current_time()
+            self.outcomes[job.id] = (outcome, now_s)
+            if (
+                outcome.kind is dispatch.OutcomeKind.UNKNOWN
+                and now_s + _RESUBMISSION_DELAY_S < deadline_s
+            ):
+                self.fleet.call_after(
+                    _RESUBMISSION_DELAY_S,
+                    lambda: self._submit(job, deadline_s),
+                )
+
+        nodes[name].submit(
+            job,
+            arrived_s=trio.current_time(),
+            deadline_s=deadline_s,
+            on_outcome=record,
+        )
+
+
+async def offer_load_to_fleet(
+    fleet: typing.Any,
+    *,
+    duration_s: float,
+    rate_factor: typing.Callable[[float], float],
+    random_state: random.Random,
+    kinds: typing.Sequence[JobKind] = SITE_KINDS,
+) -> LoadReport:
+    """Send jobs to the instances of a fleet and report the earned worth.
+
+    :param rate_factor: factor on the arrival rates of ``kinds``, by the time
+        since the start in seconds
+    """
+    callers = _FleetCallers(fleet, random_state)
+    end_s = trio.current_time() + duration_s
+    async with trio.open_nursery() as nursery:
+        for kind in kinds:
+            nursery.start_soon(callers.send_jobs, kind, rate_factor, end_s)
+    await trio.sleep(_MAX_DEADLINE_S)
+    return _collect(callers, callers.sent)
 
 
 def _lognormal_factor(rng: random.Random, sigma: float) -> float:
