Check held jobs once for all reports of a turn

Callers of a busy leader saw jobs end late or with unknown outcomes. The work grew with reports and held jobs together, so that a leader that was late, whose followers hand their jobs over again, became later.

Reports now only note that the check is due; it is made once before the effects of the turn. A job is released at the same moment as before.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -157,6 +157,8 @@
         self._stop_due_s: dict[_workers.Run, float] = {}
         self._effects: list[_records.Effect] = []
         self._needs_placement = False
+        # A worker has reported since the held jobs were last checked.
+        self._must_check_holds = False
         # A worker has become usable since the workers were last sorted.
         self._needs_refresh = False
         # Workers that may have gained free resources since the last placement
@@ -186,6 +188,10 @@
 
     def take_effects(self) -> list[_records.Effect]:
         """Return the effects recorded since the last call."""
+        if self._must_check_holds:
+            # Once for all reports of a turn: it takes time in proportion to
+            # the workers and to the held jobs.
+            self._release_held_jobs(self._placement_s)
         if self._needs_placement:
             self._needs_placement = False
             self._place_waiting_tasks(self._placement_s)
@@ -493,7 +499,7 @@
         if worker.has_unknown_runs:
             self._start_polling(worker, now_s)
         self._foreign_runs.drop_unlisted(worker_id, listed_run_ids)
-        self._release_held_jobs(now_s)
+        self._must_check_holds = True
         self._request_placement(now_s)
 
     def handle_poll_failure(
@@ -1110,6 +1116,7 @@
         one has started. That holds only for a job whose earlier dispatcher
         used no workers that are unknown here.
         """
+        self._must_check_holds = False
         for job_id in list(self._held_job_ids):
             job = self.jobs.get(job_id)
             if job is None:
