Look up the jobs of an instance without looking at all jobs

For each reply to a heartbeat, and for each follower that it lost, the leader went through all of its jobs. At 97 instances it gets 960 replies a second; with the queue of an overload this work grew with instances and jobs together. The dispatcher now keeps the ids of the jobs of each instance. Behaviour is the same, tests/dispatch and tests/node/test_leader.py pass; the time was not measured by itself.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -140,6 +140,7 @@
         # forgotten.
         self._forgotten_version = 0
         self.jobs: dict[str, _jobs.JobState] = {}
+        self._job_ids_by_instance: dict[str, set[str]] = {}
         self.run_times = _estimates.RunTimeEstimator()
         self.crashes = _crashes.CrashLedger()
         self.capacity = _capacity.CapacityGuard()
@@ -992,7 +993,9 @@
         """
         known = self.jobs.get(job.id)
         if known is not None:
+            self._unassign_instance(known)
             known.instance_id = instance_id
+            self._assign_instance(known)
             known.deadline_s = max(known.deadline_s, deadline_s)
             if last_contact_s is not None:
                 # The instance has left this dispatcher and returned.
@@ -1015,6 +1018,7 @@
         )
         state.set_expected_run_time(_jobs.critical_path_s(job, self.run_times))
         self.jobs[job.id] = state
+        self._assign_instance(state)
         self.counters['jobs'] += 1
         for task in state.all_tasks():
             self._tasks[task.key] = task
@@ -1259,9 +1263,24 @@
         self, instance_id: str, reason: str, now_s: float
     ) -> None:
         """Cancel the jobs of an instance that is out of contact."""
-        for job in list(self.jobs.values()):
-            if job.instance_id == instance_id:
-                self.cancel(job.job.id, instance_id, reason, now_s)
+        for job in self.jobs_of_instance(instance_id):
+            self.cancel(job.job.id, instance_id, reason, now_s)
+
+    def jobs_of_instance(self, instance_id: str) -> list[_jobs.JobState]:
+        """Return the jobs whose callers wait at an instance."""
+        job_ids = self._job_ids_by_instance.get(instance_id, ())
+        return [self.jobs[job_id] for job_id in sorted(job_ids)]
+
+    def _assign_instance(self, job: _jobs.JobState) -> None:
+        self._job_ids_by_instance.setdefault(job.instance_id, set()).add(
+            job.job.id
+        )
+
+    def _unassign_instance(self, job: _jobs.JobState) -> None:
+        job_ids = self._job_ids_by_instance[job.instance_id]
+        job_ids.discard(job.job.id)
+        if not job_ids:
+            del self._job_ids_by_instance[job.instance_id]
 
     def _finish_job(
         self,
@@ -1272,6 +1291,7 @@
         send_answer: bool = True,
     ) -> None:
         del self.jobs[job.job.id]
+        self._unassign_instance(job)
         for task in job.all_tasks():
             del self._tasks[task.key]
             if task.run is not None:
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -597,10 +597,9 @@
                     member_id,
                     _messages.JobEnded(self.term, job_id, outcome),
                 )
-        for job in list(self.dispatcher.jobs.values()):
+        for job in self.dispatcher.jobs_of_instance(member_id):
             if (
-                job.instance_id == member_id
-                and job.job.id not in pending_ids
+                job.job.id not in pending_ids
                 and now_s - job.accepted_s > _CANCEL_UNLISTED_AFTER_S
             ):
                 self.dispatcher.cancel(
