Pace the starts of an overloaded leader and refuse what it has no time for

Cause: work without a bound in a turn of the leader's event loop. All that fitted on the workers was started at once; each start causes work in the following turns.

Change: turns of more than 15 ms without idle time lower the number of starts of a round, others raise it. While the limit holds, new jobs that would wait for more than 30 ms of starts are refused at once with Retry-After, all kinds alike, and only if they certainly have not run.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -4,6 +4,7 @@
 from orioleloom.dispatch._crashes import CrashRecord
 from orioleloom.dispatch._dispatcher import Dispatcher
 from orioleloom.dispatch._dispatcher import OUTCOME_RETENTION_S
+from orioleloom.dispatch._dispatcher import OVERLOADED
 from orioleloom.dispatch._dispatcher import Settings
 from orioleloom.dispatch._jobs import latest_useful_start_s
 from orioleloom.dispatch._records import AnswerJob
@@ -43,6 +44,7 @@
     'EndKind',
     'Job',
     'OUTCOME_RETENTION_S',
+    'OVERLOADED',
     'ListInUse',
     'LogDecision',
     'LossCause',
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -9,6 +9,7 @@
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _late_starts
 from orioleloom.dispatch import _loss_detector
+from orioleloom.dispatch import _pacing
 from orioleloom.dispatch import _placement
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _stragglers
@@ -30,6 +31,9 @@
 _MIN_CONFIRM_POLL_INTERVAL_S = 0.05
 _MAX_CONFIRM_POLLS_PER_S = 1000.0
 
+# Reason of the outcome of a job that would wait too long for the dispatcher.
+OVERLOADED = 'leader overloaded'
+
 # How long outcomes are kept for callers whose answer was lost, and who submit
 # the job again, usually after 1.3 s.
 OUTCOME_RETENTION_S = 5.0
@@ -183,6 +187,7 @@
         self._paused_instance_ids: set[str] = set()
         self._loss_detector = _loss_detector.LossDetector()
         self._late_starts = _late_starts.LateStarts()
+        self.pacer = _pacing.StartPacer()
         self.counters: collections.Counter[str] = collections.Counter()
 
     # Effects and bookkeeping
@@ -1016,6 +1021,17 @@
             job.id in self._unknown_ended_s
             or self.crashes.has_suspects(job.id)
         )
+        is_held_new = last_contact_s is None and self._must_hold_new(
+            job.id, arrived_s, now_s
+        )
+        if (
+            self.pacer.is_overloaded()
+            and last_contact_s is None
+            and not is_held_new
+            and not state.may_have_run_elsewhere
+        ):
+            self._refuse(state, now_s)
+            return
         state.set_expected_run_time(_jobs.critical_path_s(job, self.run_times))
         self.jobs[job.id] = state
         self._assign_instance(state)
@@ -1025,21 +1041,40 @@
         self._reattach_stopping_runs(state)
         if last_contact_s is not None:
             self._hold_handed_over(state, last_contact_s, list_in_use, now_s)
-        elif (
-            now_s < self._start_held_until_s
-            and arrived_s >= self._resubmissions_from_s
-            and (
-                not self._has_confirmed_start
-                or job.id in self._earlier_list.uncertain_job_ids
-            )
-        ):
+        elif is_held_new:
             state.hold(
                 self.created_s, self._start_held_until_s, self._earlier_list
             )
             self._held_job_ids.add(job.id)
         self._claim_foreign_runs(state, now_s)
+        self.pacer.add_waiting(len(state.waiting))
         self._request_placement(now_s)
 
+    def _must_hold_new(
+        self, job_id: str, arrived_s: float, now_s: float
+    ) -> bool:
+        """Return whether a new job may run for an earlier dispatcher."""
+        return (
+            now_s < self._start_held_until_s
+            and arrived_s >= self._resubmissions_from_s
+            and (
+                not self._has_confirmed_start
+                or job_id in self._earlier_list.uncertain_job_ids
+            )
+        )
+
+    def _refuse(self, job: _jobs.JobState, now_s: float) -> None:
+        """Refuse a new job that would wait too long for this dispatcher."""
+        outcome = _records.Outcome(
+            _records.OutcomeKind.NOT_RUN, OVERLOADED, self._retry_after_s()
+        )
+        self.counters['jobs_refused_overload'] += 1
+        # Its instance may name the job once more before it has the answer.
+        self._recent_outcomes[job.job.id] = (outcome, now_s)
+        self._effects.append(
+            _records.AnswerJob(job.job.id, job.instance_id, outcome)
+        )
+
     def _hold_handed_over(
         self,
         job: _jobs.JobState,
@@ -1357,6 +1392,7 @@
             and not self.crashes.is_blocked(job.job.id)
         ]
         if not waiting:
+            self.pacer.record_round(0, 0, now_s)
             return
         if self._needs_refresh:
             self._needs_refresh = False
@@ -1367,11 +1403,18 @@
             waiting,
             now_s,
             None if self._search_all_workers else changed.values(),
+            self.pacer.max_starts,
         )
-        self._search_all_workers = False
+        is_limited = self.pacer.is_limit_reached(len(starts))
+        # The round has not come to all jobs. The next one continues.
+        self._search_all_workers = self._needs_placement = is_limited
         for start in starts:
             start.task.job.waiting.remove(start.task)
             self._start_run(start.task, start.worker, now_s)
+        n_waiting_tasks = (
+            sum(len(job.waiting) for job in waiting) if is_limited else 0
+        )
+        self.pacer.record_round(len(starts), n_waiting_tasks, now_s)
 
     def tick(self, now_s: float) -> None:
         """Handle timeouts and periodic work."""
--- a/src/orioleloom/dispatch/_placement.py
+++ b/src/orioleloom/dispatch/_placement.py
@@ -102,6 +102,7 @@
         waiting: list[_jobs.JobState],
         now_s: float,
         changed: typing.Collection[_workers.Worker] | None = None,
+        max_starts: int | None = None,
     ) -> list[Start]:
         """Return the starts to make now.
 
@@ -109,7 +110,9 @@
             the last round. Jobs that were part of that round are tried on
             these only. ``None`` means that all jobs are tried on all
             workers.
+        :param max_starts: maximum number of starts, or ``None``
         """
+        limit = math.inf if max_starts is None else max_starts
         usage = self._new_usage(now_s)
         starts: list[Start] = []
         on_time: list[tuple[float, int, _jobs.JobState]] = []
@@ -135,14 +138,18 @@
             search = _WorkerSearch(
                 candidates.workers_for(job), limit_s, now_s, usage
             )
-            n_on_time_waiting += not search.place_tasks(job, starts)
+            n_on_time_waiting += not search.place_tasks(job, starts, limit)
+            if len(starts) >= limit:
+                return starts
         if n_on_time_waiting:
             late = []
         for _, _, job in sorted(late):
             search = _WorkerSearch(
                 candidates.workers_for(job), math.inf, now_s, usage
             )
-            search.place_tasks(job, starts)
+            search.place_tasks(job, starts, limit)
+            if len(starts) >= limit:
+                return starts
         for job in waiting:
             job.was_in_placement_round = True
         return starts
@@ -311,13 +318,18 @@
         # Index of the first worker that can hold a task, by step.
         self._first_fitting: dict[int, int] = {}
 
-    def place_tasks(self, job: _jobs.JobState, starts: list[Start]) -> bool:
+    def place_tasks(
+        self, job: _jobs.JobState, starts: list[Start], max_starts: float
+    ) -> bool:
         """Place waiting tasks until one does not fit.
 
         :param starts: list to which the starts are added
+        :param max_starts: maximum length of this list
         :returns: whether all tasks were placed
         """
         for task in job.waiting:
+            if len(starts) >= max_starts:
+                return False
             if self.usage.is_known_unplaceable(self.workers, task.step.room):
                 return False
             worker = self.find_worker(task)
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -189,6 +189,10 @@
             await self._effects_available.wait()
             self._effects_available = trio.Event()
             try:
+                monitor = self.load.loop_monitor
+                self.dispatcher.pacer.observe_turn(
+                    monitor.last_turn_s, monitor.last_idle_s
+                )
                 self._expire_followers_if_due()
                 self._process_effects()
             except Exception:
--- a/src/orioleloom/node/_loop_monitor.py
+++ b/src/orioleloom/node/_loop_monitor.py
@@ -41,7 +41,11 @@
 
     def __init__(self) -> None:
         self.totals = LoopTotals()
+        # Duration of the latest turn, and how long the loop was idle before.
+        self.last_turn_s = 0.0
+        self.last_idle_s = 0.0
         self._turn_began_s: float | None = None
+        self._turn_ended_s = 0.0
         self._longest_s = 0.0
         self._period_began_s = 0.0
         self._period_longest_s = 0.0
@@ -55,13 +59,20 @@
         """Record the end of a turn."""
         now_s = time.monotonic()
         if self._turn_began_s is not None:
-            self.record_turn(now_s - self._turn_began_s, now_s)
+            idle_s = self._turn_began_s - self._turn_ended_s
+            self._turn_ended_s = now_s
+            self.record_turn(now_s - self._turn_began_s, idle_s, now_s)
 
-    def record_turn(self, duration_s: float, now_s: float) -> None:
+    def record_turn(
+        self, duration_s: float, idle_s: float, now_s: float
+    ) -> None:
         """Record a turn that has ended.
 
+        :param idle_s: how long the loop was idle before it
         :param now_s: any monotonic time in seconds, the same for all calls
         """
+        self.last_turn_s = duration_s
+        self.last_idle_s = idle_s
         n_turns, busy_s, squared_busy_s2 = self.totals
         self.totals = LoopTotals(
             n_turns + 1,
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -1181,6 +1181,9 @@
                 outcome.kind, trio.current_time() - pending.arrived_s
             )
             pending.on_outcome(outcome)
+            if outcome.reason == dispatch.OVERLOADED:
+                # Logged here, since the leader is short of time.
+                _log.log('job_refused', job=job_id, reason=outcome.reason)
             if outcome.is_result():
                 self._drop_old_results()
                 self._delivered.pop(job_id, None)
--- a/src/orioleloom_standins/leased/_processor.py
+++ b/src/orioleloom_standins/leased/_processor.py
@@ -63,5 +63,6 @@
             self._begin_turn(self._turn_ends_s, cost_s)
 
     def _begin_turn(self, now_s: float, duration_s: float) -> None:
+        idle_s = now_s - self._turn_ends_s
         self._turn_ends_s = now_s + duration_s
-        self.monitor.record_turn(duration_s, self._turn_ends_s)
+        self.monitor.record_turn(duration_s, idle_s, self._turn_ends_s)
