Let an odd entry cost only itself in every format of the platform

Operators of similar systems saw one odd entry among those of the workers end the reading of the list. Here a deeply nested field raised RecursionError, which no caller of a decoder expects: the whole read of the list failed and was tried again and again, on every instance. Numbers beyond 64 bits were accepted and raised OverflowError later, where they were sent on or divided; a port out of range, an IP address out of range or digits of another script were accepted as an address, and 999.1.1.1 was looked up as a name, which blocks the loop. Ids of workers went into a header line of requests unchecked.

All decoders now share one function that raises only WireError, integers are bounded to 62 bits, and addresses are IPv4 with a port of 1 to 65535.

--- a/src/orioleloom/platform/_wire.py
+++ b/src/orioleloom/platform/_wire.py
@@ -5,6 +5,8 @@
 are not self-explanatory.
 """
 
+import ipaddress
+import math
 import re
 import typing
 
@@ -18,6 +20,31 @@
     """A message or row does not conform to the platform's format."""
 
 
+# Sums of a few such numbers still fit into 64 bits, as the messages between
+# instances require.
+_MAX_INTEGER = 2**62
+_Integer = typing.Annotated[
+    int, msgspec.Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)
+]
+_Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
+
+_T = typing.TypeVar('_T')
+
+
+def _decode(
+    decoder: msgspec.json.Decoder[_T], data: bytes, subject: str
+) -> _T:
+    """Decode JSON of another process.
+
+    :param subject: what is decoded, for the error
+    :raises WireError: the data is invalid
+    """
+    try:
+        return decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        raise WireError(f'{subject}: {exc}') from exc
+
+
 # Configuration
 
 
@@ -26,15 +53,15 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
+    priority: _Integer = 0
+    max_attempts: _Integer = 1
     slack_factor: float = 1.0
     target_latency_ms: float = 0.0
 
 
 class _IngressFields(msgspec.Struct, rename='camel'):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
+    max_header_bytes: _Integer = 16_384
+    max_body_bytes: _Integer = 262_144
     header_timeout_ms: float = 3_000
     idle_timeout_ms: float = 15_000
 
@@ -46,7 +73,7 @@
 
 
 class _ConfigurationFields(msgspec.Struct):
-    version: int
+    version: _Natural
     routes: list[_RouteFields] = []
     services: list[_ServiceFields] = []
     limits: _IngressFields | None = None
@@ -62,10 +89,7 @@
 
     :raises WireError: the configuration is invalid
     """
-    try:
-        fields = _CONFIGURATION_DECODER.decode(data)
-    except msgspec.MsgspecError as exc:
-        raise WireError(f'configuration: {exc}') from exc
+    fields = _decode(_CONFIGURATION_DECODER, data, 'configuration')
     limits = fields.limits
     return node.Routing(
         fields.version,
@@ -104,9 +128,9 @@
 
 class _CapacityFields(msgspec.Struct, rename='camel'):
     # Thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Natural = 0
+    mem_mb: _Natural = 0
+    gpu: _Natural = 0
 
 
 class _WorkerFields(msgspec.Struct):
@@ -117,11 +141,27 @@
     capacity: _CapacityFields
     labels: list[str] = []
     # Unix time at which the worker started, in milliseconds.
-    born: int = 0
+    born: _Natural = 0
 
 
 _WORKER_DECODER = msgspec.json.Decoder(_WorkerFields)
-_ADDRESS_PATTERN = re.compile(r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}')
+# A worker's id is part of a header line of each request to it.
+_WORKER_ID_PATTERN = re.compile(r'[!-~]{1,200}')
+_PORT_PATTERN = re.compile(r'[0-9]{1,5}')
+_MAX_PORT = 65_535
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is ``IP:PORT``, which needs no name lookup."""
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return (
+        _PORT_PATTERN.fullmatch(port) is not None
+        and 1 <= int(port) <= _MAX_PORT
+    )
 
 
 def decode_worker(worker_id: str, data: bytes) -> dispatch.WorkerInfo:
@@ -129,12 +169,14 @@
 
     :raises WireError: the entry is invalid
     """
-    try:
-        fields = _WORKER_DECODER.decode(data)
-    except msgspec.MsgspecError as exc:
-        raise WireError(f'entry {worker_id!r}: {exc}') from exc
-    if not _ADDRESS_PATTERN.fullmatch(fields.address):
-        raise WireError(f'entry {worker_id!r}: address {fields.address!r}')
+    if not _WORKER_ID_PATTERN.fullmatch(worker_id):
+        raise WireError(f'worker id {worker_id[:80]!r}')
+    fields = _decode(_WORKER_DECODER, data, f'entry {worker_id!r}')
+    if not _is_address(fields.address):
+        raise WireError(
+            f'entry {worker_id!r}: address {fields.address[:80]!r}; accepted '
+            f'is IP:PORT with a port from 1 to {_MAX_PORT}'
+        )
     capacity = fields.capacity
     return dispatch.WorkerInfo(
         worker_id,
@@ -163,10 +205,10 @@
 
     :raises WireError: the row is invalid
     """
-    try:
-        return _MEMBER_DECODER.decode(data)
-    except msgspec.MsgspecError as exc:
-        raise WireError(f'member {key!r}: {exc}') from exc
+    member = _decode(_MEMBER_DECODER, data, f'member {key!r}')
+    if not math.isfinite(member.rank):
+        raise WireError(f'member {key!r}: rank {member.rank}')
+    return member
 
 
 # Crashes, in a table that only orioleloom uses
@@ -184,28 +226,31 @@
 
     :raises WireError: the row is invalid
     """
-    try:
-        return _CRASHES_DECODER.decode(data)
-    except msgspec.MsgspecError as exc:
-        raise WireError(f'crashes {key!r}: {exc}') from exc
+    rows = _decode(_CRASHES_DECODER, data, f'crashes {key!r}')
+    for row in rows:
+        if max(abs(row.life), abs(row.key.step), abs(row.key.index)) > (
+            _MAX_INTEGER
+        ):
+            raise WireError(f'crashes {key!r}: a number is too large')
+    return rows
 
 
 # Jobs
 
 
 class _StepFields(msgspec.Struct, rename='camel'):
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    count: _Integer
+    cpu: _Integer = 0
+    mem_mb: _Integer = 0
+    gpu: _Integer = 0
     estimate_ms: float = 0.0
-    after: list[int] = []
+    after: list[_Integer] = []
     gang: bool = False
     same_rack: bool = False
     required_label: str = ''
     preferred_rack: str = ''
     # Maximum number of this step's tasks on one worker; 0 means no limit.
-    anti_affinity: int = 0
+    anti_affinity: _Integer = 0
     long_running: bool = False
     fills: bool = False
 
@@ -215,7 +260,7 @@
     phases: list[_StepFields]
     best_effort: bool = False
     long_running: bool = False
-    repeat_count: int = 0
+    repeat_count: _Integer = 0
 
 
 _JOB_DECODER = msgspec.json.Decoder(_JobFields)
@@ -239,10 +284,7 @@
     :raises UnsupportedError: the job requires an unsupported feature
     :raises WireError: the job is invalid
     """
-    try:
-        fields = _JOB_DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise WireError(f'job: {exc}') from exc
+    fields = _decode(_JOB_DECODER, data, 'job')
     job = dispatch.Job(
         job_id,
         queue,
@@ -298,7 +340,11 @@
     parts = text.split('.')
     try:
         job_id, _, step, index = parts
-        return dispatch.TaskKey(job_id, int(step), int(index))
+        if not (text.isascii() and step.isdigit() and index.isdigit()):
+            raise ValueError
+        return dispatch.TaskKey(
+            job_id, _check_integer(int(step)), _check_integer(int(index))
+        )
     except ValueError:
         raise WireError(f'task name {text!r}') from None
 
@@ -323,8 +369,8 @@
 
 
 class _ReportFields(msgspec.Struct, rename='camel'):
-    clock_ms: int = 0
-    born: int = 0
+    clock_ms: _Integer = 0
+    born: _Integer = 0
     # Each row has the task name, the run id and further fields, which are
     # ignored.
     running: list[list[typing.Any]] = []
@@ -338,15 +384,22 @@
 _REPORT_DECODER = msgspec.json.Decoder(_ReportFields)
 
 
+def _check_integer(value: object) -> int:
+    """Return a value that is an integer of at most 64 bits.
+
+    :raises ValueError: it is anything else
+    """
+    if type(value) is not int or abs(value) > _MAX_INTEGER:
+        raise ValueError(f'{str(value)[:80]!r} is not an integer of 64 bits')
+    return value
+
+
 def decode_command_response(data: bytes) -> tuple[int, str]:
     """Return the worker's clock and the rejection reason, if any.
 
     :raises WireError: the response is invalid
     """
-    try:
-        fields = _REPORT_DECODER.decode(data or b'{}')
-    except msgspec.MsgspecError as exc:
-        raise WireError(f'response to a command: {exc}') from exc
+    fields = _decode(_REPORT_DECODER, data or b'{}', 'response to a command')
     return fields.clock_ms, fields.reason
 
 
@@ -355,32 +408,28 @@
 
     :raises WireError: the report is invalid
     """
+    fields = _decode(_REPORT_DECODER, data, 'report of runs')
     try:
-        fields = _REPORT_DECODER.decode(data)
         return dispatch.WorkerReport(
             fields.clock_ms,
             fields.born,
             tuple(
-                dispatch.RunningRun(decode_task_name(row[0]), int(row[1]))
+                dispatch.RunningRun(
+                    decode_task_name(row[0]), _check_integer(row[1])
+                )
                 for row in fields.running
             ),
             tuple(
                 dispatch.EndedRun(
-                    int(row[0]),
+                    _check_integer(row[0]),
                     decode_task_name(row[1]),
-                    int(row[2]),
+                    _check_integer(row[2]),
                     _END_KINDS[row[3]],
                 )
                 for row in fields.ended_runs
             ),
         )
-    except (
-        msgspec.MsgspecError,
-        LookupError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as exc:
+    except (LookupError, TypeError, ValueError, AttributeError) as exc:
         raise WireError(f'report of runs: {exc!r}') from exc
 
 
@@ -396,7 +445,7 @@
 
     key: str
     value: str = ''
-    ver: int = 0
+    ver: _Natural = 0
     deleted: bool = False
 
 
@@ -408,7 +457,7 @@
 
     rows: list[StoreRow] = []
     has_more: bool = False
-    ver: int = 0
+    ver: _Natural = 0
 
 
 _ROWS_DECODER = msgspec.json.Decoder(StoreRows)
@@ -419,7 +468,4 @@
 
     :raises WireError: the response is invalid
     """
-    try:
-        return _ROWS_DECODER.decode(data)
-    except msgspec.MsgspecError as exc:
-        raise WireError(f'rows: {exc}') from exc
+    return _decode(_ROWS_DECODER, data, 'rows')
