Reject numbers in messages that a leader cannot send on or compare

Messages between instances with a term, token or version of 64 bits were accepted. The next term or token cannot be encoded, so that the leader would have sent no heartbeat at all; a rank that is not finite cannot be ordered among the candidates. Such messages are now malformed and logged.

--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -10,6 +10,11 @@
 from orioleloom.node import _ports
 
 
+# Numbers up to this one can be counted up from and sent on in MessagePack.
+_MAX_VERSION = 2**62
+_Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_VERSION)]
+
+
 class Sender(typing.NamedTuple):
     """Sender of a message.
 
@@ -51,15 +56,15 @@
     :param list_in_use: workers that the leader uses
     """
 
-    term: int
+    term: _Natural
     scope: str
-    session: int
-    sequence: int
+    session: _Natural
+    sequence: _Natural
     is_heard: bool
     alive: list[str] | None
     n_unstarted: dict[str, int]
-    token: int = 0
-    routing_version: int = 0
+    token: _Natural = 0
+    routing_version: _Natural = 0
     list_in_use: dispatch.ListInUse = dispatch.ListInUse()
 
 
@@ -77,9 +82,9 @@
         leader
     """
 
-    term: int
-    session: int
-    sequence: int
+    term: _Natural
+    session: _Natural
+    sequence: _Natural
     job_ids: list[str]
     is_stopping: bool
     lacks_tables: bool = False
@@ -98,28 +103,28 @@
     :param list_in_use: workers that earlier leaders of the job have used
     """
 
-    term: int
-    session: int
+    term: _Natural
+    session: _Natural
     job: dispatch.Job
     age_s: float
     remaining_s: float
     contact_ago_s: float | None
-    token_seen: int = 0
+    token_seen: _Natural = 0
     list_in_use: dispatch.ListInUse = dispatch.ListInUse()
 
 
 class CancelJob(typing.NamedTuple):
     """Cancels a job, usually because its caller has disconnected."""
 
-    term: int
-    session: int
+    term: _Natural
+    session: _Natural
     job_id: str
 
 
 class JobEnded(typing.NamedTuple):
     """Reports the outcome of a job to the instance that submitted it."""
 
-    term: int
+    term: _Natural
     job_id: str
     outcome: dispatch.Outcome
 
@@ -127,7 +132,7 @@
 class JobUnknown(typing.NamedTuple):
     """Tells an instance that the leader does not know one of its jobs."""
 
-    term: int
+    term: _Natural
     job_id: str
 
 
@@ -141,8 +146,8 @@
     routing: _ports.Routing | None
     workers: dict[str, dispatch.WorkerInfo]
     members: list[_ports.MemberInfo]
-    workers_version: int = 0
-    workers_changed_version: int = 0
+    workers_version: _Natural = 0
+    workers_changed_version: _Natural = 0
 
 
 class Handover(typing.NamedTuple):
@@ -155,7 +160,7 @@
     :param outcomes: recent results of jobs by id
     """
 
-    term: int
+    term: _Natural
     successor_id: str
     completed: list[dispatch.TaskKey] = []
     outcomes: dict[str, dispatch.Outcome] = {}
@@ -221,13 +226,50 @@
         envelope = _ENVELOPE_DECODER.decode(frame)
         decoder = _DECODERS[envelope.kind]
         message = decoder.decode(envelope.payload)
-        if isinstance(message, SubmitJob):
-            _check_submission(message)
-    except (msgspec.MsgspecError, KeyError, ValueError) as exc:
+        match message:
+            case SubmitJob():
+                _check_submission(message)
+            case BeatReply():
+                _check_rank(message.rank)
+            case Probe():
+                _check_rank(message.state.rank)
+            case Tables():
+                _check_tables(message)
+    except (
+        msgspec.MsgspecError,
+        KeyError,
+        ValueError,
+        RecursionError,
+    ) as exc:
         raise MalformedError(str(exc)) from exc
     return envelope.sender, message
 
 
+def _check_rank(rank: float) -> None:
+    """Check the rank of an instance.
+
+    :raises ValueError: it cannot be compared with others
+    """
+    if not math.isfinite(rank):
+        raise ValueError(f'rank is {rank}; accepted is a finite number')
+
+
+def _check_tables(tables: Tables) -> None:
+    """Check the numbers of copied tables.
+
+    :raises ValueError: a number is not accepted
+    """
+    if tables.routing is not None and not (
+        0 <= tables.routing.version <= _MAX_VERSION
+    ):
+        raise ValueError(
+            f'version of the configuration is {tables.routing.version}; '
+            f'accepted is 0 to {_MAX_VERSION}'
+        )
+    for member in tables.members:
+        _check_rank(member.rank)
+
+
 def _check_submission(message: SubmitJob) -> None:
     """Check the numbers of a submission.
 
