Refuse digits of other scripts in the address of a peer

A row of the member table with such a port passed the check and raised ZMQError where the first message was sent to it, which ended the round of heartbeats to all instances. The new test failed before.

--- a/src/orioleloom/peer_api/_socket.py
+++ b/src/orioleloom/peer_api/_socket.py
@@ -17,7 +17,7 @@
 # Frames received without waiting before other trio tasks may run.
 FRAMES_PER_CHECKPOINT = 64
 
-_ADDRESS = re.compile(r'tcp://(\[[0-9A-Fa-f:.]+\]|[0-9.]+):(\d{1,5})')
+_ADDRESS = re.compile(r'tcp://(\[[0-9A-Fa-f:.]+\]|[0-9.]+):([0-9]{1,5})')
 
 
 def check_peer_address(address: str) -> str:
--- a/tests/peer_api/test_socket.py
+++ b/tests/peer_api/test_socket.py
@@ -103,3 +103,9 @@
         codec.decode_peer(frame)
     except errors.DispatchError as exc:
         assert exc.kind in ('bad_request', 'too_large')
+
+
+def test_digits_of_other_scripts_are_refused_in_an_address():
+    """Guards against an address that ZeroMQ rejects when it is first used."""
+    with pytest.raises(errors.DispatchError):
+        peer_api.check_peer_address('tcp://10.0.0.1:٣')
