Answer a refusal whose Retry-After cannot be rounded

The time comes from another instance. An infinite one raised an error after the job had been removed from the pending ones, so that its caller waited until its deadline. Two cases of the new test failed before.

--- a/src/orioleloom/platform/_ingress.py
+++ b/src/orioleloom/platform/_ingress.py
@@ -144,7 +144,10 @@
 def _respond_unavailable(
     connection: http1.Connection, reason: str, retry_after_s: float
 ) -> None:
-    seconds = max(1, math.ceil(retry_after_s))
+    # The time is from another instance.
+    seconds = (
+        max(1, math.ceil(retry_after_s)) if math.isfinite(retry_after_s) else 1
+    )
     _respond(connection, 503, {'error': reason}, f'Retry-After: {seconds}\r\n')
 
 
