Check that jobs which an overloaded leader refuses never start

Histories with several disruptions can now have leaders that refuse jobs at times. A job whose first attempt was refused as not run must not have started, also not before its caller comes back.

--- a/benchmarks/disruptions.py
+++ b/benchmarks/disruptions.py
@@ -45,11 +45,17 @@
         action='store_true',
         help='do not tell the instance of each connection that breaks',
     )
+    parser.add_argument(
+        '--overloads',
+        action='store_true',
+        help='let leaders be short of processor time at times',
+    )
     arguments = parser.parse_args()
     options = leased.Disruptions(
         leased.LateLease(arguments.late_lease),
         arguments.late_after_restart,
         arguments.silent_breaks,
+        arguments.overloads,
     )
     seeds = range(arguments.seed, arguments.seed + arguments.n)
     n_violations = n_errors = n_jobs = n_faults = 0
--- a/src/orioleloom_standins/leased/_disruptions.py
+++ b/src/orioleloom_standins/leased/_disruptions.py
@@ -10,6 +10,7 @@
 from orioleloom_standins.leased import _disrupted
 from orioleloom_standins.leased import _load
 from orioleloom_standins.leased import _worker
+from orioleloom_standins.leased import _world
 
 # Delay after which a caller resubmits a job that got no answer.
 _RESEND_S = 1.3
@@ -40,11 +41,14 @@
         of the worker as well
     :param silent_breaks: connections of callers may break without notice to
         the instance
+    :param has_overloads: leaders are short of processor time at times, so that
+        they refuse jobs
     """
 
     late_lease: _disrupted.LateLease = _disrupted.LateLease.AS_SENT
     late_after_restart: bool = False
     silent_breaks: bool = False
+    has_overloads: bool = False
 
 
 class _Attempt(typing.NamedTuple):
@@ -73,6 +77,10 @@
         self.n_jobs = 0
         self.attempts: dict[str, _Attempt] = {}
         self.outcomes: dict[str, dispatch.Outcome] = {}
+        # Jobs whose only attempt so far was refused by an overloaded leader.
+        self.refused_job_ids: set[str] = set()
+        self.n_refused = 0
+        self._sent_job_ids: set[str] = set()
         self._n_workers = len(fleet.workers)
         self._store_faults: dict[str, int] = {}
         self._end_s = trio.current_time() + _TRAFFIC_S + 1.0
@@ -137,13 +145,16 @@
             return
         name = self.rng.choice(names)
         instance = self.fleet.nodes[name]
+        self.refused_job_ids.discard(job.id)
         attempt = _Attempt(
             job,
             name,
             instance,
-            lambda outcome: self._handle_outcome(attempt, outcome),
+            lambda outcome: self._handle_outcome(attempt, outcome, is_first),
         )
         self.attempts[job.id] = attempt
+        is_first = job.id not in self._sent_job_ids
+        self._sent_job_ids.add(job.id)
         now_s = trio.current_time()
         deadline_s = now_s + self.rng.uniform(1.9, 7.0)
         instance.submit(
@@ -156,9 +167,14 @@
         self._after(deadline_s - now_s + 0.1, self._time_out, attempt)
 
     def _handle_outcome(
-        self, attempt: _Attempt, outcome: dispatch.Outcome
+        self, attempt: _Attempt, outcome: dispatch.Outcome, is_first: bool
     ) -> None:
         job = attempt.job
+        if outcome.reason == dispatch.OVERLOADED:
+            self.n_refused += 1
+            if is_first:
+                self.refused_job_ids.add(job.id)
+                self.check_refusals()
         if self.attempts.get(job.id) is not attempt:
             return
         del self.attempts[job.id]
@@ -168,6 +184,34 @@
         elif outcome.kind is dispatch.OutcomeKind.NOT_RUN:
             self._after(self.rng.uniform(0.3, 3.0), self._send, job)
 
+    def check_refusals(self) -> None:
+        """Check that no refused job has started.
+
+        :raises Violation: a job that was refused as not run has started
+        """
+        for start in self.fleet.starts:
+            if start.rejection is None and (
+                start.key.job_id in self.refused_job_ids
+            ):
+                raise _world.Violation(f'refused as not run: {start}')
+
+    async def overload_leaders(self, rng: random.Random) -> None:
+        """Let leaders refuse new jobs for short periods."""
+        while True:
+            await trio.sleep(rng.uniform(0.2, 1.5))
+            until_s = trio.current_time() + rng.uniform(0.2, 1.5)
+            pacers = []
+            while trio.current_time() < until_s:
+                for instance in self.fleet.nodes.values():
+                    if instance.leader is not None:
+                        pacers.append(instance.leader.dispatcher.pacer)
+                        # One task a round, and no time for others.
+                        pacers[-1].max_starts = 1
+                        pacers[-1].is_overloaded = lambda: True
+                await trio.sleep(0.005)
+            for pacer in pacers:
+                pacer.__dict__.pop('is_overloaded', None)
+
     def _time_out(self, attempt: _Attempt) -> None:
         if self.attempts.get(attempt.job.id) is attempt:
             self._break(attempt, is_noticed=True)
@@ -679,9 +723,14 @@
         fleet.start()
         await trio.sleep(1.5)
         history = DisruptedHistory(fleet, rng, options, faults)
+        if options.has_overloads:
+            nursery.start_soon(
+                history.overload_leaders, random.Random(f'overload {seed}')
+            )
         async with trio.open_nursery() as inner:
             inner.start_soon(history.send_jobs)
             inner.start_soon(history.inject_faults)
         await trio.sleep(_DRAIN_S)
+        history.check_refusals()
         nursery.cancel_scope.cancel()
     return history
