Do not count held jobs as backlog of an overloaded leader

A leader that had just taken over and was short of time refused new jobs because of jobs that wait for the leases of an earlier leader, for up to 1.8 s, although they do not wait for its processor. They are left out. A refusal is also decided before the tasks of the job are created, so that it takes the same time for a job of any size.

The new test failed before. tests/dispatch, tests/node/test_overload.py and tests/leased/test_disruptions.py pass.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1014,12 +1014,10 @@
                 _records.AnswerJob(job.id, instance_id, recent[0])
             )
             return
-        state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
         # Tasks of an earlier submission may have run, so that this one must
         # not be refused as not run.
-        state.may_have_run_elsewhere = (
-            job.id in self._unknown_ended_s
-            or self.crashes.has_suspects(job.id)
+        may_have_run = job.id in self._unknown_ended_s or (
+            self.crashes.has_suspects(job.id)
         )
         is_held_new = last_contact_s is None and self._must_hold_new(
             job.id, arrived_s, now_s
@@ -1028,10 +1026,12 @@
             self.pacer.is_overloaded()
             and last_contact_s is None
             and not is_held_new
-            and not state.may_have_run_elsewhere
+            and not may_have_run
         ):
-            self._refuse(state, now_s)
+            self._refuse(job.id, instance_id, now_s)
             return
+        state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
+        state.may_have_run_elsewhere = may_have_run
         state.set_expected_run_time(_jobs.critical_path_s(job, self.run_times))
         self.jobs[job.id] = state
         self._assign_instance(state)
@@ -1047,7 +1047,8 @@
             )
             self._held_job_ids.add(job.id)
         self._claim_foreign_runs(state, now_s)
-        self.pacer.add_waiting(len(state.waiting))
+        if state.held_until_s <= now_s:
+            self.pacer.add_waiting(len(state.waiting))
         self._request_placement(now_s)
 
     def _must_hold_new(
@@ -1063,17 +1064,15 @@
             )
         )
 
-    def _refuse(self, job: _jobs.JobState, now_s: float) -> None:
+    def _refuse(self, job_id: str, instance_id: str, now_s: float) -> None:
         """Refuse a new job that would wait too long for this dispatcher."""
         outcome = _records.Outcome(
             _records.OutcomeKind.NOT_RUN, OVERLOADED, self._retry_after_s()
         )
         self.counters['jobs_refused_overload'] += 1
         # Its instance may name the job once more before it has the answer.
-        self._recent_outcomes[job.job.id] = (outcome, now_s)
-        self._effects.append(
-            _records.AnswerJob(job.job.id, job.instance_id, outcome)
-        )
+        self._recent_outcomes[job_id] = (outcome, now_s)
+        self._effects.append(_records.AnswerJob(job_id, instance_id, outcome))
 
     def _hold_handed_over(
         self,
@@ -1412,7 +1411,13 @@
             start.task.job.waiting.remove(start.task)
             self._start_run(start.task, start.worker, now_s)
         n_waiting_tasks = (
-            sum(len(job.waiting) for job in waiting) if is_limited else 0
+            sum(
+                len(job.waiting)
+                for job in waiting
+                if job.held_until_s <= now_s
+            )
+            if is_limited
+            else 0
         )
         self.pacer.record_round(len(starts), n_waiting_tasks, now_s)
 
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -100,6 +100,23 @@
     assert n_starts == [5, 5, 2, 0]
 
 
+def test_held_jobs_are_no_backlog():
+    """Guards against refusals while jobs wait for an earlier leader's leases.
+
+    They wait for workers, and not for the processor of this leader.
+    """
+    dispatcher = new_dispatcher()
+    for number in range(100):
+        submit(dispatcher, new_job(number), 100.0, last_contact_s=99.9)
+    dispatcher.pacer.max_starts = 1
+    submit(dispatcher, new_job(200), 100.01)
+    dispatcher.take_effects()
+    assert not dispatcher.pacer.is_overloaded()
+    submit(dispatcher, new_job(201, n_tasks=100), 100.02)
+    dispatcher.take_effects()
+    assert dispatcher.pacer.is_overloaded()
+
+
 def test_refused_job_starts_nothing_and_stays_refused():
     """Guards against "not run" for a job that its instance names again.
 
--- a/tests/leased/test_disruptions.py
+++ b/tests/leased/test_disruptions.py
@@ -29,9 +29,9 @@
     """The check can fail: the instance submits such a job once more."""
     refuse = dispatch.Dispatcher._refuse
 
-    def refuse_and_forget(self, job, now_s):
-        refuse(self, job, now_s)
-        del self._recent_outcomes[job.job.id]
+    def refuse_and_forget(self, job_id, instance_id, now_s):
+        refuse(self, job_id, instance_id, now_s)
+        del self._recent_outcomes[job_id]
 
     monkeypatch.setattr(dispatch.Dispatcher, '_refuse', refuse_and_forget)
     with pytest.raises(leased.Violation, match='refused as not run'):
