Leave imported objects out of garbage collections

A full collection looked at all objects of the modules: 38,963 of them, 20 ms on this machine (measured in a process that had only imported the program). They live as long as the process and are now frozen at its start.

--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -1,6 +1,7 @@
 """Main process of an instance on the platform."""
 
 import argparse
+import gc
 import os
 import random
 import secrets
@@ -179,6 +180,16 @@
                 break
 
 
+def freeze_imported_objects() -> None:
+    """Leave the objects that exist now out of garbage collections.
+
+    Those of the modules live as long as the process. Looking at them took
+    20 ms in each full collection, during which the event loop stands still.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 def main(argv: typing.Sequence[str] | None = None) -> int:
     """Run an instance until it is stopped.
 
@@ -205,6 +216,7 @@
     writer = node.LogWriter(sys.stdout.fileno(), settings.instance_id)
     writer.start()
 
+    freeze_imported_objects()
     loop_monitor = node.LoopMonitor()
 
     async def run() -> None:
