http1: answer every request that a draining server has received

Callers saw connections that ended without an answer although the server had read their requests.

Cause: while a server drains, the response to a request closed its connection. A request that had arrived behind it, in the same segment, in the kernel or queued, was dropped with the connection; one in the same segment was even handled, with nowhere to send its response. An idle connection stayed open until the process exited and was then closed with whatever had arrived on it.

Change: requests are queued when they are complete and handled in turn, and "Connection: close" goes with the last response that is owed. Server.finish() stops listening, takes in what has arrived and closes the idle connections. After its last response a connection is shut down for sending and read until the client closes it, since closing it with unread bytes resets it. Many requests in one segment no longer cost a recursion each.

--- a/src/orioleloom/http1/_server.py
+++ b/src/orioleloom/http1/_server.py
@@ -1,5 +1,6 @@
 import collections
 import errno
+import math
 import socket
 import typing
 
@@ -13,6 +14,11 @@
 # Pause of accepting while the process has no file descriptor left.
 _ACCEPT_PAUSE_S = 0.1
 _OUT_OF_DESCRIPTORS_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS)
+_FINISH_CHECK_INTERVAL_S = 0.01
+# How long a connection stays half open after its last response, until the
+# client closes it. Closing it with unread bytes would reset it, and the client
+# could lose the response.
+_LINGER_S = 1.0
 
 _REASON_PHRASES = {
     200: 'OK',
@@ -79,8 +85,19 @@
         # For the use of the request handler.
         self.context: typing.Any = None
         self._socket = sock
-        self._pipelined: collections.deque[Request] = collections.deque()
+        # Requests that wait for the ones before them, and whether the client
+        # keeps the connection open after each.
+        self._waiting: collections.deque[tuple[Request, bool]] = (
+            collections.deque()
+        )
         self._keep_alive = True
+        self._is_handling = False
+        # Status for what arrived last and cannot be parsed.
+        self._reject_status: int | None = None
+        # The last response was sent; what still arrives is discarded.
+        self._is_finished = False
+        self._linger_until_s = math.inf
+        self._receive_scope = trio.CancelScope()
         self._reset_request()
         self._parser = httptools.HttpRequestParser(self)
 
@@ -128,8 +145,7 @@
             raise _TooLargeError(413)
 
     def on_message_complete(self) -> None:
-        """Pass the request to the server, or queue it behind the current."""
-        self._keep_alive = self._parser.should_keep_alive()
+        """Queue the request, which has arrived completely."""
         url = httptools.parse_url(self._url)
         request = Request(
             self._parser.get_method().decode('latin-1'),
@@ -140,11 +156,7 @@
             trio.current_time(),
         )
         self._reset_request()
-        if self.current_request is not None:
-            self._pipelined.append(request)
-        else:
-            self.current_request = request
-            self.server.handle(self, request)
+        self._waiting.append((request, self._parser.should_keep_alive()))
 
     # Reading and writing
 
@@ -159,7 +171,8 @@
                     break
                 if not data:
                     break
-                self._feed(data)
+                self._parse(data)
+                self._handle_waiting()
         except (OSError, trio.ClosedResourceError):
             # The client reset the connection, or a response closed it
             # while this task was waiting for data. Both are normal.
@@ -175,25 +188,66 @@
             if self._n_header_bytes
             else limits.idle_timeout_s
         )
-        with trio.move_on_after(timeout_s):
+        until_s = min(trio.current_time() + timeout_s, self._linger_until_s)
+        with trio.move_on_at(until_s) as self._receive_scope:
             return await _sockets.receive(self._socket)
         return None
 
-    def _feed(self, data: bytes) -> None:
+    def _parse(self, data: bytes) -> None:
+        """Queue the requests that the data completes."""
+        if self._is_finished or self._reject_status is not None:
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as exc:
             cause = exc.__context__
-            status = cause.status if isinstance(cause, _TooLargeError) else 400
-            self._reject(status)
+            self._reject_status = (
+                cause.status if isinstance(cause, _TooLargeError) else 400
+            )
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reject(400)
+            self._reject_status = 400
+
+    def _parse_available(self) -> None:
+        """Queue the requests that have arrived, without waiting."""
+        try:
+            self._parse(self._socket.recv(_sockets.MAX_READ_BYTES))
+        except OSError:
+            # Nothing has arrived, or the connection is broken, which the
+            # serving task notices.
+            pass
+
+    def _has_unanswered(self) -> bool:
+        """Return whether a request has arrived, also in part."""
+        return bool(
+            self.current_request is not None
+            or self._waiting
+            or self._n_header_bytes
+            or self._reject_status is not None
+        )
+
+    def _handle_waiting(self) -> None:
+        """Handle queued requests until one is not answered at once."""
+        if self._is_handling:
+            # The response came from the handler that the loop below calls.
+            return
+        self._is_handling = True
+        while (
+            self.is_open
+            and not self._is_finished
+            and self.current_request is None
+        ):
+            if not self._waiting:
+                if self._reject_status is not None:
+                    self._reject(self._reject_status)
+                break
+            self.current_request, self._keep_alive = self._waiting.popleft()
+            self.server.handle(self, self.current_request)
+        self._is_handling = False
 
     def _reject(self, status: int) -> None:
         self.server.counters['malformed_requests'] += 1
-        self._keep_alive = False
         self._write(_encode_response(status, b'', 'Connection: close\r\n'))
-        self.close()
+        self._finish()
 
     def respond(
         self,
@@ -214,17 +268,17 @@
         if self.current_request is None:
             return
         self.current_request = None
-        keep_open = (
-            self._keep_alive and not close and not self.server.is_draining
-        )
+        keep_open = self._keep_alive and not close
+        if keep_open and self.server.is_draining:
+            # Requests that have arrived behind this one are answered, too.
+            self._parse_available()
+            keep_open = self._has_unanswered()
         if not keep_open:
             headers += 'Connection: close\r\n'
         self._write(_encode_response(status, body, headers))
         if not keep_open:
-            self.close()
-        elif self._pipelined:
-            self.current_request = self._pipelined.popleft()
-            self.server.handle(self, self.current_request)
+            self._finish()
+        self._handle_waiting()
 
     def _write(self, data: bytes) -> None:
         """Send without blocking; close the connection if that fails.
@@ -242,6 +296,29 @@
         self.server.counters['broken_answers'] += 1
         self.close()
 
+    def _finish(self) -> None:
+        """Send nothing more, and close once the client has done so."""
+        if not self.is_open or self._is_finished:
+            return
+        self._is_finished = True
+        self._linger_until_s = trio.current_time() + _LINGER_S
+        self._receive_scope.deadline = self._linger_until_s
+        self._shut_down_sending()
+
+    def finish_if_idle(self) -> None:
+        """Finish the connection, unless a request has arrived on it."""
+        self._parse_available()
+        if not self._has_unanswered():
+            self._finish()
+        self._handle_waiting()
+
+    def _shut_down_sending(self) -> None:
+        try:
+            self._socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The client has already closed the connection.
+            pass
+
     def close(self) -> None:
         """Close the connection."""
         if not self.is_open:
@@ -249,11 +326,8 @@
         self.is_open = False
         self.server.connections.discard(self)
         trio.lowlevel.notify_closing(self._socket)
-        try:
-            self._socket.shutdown(socket.SHUT_WR)
-        except OSError:
-            # The client has already closed the connection.
-            pass
+        if not self._is_finished:
+            self._shut_down_sending()
         self._socket.close()
         if self.current_request is not None:
             self.current_request = None
@@ -296,6 +370,8 @@
         self.max_connections = max_connections
         self.is_draining = False
         self.connections: set[Connection] = set()
+        # The nursery of the connections that each one accepts.
+        self._listeners: dict[socket.socket, trio.Nursery] = {}
         self.counters: collections.Counter[str] = collections.Counter()
 
     def handle(self, connection: Connection, request: Request) -> None:
@@ -311,8 +387,8 @@
         address: str,
         *,
         task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
-    ) -> typing.NoReturn:
-        """Listen on ``IP:PORT`` until cancelled.
+    ) -> None:
+        """Listen on ``IP:PORT`` until :meth:`finish`, or until cancelled.
 
         Starts its task status with the bound address.
         """
@@ -325,28 +401,68 @@
         bound = '%s:%d' % listener.getsockname()
         try:
             async with trio.open_nursery() as nursery:
+                self._listeners[listener] = nursery
                 task_status.started(bound)
-                while True:
-                    await trio.lowlevel.wait_readable(listener)
+                while listener in self._listeners:
+                    await self._wait_for_clients(listener)
                     await self._accept(listener, nursery)
         finally:
-            listener.close()
+            self._stop_listening(listener)
             for connection in list(self.connections):
                 connection.close()
 
+    async def _wait_for_clients(self, listener: socket.socket) -> None:
+        try:
+            await trio.lowlevel.wait_readable(listener)
+        except trio.ClosedResourceError:
+            # The server has stopped listening.
+            pass
+
+    def _stop_listening(self, listener: socket.socket) -> None:
+        if self._listeners.pop(listener, None) is not None:
+            trio.lowlevel.notify_closing(listener)
+            listener.close()
+
+    def finish(self) -> None:
+        """Stop listening, and close the connections without a request.
+
+        Requests that have arrived are handled, and their connections close
+        after the responses.
+        """
+        self.is_draining = True
+        for listener, nursery in list(self._listeners.items()):
+            self._accept_waiting(listener, nursery)
+            self._stop_listening(listener)
+        for connection in list(self.connections):
+            connection.finish_if_idle()
+
+    async def wait_finished(self, timeout_s: float) -> None:
+        """Wait until the clients have closed their connections."""
+        with trio.move_on_after(timeout_s):
+            while self.connections:
+                await trio.sleep(_FINISH_CHECK_INTERVAL_S)
+
     async def _accept(
         self, listener: socket.socket, nursery: trio.Nursery
     ) -> None:
-        while True:
+        if not self._accept_waiting(listener, nursery):
+            await trio.sleep(_ACCEPT_PAUSE_S)
+
+    def _accept_waiting(
+        self, listener: socket.socket, nursery: trio.Nursery
+    ) -> bool:
+        """Accept the connections that wait for it.
+
+        :returns: false if the process has no file descriptor left
+        """
+        while listener in self._listeners:
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
-                return
+                break
             except OSError as exc:
                 self.counters['failed_accepts'] += 1
-                if exc.errno in _OUT_OF_DESCRIPTORS_ERRNOS:
-                    await trio.sleep(_ACCEPT_PAUSE_S)
-                return
+                return exc.errno not in _OUT_OF_DESCRIPTORS_ERRNOS
             if len(self.connections) >= self.max_connections:
                 self.counters['refused_connections'] += 1
                 sock.close()
@@ -356,3 +472,4 @@
             connection = Connection(self, sock)
             self.connections.add(connection)
             nursery.start_soon(connection.serve)
+        return True
--- a/src/orioleloom/http1/_sockets.py
+++ b/src/orioleloom/http1/_sockets.py
@@ -2,7 +2,7 @@
 
 import trio
 
-_MAX_READ_BYTES = 65536
+MAX_READ_BYTES = 65536
 
 
 async def receive(connection: socket.socket) -> bytes:
@@ -13,7 +13,7 @@
     while True:
         await trio.lowlevel.wait_readable(connection)
         try:
-            return connection.recv(_MAX_READ_BYTES)
+            return connection.recv(MAX_READ_BYTES)
         except BlockingIOError:
             continue
 
