platform: read the signals that arrive during a planned stop

Operators saw an instance end by SIGHUP or SIGTERM at the end of a planned stop, with its last log lines missing.

Cause: the daemon read no signals after the first SIGTERM. What trio's receiver still holds when it is closed is raised again, with the default action by then.

Change: a task reads the signals until the stop is complete. SIGHUP reloads the settings, further SIGTERMs change nothing.

--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -135,17 +135,33 @@
                     self._reload_if_modified,
                 )
                 await nursery.start(self.node.run)
-                async for signal_number in signals:
-                    if signal_number == signal.SIGHUP:
-                        self._reload()
-                    else:
-                        break
+                stop_requested = trio.Event()
+                nursery.start_soon(
+                    self._handle_signals, signals, stop_requested
+                )
+                await stop_requested.wait()
                 await self._drain()
                 nursery.cancel_scope.cancel()
         self.node.close()
         self.client.close()
         node.log('stopped', n_pending=len(self.node.pending))
 
+    async def _handle_signals(
+        self,
+        signals: typing.AsyncIterator[int],
+        stop_requested: trio.Event,
+    ) -> None:
+        """Handle signals until cancelled.
+
+        Those that nobody reads are raised again when their receiver is
+        closed, and then end the process.
+        """
+        async for signal_number in signals:
+            if signal_number == signal.SIGHUP:
+                self._reload()
+            else:
+                stop_requested.set()
+
     def _reload_if_modified(self) -> None:
         modified_s = _settings.modified_s(os.environ)
         if modified_s != self._settings_modified_s:
