node: refuse jobs that a planned stop leaves no time for

Cause: an instance accepted every job that reached it on an open connection until its process exited, 5.5 s after SIGTERM.

Change: Node.begin_stop() takes the time by which jobs must have ended. A new job is accepted only if its objective, or its caller's deadline if that is earlier, is before that time. Others are refused at once: nothing has run and nothing will, and the caller may come back at once, since the load balancer sends new connections elsewhere by then. The deadline that the leader gets is cut to that time, so that it refuses jobs without room in time and stops the runs of the others. The last requests are taken in with Server.finish(). The new log line "drained" says how many jobs were ended without a result.

The histories stop instances in the same way.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -6,6 +6,7 @@
 from orioleloom.dispatch._dispatcher import OUTCOME_RETENTION_S
 from orioleloom.dispatch._dispatcher import OVERLOADED
 from orioleloom.dispatch._dispatcher import Settings
+from orioleloom.dispatch._jobs import declared_allowed_time_s
 from orioleloom.dispatch._jobs import latest_useful_start_s
 from orioleloom.dispatch._records import AnswerJob
 from orioleloom.dispatch._records import check_job
@@ -67,5 +68,6 @@
     'WorkerListTracker',
     'WorkerReport',
     'check_job',
+    'declared_allowed_time_s',
     'latest_useful_start_s',
 ]
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -31,6 +31,19 @@
     return queue.slack_factor * expected_s + queue.target_latency_s
 
 
+def _declared_run_time_s(job: _records.Job) -> float:
+    """Return the run time of the longest chain of steps, as declared."""
+    return critical_path_s(job, _estimates.RunTimeEstimator())
+
+
+def declared_allowed_time_s(job: _records.Job) -> float:
+    """Return how long a job may take to meet its queue's objective.
+
+    Uses the declared run times only, for instances that have no statistics.
+    """
+    return allowed_time_s(job.queue, _declared_run_time_s(job))
+
+
 def latest_useful_start_s(
     job: _records.Job, *, arrived_s: float, deadline_s: float
 ) -> float:
@@ -38,9 +51,8 @@
 
     Uses the declared run times only, for instances that have no statistics.
     """
-    expected_s = critical_path_s(job, _estimates.RunTimeEstimator())
-    useful_s = _LATE_FACTOR * allowed_time_s(job.queue, expected_s)
-    return min(arrived_s + useful_s, deadline_s) - expected_s
+    useful_s = _LATE_FACTOR * declared_allowed_time_s(job)
+    return min(arrived_s + useful_s, deadline_s) - _declared_run_time_s(job)
 
 
 class TaskState:
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -1,4 +1,5 @@
 import collections
+import math
 import random
 import time
 import typing
@@ -36,6 +37,10 @@
 # the load balancer is told to send callers elsewhere.
 _LEADER_WAIT_TIMEOUT_S = 1.0
 _RETRY_AFTER_S = (1.0, 3.0)
+# Outcome of a job that cannot end before its instance does. Its caller may
+# come back at once: the load balancer sends new connections elsewhere by then.
+_STOPPING = 'instance stopping'
+_STOPPING_RETRY_AFTER_S = 0.0
 # Followers also read members, so that their copies are recent when they become
 # leader.
 _FOLLOWER_READ_INTERVAL_S = 4.0
@@ -207,6 +212,8 @@
         )
         self.counters: collections.Counter[str] = collections.Counter()
         self.is_stopping = False
+        # When the jobs of this instance must have ended, in a planned stop.
+        self.stop_by_s = math.inf
         self.on_routing: typing.Callable[[_ports.Routing], None] = lambda _: (
             None
         )
@@ -342,13 +349,17 @@
         """Close the sockets."""
         self.peer_socket.close()
 
-    def begin_stop(self) -> None:
+    def begin_stop(self, stop_by_s: float = math.inf) -> None:
         """Begin a planned stop.
 
         Hands over leadership, if this instance leads and another one can,
         and is the last choice in later elections.
+
+        :param stop_by_s: when the accepted jobs must have ended; new ones
+            that cannot are refused
         """
         self.is_stopping = True
+        self.stop_by_s = stop_by_s
         self.elector.is_stopping = True
         leader = self.leader
         if leader is None:
@@ -360,6 +371,13 @@
             return
         self._hand_over_leadership(successors[0].instance_id, now_s)
 
+    def end_stop(self) -> None:
+        """Refuse all new jobs, and end those that have no outcome yet."""
+        self.stop_by_s = -math.inf
+        for pending in list(self.pending.values()):
+            self._cancel_at_leader(pending, _STOPPING)
+            self._give_up(pending, _STOPPING)
+
     def _hand_over_leadership(self, successor_id: str, now_s: float) -> None:
         leader = self.leader
         _log.log('leadership_handed_over', successor=successor_id)
@@ -1074,11 +1092,28 @@
             pending.was_submitted = replaced.was_submitted
             pending.earlier_list = replaced.earlier_list
         self.pending[job.id] = pending
-        if self.elector.role is leadership.Role.ISOLATED:
+        can_end = self._can_end_before_stop(pending)
+        # The leader ends the job when this instance has no more time.
+        pending.deadline_s = min(deadline_s, self.stop_by_s)
+        if not can_end and not pending.was_submitted:
+            self._give_up(pending, _STOPPING, _STOPPING_RETRY_AFTER_S)
+        elif self.elector.role is leadership.Role.ISOLATED:
             self._give_up(pending, 'instance out of contact')
         elif pending.assigned_leader is None:
             self._submit_pending(pending, trio.current_time())
 
+    def _can_end_before_stop(self, pending: PendingJob) -> bool:
+        """Return whether a planned stop leaves a job the time to end.
+
+        It needs the time that its objective allows, or its caller waits.
+        """
+        if self.stop_by_s == math.inf:
+            return True
+        needed_until_s = pending.arrived_s + dispatch.declared_allowed_time_s(
+            pending.job
+        )
+        return min(needed_until_s, pending.deadline_s) <= self.stop_by_s
+
     def _submit_pending(self, pending: PendingJob, now_s: float) -> None:
         role = self.elector.role
         job = pending.job
@@ -1139,11 +1174,19 @@
         pending = self.pending.pop(job_id, None)
         if pending is None:
             return False
+        self._cancel_at_leader(pending, 'caller left')
+        pending.on_outcome(
+            dispatch.Outcome(dispatch.OutcomeKind.UNKNOWN, 'cancelled')
+        )
+        return True
+
+    def _cancel_at_leader(self, pending: PendingJob, reason: str) -> None:
+        job_id = pending.job.id
         if self.leader is not None:
             self.leader.dispatcher.cancel(
                 job_id,
                 self.local_sender.instance_id,
-                'caller left',
+                reason,
                 trio.current_time(),
             )
             self.leader.schedule_effects()
@@ -1154,10 +1197,6 @@
                     pending.assigned_leader[1], self._leader_session, job_id
                 ),
             )
-        pending.on_outcome(
-            dispatch.Outcome(dispatch.OutcomeKind.UNKNOWN, 'cancelled')
-        )
-        return True
 
     def _handle_job_ended(
         self, sender_id: str, message: _messages.JobEnded
@@ -1204,8 +1243,19 @@
                 break
             del self._delivered[job_id]
 
-    def _give_up(self, pending: PendingJob, reason: str) -> None:
-        """End a job without an outcome from a leader."""
+    def _give_up(
+        self,
+        pending: PendingJob,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """End a job without an outcome from a leader.
+
+        :param retry_after_s: when its caller may come back; a random time if
+            not given
+        """
+        if retry_after_s is None:
+            retry_after_s = self.random_state.uniform(*_RETRY_AFTER_S)
         kind = (
             dispatch.OutcomeKind.UNKNOWN
             if pending.was_submitted
@@ -1221,9 +1271,7 @@
         )
         self._deliver_outcome(
             pending.job.id,
-            dispatch.Outcome(
-                kind, reason, self.random_state.uniform(*_RETRY_AFTER_S)
-            ),
+            dispatch.Outcome(kind, reason, retry_after_s),
         )
 
     def _expire_pending(self, now_s: float) -> None:
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -27,10 +27,15 @@
 _MIN_DRAIN_S = 2.6
 # Draining ends this long before the platform sends SIGKILL.
 _EXIT_MARGIN_S = 0.5
+# Jobs must have ended this long before, so that their outcomes can arrive.
+_OUTCOME_MARGIN_S = 0.1
+# Longest wait for clients to read their last responses.
+_CLIENTS_CLOSE_TIMEOUT_S = 0.15
 # File descriptors reserved for files and for connections to peers and workers.
 _RESERVED_FDS = 1000
 _SETTINGS_CHECK_INTERVAL_S = 2.0
 _LOG_FLUSH_INTERVAL_S = 0.2
+_DRAIN_CHECK_INTERVAL_S = 0.05
 
 
 class Daemon:
@@ -181,19 +186,35 @@
         node.log('reloaded', n_seeds=len(settings.seeds))
 
     async def _drain(self) -> None:
-        """Hand over leadership and finish the accepted requests."""
+        """Hand over leadership and finish the accepted requests.
+
+        Every request that was received is answered, with a refusal if the
+        time that is left is too short for its job.
+        """
         started_s = trio.current_time()
         node.log('stopping', n_pending=len(self.node.pending))
-        self.node.begin_stop()
+        limit_s = started_s + self.settings.bounds.grace_s - _EXIT_MARGIN_S
+        self.node.begin_stop(limit_s - _OUTCOME_MARGIN_S)
         self.callers.is_draining = True
-        limit_s = self.settings.bounds.grace_s - _EXIT_MARGIN_S
-        while True:
-            await trio.sleep(0.05)
-            elapsed_s = trio.current_time() - started_s
-            if elapsed_s >= limit_s:
-                break
-            if elapsed_s >= _MIN_DRAIN_S and not self.node.pending:
+        while trio.current_time() < limit_s:
+            await trio.sleep(_DRAIN_CHECK_INTERVAL_S)
+            if trio.current_time() < started_s + _MIN_DRAIN_S:
+                continue
+            if not self.node.pending:
+                self.callers.finish()
+            # Jobs that arrived until then are still to be done.
+            if not self.node.pending:
                 break
+        n_ended = len(self.node.pending)
+        self.node.end_stop()
+        self.callers.finish()
+        await self.callers.wait_finished(_CLIENTS_CLOSE_TIMEOUT_S)
+        node.log(
+            'drained',
+            after_s=round(trio.current_time() - started_s, 3),
+            n_ended=n_ended,
+            n_connections=len(self.callers.connections),
+        )
 
 
 def freeze_imported_objects() -> None:
--- a/src/orioleloom_standins/leased/_disruptions.py
+++ b/src/orioleloom_standins/leased/_disruptions.py
@@ -280,7 +280,7 @@
         ):
             return
         self.log_fault(f'stop {instance_id} for {for_s:.2f}')
-        instance.begin_stop()
+        instance.begin_stop(trio.current_time() + _GRACE_S)
         self.fleet.nursery.start_soon(
             self._finish_stop, instance_id, instance, for_s
         )
@@ -292,6 +292,7 @@
             while instance.pending:
                 await trio.sleep(0.05)
         if self.fleet.nodes.get(instance_id) is instance:
+            instance.end_stop()
             self._kill(instance_id, for_s)
 
     def _any_instance(self) -> str | None:
--- a/src/orioleloom_standins/leased/_history.py
+++ b/src/orioleloom_standins/leased/_history.py
@@ -234,7 +234,7 @@
         instance = self.fleet.nodes.get(instance_id)
         if instance is None or instance.is_stopping:
             return
-        instance.begin_stop()
+        instance.begin_stop(trio.current_time() + _GRACE_S)
         self.fleet.nursery.start_soon(
             self._finish_stop, instance_id, instance, for_s
         )
@@ -246,6 +246,7 @@
             while instance.pending:
                 await trio.sleep(0.05)
         if self.fleet.nodes.get(instance_id) is instance:
+            instance.end_stop()
             self.kill(instance_id)
             self._restart_later(instance_id, for_s)
 
--- a/src/orioleloom_standins/soak.py
+++ b/src/orioleloom_standins/soak.py
@@ -24,7 +24,7 @@
 
 # Delay after which a caller resends a job without a final answer.
 _RESEND_S = 1.3
-_READY_TIMEOUT_S = 15.0
+READY_TIMEOUT_S = 15.0
 _RECOVERY_S = 8.0
 _CALL_TIMEOUT_S = 6.0
 
@@ -44,7 +44,7 @@
     violations: list[str]
 
 
-class _Instance:
+class Instance:
     """An instance process and its settings and log files."""
 
     def __init__(self, site: wire.Site, number: int, n: int, folder: str):
@@ -82,7 +82,7 @@
     def __init__(self, site: wire.Site, rng: random.Random, folder: str):
         self.site = site
         self.rng = rng
-        self.instances = [_Instance(site, n, 3, folder) for n in (1, 2, 3)]
+        self.instances = [Instance(site, n, 3, folder) for n in (1, 2, 3)]
         self.client = http1.Client()
         self.faults: list[str] = []
         self.violations: list[str] = []
@@ -107,7 +107,7 @@
 
     # Callers
 
-    async def post(self, instance: _Instance, path: str, body: bytes) -> int:
+    async def post(self, instance: Instance, path: str, body: bytes) -> int:
         """Return the status of a submission; 0 if there is no answer."""
         with trio.move_on_after(_CALL_TIMEOUT_S):
             try:
@@ -179,7 +179,7 @@
         instance.signal(signal.SIGKILL)
         await self._restart(instance, for_s)
 
-    async def _restart(self, instance: _Instance, for_s: float) -> None:
+    async def _restart(self, instance: Instance, for_s: float) -> None:
         await instance.wait(7.0)
         await trio.sleep(for_s / 3)
         if instance.process.poll() is not None:
@@ -243,7 +243,7 @@
         for instance in self.instances:
             instance.start()
         body = wire.submission(1, 0.01)
-        with trio.fail_after(_READY_TIMEOUT_S):
+        with trio.fail_after(READY_TIMEOUT_S):
             while (
                 await self.post(self.instances[0], '/check/' + 16 * 'f', body)
                 != 200
