dispatch: hold every new job of a new leader that may run elsewhere

Cause: a new leader started a job that nobody handed over at once if it arrived less than 0.6 s after the last contact with the earlier leader. It took the earlier leader to have stopped the runs of callers that could be back so soon. A stop does not reach a worker that is cut off, and a leader that hands over or dies knows of the run only by itself. The run lives until its lease ends.

Change: the arrival of a job no longer matters. A new leader holds each job that nobody hands over until the workers have reported that may run it, at most until 1.2 s after the last contact. A leader that hands over names every job that may have runs, those that it has cancelled among them, in the new message RunningJobs; its successor holds only these, so that other callers do not wait for a silent worker. It names none while it may not know all runs itself.

test_job_that_cannot_be_a_resubmission_starts_at_once asked for the fault: a job at 0.5 s after the last contact had to start beside a silent worker. It now has the leader name the jobs, and test_job_soon_after_the_last_contact_waits_for_a_silent_worker asks for the opposite where nothing was named.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -40,12 +40,9 @@
 
 # The same for jobs that nobody hands over, which callers may have submitted
 # before, to an instance that has failed. The last contact with the earlier
-# dispatcher is up to 0.1 s before its end, and its leases last 1.07 s.
+# dispatcher is up to 0.1 s before its end, and its leases last 1.07 s. Its
+# stops do not reach every worker, so that a run can last as long.
 _START_HOLD_S = 1.2
-# Such a job arrives at least this long after the last contact. Callers submit
-# it 1.3 s after the failure of the instance, and a dispatcher that is active
-# 0.7 s after that has stopped the runs.
-_MIN_RESUBMISSION_S = 0.6
 
 # How long a handed over job is tried after it was held back, if it is late by
 # then.
@@ -109,6 +106,8 @@
     :param earlier_contact_s: last contact with an earlier dispatcher, or
         when the search for one began
     :param earlier_list: workers that it used, if there was one
+    :param earlier_running_job_ids: the jobs that may have runs, if it has
+        named them all when it handed over
     """
 
     def __init__(
@@ -121,6 +120,7 @@
         is_fleet_wide: bool = True,
         earlier_contact_s: float = -math.inf,
         earlier_list: _worker_lists.ListInUse | None = None,
+        earlier_running_job_ids: typing.Collection[str] | None = None,
         settings: Settings = Settings(),
     ):
         self.token = token
@@ -177,11 +177,12 @@
         # Jobs that are new here are held back, too, at first: their callers
         # may have submitted them before, at an instance that has failed.
         self._start_held_until_s = earlier_contact_s + _START_HOLD_S
-        self._resubmissions_from_s = earlier_contact_s + _MIN_RESUBMISSION_S
         # All workers that the earlier dispatcher may still use have reported,
         # except those with runs of jobs that it has named.
-        self._has_confirmed_start = False
-        self._earlier_list = earlier_list or _worker_lists.LISTED_WORKERS
+        self._has_confirmed_start = earlier_running_job_ids is not None
+        self._earlier_list = (
+            earlier_list or _worker_lists.LISTED_WORKERS
+        ).add_uncertain_jobs(earlier_running_job_ids or ())
         self._next_fleet_scan_s = now_s
         # Instances that may now belong to another dispatcher.
         self._paused_instance_ids: set[str] = set()
@@ -1020,7 +1021,7 @@
             self.crashes.has_suspects(job.id)
         )
         is_held_new = last_contact_s is None and self._must_hold_new(
-            job.id, arrived_s, now_s
+            job.id, now_s
         )
         if (
             self.pacer.is_overloaded()
@@ -1051,19 +1052,28 @@
             self.pacer.add_waiting(len(state.waiting))
         self._request_placement(now_s)
 
-    def _must_hold_new(
-        self, job_id: str, arrived_s: float, now_s: float
-    ) -> bool:
+    def _must_hold_new(self, job_id: str, now_s: float) -> bool:
         """Return whether a new job may run for an earlier dispatcher."""
-        return (
-            now_s < self._start_held_until_s
-            and arrived_s >= self._resubmissions_from_s
-            and (
-                not self._has_confirmed_start
-                or job_id in self._earlier_list.uncertain_job_ids
-            )
+        return now_s < self._start_held_until_s and (
+            not self._has_confirmed_start
+            or job_id in self._earlier_list.uncertain_job_ids
         )
 
+    def running_job_ids(self, now_s: float) -> set[str] | None:
+        """Return the jobs that may have runs, also those that have ended.
+
+        :returns: ``None`` while runs of an earlier dispatcher may be unknown
+        """
+        is_start_held = now_s < self._start_held_until_s
+        if is_start_held and not self._has_confirmed_start:
+            return None
+        job_ids = self._foreign_runs.job_ids()
+        for worker in self.workers.values():
+            job_ids.update(key.job_id for key in worker.runs)
+        if is_start_held:
+            job_ids |= self._earlier_list.uncertain_job_ids
+        return job_ids
+
     def _refuse(self, job_id: str, instance_id: str, now_s: float) -> None:
         """Refuse a new job that would wait too long for this dispatcher."""
         outcome = _records.Outcome(
--- a/src/orioleloom/dispatch/_foreign_runs.py
+++ b/src/orioleloom/dispatch/_foreign_runs.py
@@ -62,6 +62,10 @@
         """Return whether there are neither runs nor completions."""
         return not self._runs and not self._completed_s
 
+    def job_ids(self) -> set[str]:
+        """Return the jobs that have runs."""
+        return {key.job_id for key in self._runs}
+
     def add(
         self,
         key: _records.TaskKey,
--- a/src/orioleloom/dispatch/_worker_lists.py
+++ b/src/orioleloom/dispatch/_worker_lists.py
@@ -47,7 +47,8 @@
     :param unlisted_worker_ids: workers with runs that are not in these lists
     :param unused_worker_ids: workers in all of these lists that do not
         respond and get no further runs before that is announced
-    :param uncertain_job_ids: jobs with runs on such workers
+    :param uncertain_job_ids: jobs with runs on such workers, or that may have
+        runs on any worker
     """
 
     confirmed_version: int = UNKNOWN_VERSION
@@ -66,6 +67,14 @@
             self.uncertain_job_ids | other.uncertain_job_ids,
         )
 
+    def add_uncertain_jobs(
+        self, job_ids: typing.Collection[str]
+    ) -> 'ListInUse':
+        """Return what is known if further jobs may have runs."""
+        return self._replace(
+            uncertain_job_ids=self.uncertain_job_ids | frozenset(job_ids)
+        )
+
 
 # Used where no earlier dispatcher is known: the listed workers count.
 LISTED_WORKERS = ListInUse(sys.maxsize, 1)
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -89,6 +89,8 @@
     :param earlier_contact_s: last contact with an earlier leader, or when the
         search for one began
     :param earlier_list: workers that it used, if there was one
+    :param earlier_running_job_ids: the jobs that may have runs, if it has
+        named them all when it handed over
     :param random_state: source of the random numbers of its dispatcher
     :param loop_monitor: monitor of the event loop that the leader runs in
     """
@@ -108,6 +110,7 @@
         reconnect: typing.Callable[[str], None],
         earlier_contact_s: float,
         earlier_list: dispatch.ListInUse | None,
+        earlier_running_job_ids: typing.Collection[str] | None = None,
         now_s: float,
         random_state: random.Random,
         loop_monitor: _loop_monitor.LoopMonitor,
@@ -128,6 +131,7 @@
             is_fleet_wide=scope == leadership.FLEET,
             earlier_contact_s=earlier_contact_s,
             earlier_list=earlier_list,
+            earlier_running_job_ids=earlier_running_job_ids,
         )
         self.load = _leader_load.LeaderLoad(loop_monitor, now_s)
         self.followers: dict[str, Follower] = {}
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -177,6 +177,18 @@
     records: list[dispatch.CrashRecord]
 
 
+class RunningJobs(typing.NamedTuple):
+    """Names every job that may have runs, before a handover.
+
+    The successor holds them back if callers submit them again, until these
+    runs have ended. It is a message of its own, since earlier builds ignore
+    an unknown message and reject unknown fields.
+    """
+
+    term: _Natural
+    job_ids: list[str]
+
+
 Message = (
     Probe
     | Beat
@@ -188,6 +200,7 @@
     | Tables
     | Handover
     | Crashes
+    | RunningJobs
 )
 
 _KINDS: dict[str, type] = {
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -231,6 +231,8 @@
         # Highest fencing token received from any leader.
         self._highest_token = 0
         self._worker_list = dispatch.WorkerListTracker()
+        # The newest message of a leader that is about to hand over.
+        self._running_jobs = ('', _messages.RunningJobs(0, []))
         # Workers that recent leaders have used, by the leader's id and term.
         self._lists_in_use: dict[tuple[str, int], _HeardList] = {}
         self._must_update_successors = False
@@ -386,6 +388,12 @@
         crashes = leader.dispatcher.crashes.records(now_s)
         if crashes:
             self.send(successor_id, _messages.Crashes(crashes))
+        running_job_ids = leader.dispatcher.running_job_ids(now_s)
+        if running_job_ids is not None:
+            self.send(
+                successor_id,
+                _messages.RunningJobs(leader.term, sorted(running_job_ids)),
+            )
         for member_id in leader.instances_in_contact():
             if member_id == successor_id:
                 message = _messages.Handover(
@@ -526,6 +534,8 @@
                 self._handle_crashes(message, now_s)
             case _messages.Tables():
                 self._handle_tables(sender_id, message)
+            case _messages.RunningJobs():
+                self._running_jobs = (sender_id, message)
             case _messages.Handover():
                 self._handle_handover(sender_id, message, now_s)
 
@@ -745,16 +755,32 @@
         self.elector.start_search(now_s)
         if message.successor_id == self.local_sender.instance_id:
             self.elector.become_leader(scope, now_s)
-            self._start_leading(now_s, message)
+            self._start_leading(
+                now_s, message, self._running_jobs_of(sender_id, message.term)
+            )
+
+    def _running_jobs_of(
+        self, leader_id: str, term: int
+    ) -> typing.Collection[str] | None:
+        """Return the jobs that a leader has named for its handover."""
+        sender_id, message = self._running_jobs
+        if (sender_id, message.term) != (leader_id, term):
+            return None
+        return message.job_ids
 
     # Leadership
 
     def _start_leading(
-        self, now_s: float, handover: _messages.Handover | None = None
+        self,
+        now_s: float,
+        handover: _messages.Handover | None = None,
+        running_job_ids: typing.Collection[str] | None = None,
     ) -> None:
         """Begin to lead.
 
         :param handover: message of the earlier leader, if it handed over
+        :param running_job_ids: the jobs that may have runs, if it has named
+            them
         """
         now_ms = int(self.wall_time() * 1000)
         leader = self.leader = _leader.Leader(
@@ -774,6 +800,7 @@
                 self._last_leader_contact_s, self._first_search_s
             ),
             earlier_list=self._list_of_recent_leaders(),
+            earlier_running_job_ids=running_job_ids,
             now_s=now_s,
             random_state=self.random_state,
             loop_monitor=self.loop_monitor,
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -689,12 +689,14 @@
 
 
 def test_job_that_cannot_be_a_resubmission_starts_at_once():
-    """Callers whose instance has failed come back later.
+    """The earlier leader has named all jobs that may have runs.
 
-    Jobs that wait while a leader is searched would be held for nothing.
+    Other jobs would be held for nothing, while a worker is silent.
     """
     harness = new_dispatcher_harness(
-        earlier_contact_s=99.5, earlier_list=dispatch.ListInUse(1, 1)
+        earlier_contact_s=99.5,
+        earlier_list=dispatch.ListInUse(1, 1),
+        earlier_running_job_ids=['b' * 16],
     )
     harness.submit(one_step_job())
     harness.report('w1')
@@ -702,6 +704,26 @@
     assert len(harness.starts()) == 1
 
 
+@pytest.mark.parametrize('contact_s', [99.5, 99.9, 100.0])
+def test_job_soon_after_the_last_contact_waits_for_a_silent_worker(contact_s):
+    """Guards against a second run beside one that a stop did not reach.
+
+    A job that came less than 0.6 s after the last contact with the earlier
+    leader was started at once: the leader was taken to have stopped the runs
+    of callers that could come back so soon.
+    """
+    harness = new_dispatcher_harness(
+        earlier_contact_s=contact_s, earlier_list=dispatch.ListInUse(1, 1)
+    )
+    step = dispatch.Step(1, dispatch.Resources(6_800, 64), 1.0)
+    harness.submit(dispatch.Job('a' * 16, QUEUE, 'payload', (step,)))
+    harness.report('w1')
+    harness.after(contact_s + 1.19 - 100.0)
+    assert not harness.starts()
+    harness.after(0.04)
+    assert len(harness.starts()) == 1
+
+
 def test_new_job_does_not_wait_for_an_unused_worker():
     harness = new_dispatcher_harness(
         earlier_contact_s=99.3,
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -39,6 +39,7 @@
         listed=('w1', 'w2'),
         departed=(),
         earlier_list=dispatch.ListInUse(5, 5),
+        running_job_ids=None,
     ):
         self.now_s = 100.0
         self.starts = []
@@ -50,6 +51,7 @@
             now_s=self.now_s,
             earlier_contact_s=self.now_s - 0.7,
             earlier_list=earlier_list,
+            earlier_running_job_ids=running_job_ids,
         )
         tracker = dispatch.WorkerListTracker()
         names = {*listed, *departed}
@@ -162,3 +164,30 @@
     harness.dispatcher.set_workers({'w1': new_info('w1')}, harness.now_s)
     used = harness.dispatcher.announce_workers(1)
     assert 'w2' in used.unlisted_worker_ids
+
+
+def test_running_jobs_are_named_only_if_all_are_known():
+    """A second change of leader within the lease of an unknown run."""
+    harness = Harness()
+    harness.report('w1')
+    assert harness.dispatcher.running_job_ids(harness.now_s) is None
+    harness.report('w2', [RUNNING])
+    assert harness.dispatcher.running_job_ids(harness.now_s) == {JOB.id}
+
+
+def test_running_jobs_include_those_that_were_cancelled():
+    """Their stops may not have reached the workers."""
+    harness = Harness()
+    harness.report('w1')
+    harness.report('w2')
+    harness.dispatcher.cancel(JOB.id, 'e2', 'caller left', harness.now_s)
+    assert harness.dispatcher.running_job_ids(harness.now_s) == {JOB.id}
+
+
+def test_only_named_jobs_wait_after_a_handover():
+    """Guards against callers that wait for a worker with other jobs."""
+    for names, n_starts in (((JOB.id,), 0), (('b' * 16,), 1)):
+        harness = Harness(running_job_ids=names)
+        harness.report('w1')
+        harness.wait(0.1)
+        assert len(harness.starts) == n_starts
