node: count the leases of a leader from when the others lost it

Cause: an instance that is out of contact while its peers still have a leader, and that is elected when this leader dies, counted the leases of that leader from its own last contact. They had ended by that count, so that it held no job back, while the leader had renewed them until it died.

Change: an elected leader counts them from no earlier than the time after which instances look for a leader: those that elected it have been without a heartbeat for as long.

--- a/src/orioleloom/leadership/_elector.py
+++ b/src/orioleloom/leadership/_elector.py
@@ -6,7 +6,7 @@
 
 # A follower searches for a leader after this time without a heartbeat. The
 # leader sends one every 0.1 s, so two must be lost and the next one be late.
-_LEADER_TIMEOUT_S = 0.32
+LEADER_TIMEOUT_S = 0.32
 # A follower that has been silent this long is out of contact. This is longer
 # than the time after which a follower searches, so that a leader still keeps
 # the jobs when their instance begins to look for another leader.
@@ -250,7 +250,7 @@
         :returns: whether this instance has become leader
         """
         if self.role is Role.FOLLOWING:
-            if now_s - self.last_heartbeat_s > _LEADER_TIMEOUT_S:
+            if now_s - self.last_heartbeat_s > LEADER_TIMEOUT_S:
                 self.start_search(now_s)
             return False
         if self.role is Role.LEADING and self._is_partition_healed(now_s):
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -797,7 +797,11 @@
                 member_id, trio.current_time()
             ),
             earlier_contact_s=max(
-                self._last_leader_contact_s, self._first_search_s
+                self._last_leader_contact_s,
+                self._first_search_s,
+                # The instances that elect have been without a heartbeat for
+                # this time. This one may have been out of contact before.
+                now_s - leadership.LEADER_TIMEOUT_S,
             ),
             earlier_list=self._list_of_recent_leaders(),
             earlier_running_job_ids=running_job_ids,
--- a/tests/node/test_jobs_sent_again.py
+++ b/tests/node/test_jobs_sent_again.py
@@ -123,6 +123,23 @@
     assert kind is dispatch.OutcomeKind.COMPLETED
 
 
+@pytest.mark.parametrize('returns_after_s', [0.97, 1.1, 1.2, 1.3])
+async def test_new_leader_that_was_out_of_contact(
+    site, autojump_clock, returns_after_s
+):
+    """Its last contact with the earlier leader is older than the lease."""
+    successor_id = max(set(site.fleet.nodes) - {site.leader_id})
+    fault = site.cut([successor_id], site.fleet.nodes)
+    await trio.sleep(1.0)
+    await site.fail_holder()
+    await site.sleep_until(0.95)
+    site.end_leader('killed')
+    await site.sleep_until(returns_after_s)
+    site.fleet.network.faults.remove(fault)
+    kind = await site.send_again()
+    assert kind is dispatch.OutcomeKind.COMPLETED
+
+
 @pytest.mark.parametrize('how', ['killed', 'stopped'])
 async def test_caller_that_comes_back_sooner(site, autojump_clock, how):
     """No time between two attempts of a caller is assumed."""
