node: do not use an outdated list of unused workers

Cause: heartbeats name the workers that do not respond and get no further runs before that is announced to all instances in contact. An instance that has lost contact misses the announcement. When it was elected later, it did not ask such a worker for its runs.

Change: if the last heartbeat is older than the time after which a leader gives up an instance, and after which instances then look for a leader, the new leader relies on no list: it holds new jobs until the leases have ended.

--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -65,6 +65,9 @@
 # Number of recent leaders whose use of workers is remembered, for jobs that
 # are handed over from one of them.
 _MAX_TRACKED_LEADERS = 8
+# A leader that this instance has not heard for longer may have lost contact
+# with it, and may use workers that it has named as not in use.
+_MAX_LIST_AGE_S = leadership.FOLLOWER_TIMEOUT_S + leadership.LEADER_TIMEOUT_S
 # New jobs of a new leader wait for the workers of all leaders that were heard
 # in this time before the latest heartbeat. Then their leases have ended.
 _EARLIER_LEADERS_S = 2.0
@@ -730,17 +733,24 @@
         heard = self._lists_in_use.get(leader)
         return dispatch.ListInUse() if heard is None else heard.list_in_use
 
-    def _list_of_recent_leaders(self) -> dispatch.ListInUse | None:
+    def _list_of_recent_leaders(
+        self, now_s: float
+    ) -> dispatch.ListInUse | None:
         """Return which workers the leaders that were heard last have used.
 
         The late heartbeat of a former leader must not hide what a later one
         has used.
         """
+        last_heard_s = max(
+            (heard.heard_s for heard in self._lists_in_use.values()),
+            default=math.inf,
+        )
+        if now_s - last_heard_s > _MAX_LIST_AGE_S:
+            return dispatch.ListInUse()
         recent: dispatch.ListInUse | None = None
-        last_heard_s = 0.0
         for heard in reversed(self._lists_in_use.values()):
             if recent is None:
-                recent, last_heard_s = heard.list_in_use, heard.heard_s
+                recent = heard.list_in_use
             elif heard.heard_s >= last_heard_s - _EARLIER_LEADERS_S:
                 recent = recent.merge(heard.list_in_use)
         return recent
@@ -803,7 +813,7 @@
                 # this time. This one may have been out of contact before.
                 now_s - leadership.LEADER_TIMEOUT_S,
             ),
-            earlier_list=self._list_of_recent_leaders(),
+            earlier_list=self._list_of_recent_leaders(now_s),
             earlier_running_job_ids=running_job_ids,
             now_s=now_s,
             random_state=self.random_state,
--- a/tests/node/test_jobs_sent_again.py
+++ b/tests/node/test_jobs_sent_again.py
@@ -140,6 +140,30 @@
     assert kind is dispatch.OutcomeKind.COMPLETED
 
 
+async def test_new_leader_with_an_outdated_list(site, autojump_clock):
+    """It was told that a worker is not in use, and missed that it is again."""
+    fleet = site.fleet
+    worker_id = 'w0'
+    other_job = JOB._replace(id='b' * 16)
+    fleet.submit(site.next_id, other_job, [2.0])
+    await trio.sleep(0.1)
+    assert fleet.workers[worker_id].runs
+    worker_fault = site.cut([worker_id], fleet.nodes)
+    await trio.sleep(2.0)
+    successor_id = max(set(fleet.nodes) - {site.leader_id})
+    fault = site.cut([successor_id], fleet.nodes)
+    fleet.network.faults.remove(worker_fault)
+    await trio.sleep(2.0)
+    await site.fail_holder()
+    assert fleet.workers[worker_id].runs
+    await site.sleep_until(0.95)
+    site.end_leader('killed')
+    await site.sleep_until(0.97)
+    fleet.network.faults.remove(fault)
+    kind = await site.send_again()
+    assert kind is dispatch.OutcomeKind.COMPLETED
+
+
 @pytest.mark.parametrize('how', ['killed', 'stopped'])
 async def test_caller_that_comes_back_sooner(site, autojump_clock, how):
     """No time between two attempts of a caller is assumed."""
