dispatch: announce no silent worker as unused before its runs are known

Cause: a new leader that had never heard a worker announced it as not in use, with no uncertain jobs. The worker could still run tasks under a lease of the leader before, and the next leader did not ask it.

Change: a silent worker is announced as unused only if it has reported to this leader, or when the leases of the earlier leader have ended.

Evidence: test_silent_worker_counts_until_the_earlier_leases_have_ended failed on the commit before and passes now.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -177,6 +177,7 @@
         # Jobs that are new here are held back, too, at first: their callers
         # may have submitted them before, at an instance that has failed.
         self._start_held_until_s = earlier_contact_s + _START_HOLD_S
+        self._have_earlier_leases_ended = False
         # All workers that the earlier dispatcher may still use have reported,
         # except those with runs of jobs that it has named.
         self._has_confirmed_start = earlier_running_job_ids is not None
@@ -318,7 +319,11 @@
             if not worker.is_listed:
                 if worker.runs or worker.n_foreign_runs:
                     unlisted.add(worker.id)
-            elif worker.is_unresponsive() and not worker.n_foreign_runs:
+            elif (
+                worker.is_unresponsive()
+                and not worker.n_foreign_runs
+                and self._are_runs_known(worker)
+            ):
                 unused.add(worker.id)
                 uncertain_job_ids.update(key.job_id for key in worker.runs)
                 self._withdraw_worker(worker)
@@ -330,6 +335,16 @@
             frozenset(uncertain_job_ids),
         )
 
+    def _are_runs_known(self, worker: _workers.Worker) -> bool:
+        """Return whether a worker can have no unknown runs.
+
+        It may have some of an earlier dispatcher until it has reported here,
+        or their leases have ended.
+        """
+        return self._have_earlier_leases_ended or (
+            worker.confirmed_s > -math.inf
+        )
+
     def has_unacknowledged_workers(self) -> bool:
         """Return whether a worker waits for an acknowledgement."""
         return bool(self._unacknowledged_ids)
@@ -1443,6 +1458,7 @@
             self._drop_unlisted_workers(now_s)
             self._read_old_clocks(now_s)
         self._search_all_workers = True
+        self._have_earlier_leases_ended = now_s >= self._start_held_until_s
         self._expire_leases(now_s)
         self._end_blocked_jobs(now_s)
         self._repeat_stops(now_s)
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -166,6 +166,21 @@
     assert 'w2' in used.unlisted_worker_ids
 
 
+def test_silent_worker_counts_until_the_earlier_leases_have_ended():
+    """Guards against a job that starts at the next leader but one.
+
+    The second leader has never heard a worker that runs a task for the first
+    one. It must not tell the third leader that the worker is not in use.
+    """
+    harness = Harness()
+    harness.report('w1')
+    for _ in range(2):
+        harness.dispatcher.handle_poll_failure('w2', 'silent', harness.now_s)
+    assert not harness.dispatcher.announce_workers(1).unused_worker_ids
+    harness.wait(0.55)
+    assert harness.dispatcher.announce_workers(2).unused_worker_ids == {'w2'}
+
+
 def test_running_jobs_are_named_only_if_all_are_known():
     """A second change of leader within the lease of an unknown run."""
     harness = Harness()
