dispatch: do not refuse a job as not run while it is held back

Cause: a job that is held back since it may run for an earlier leader, and whose time passes meanwhile, was refused with 503, which says that nothing has run.

Change: its outcome is unknown (502) until the hold has ended.

Evidence: test_held_job_is_not_refused_as_not_run failed on the commit before and passes now.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1686,7 +1686,10 @@
 
     def _expire_jobs(self, now_s: float) -> None:
         for job in list(self.jobs.values()):
-            may_have_started = job.may_have_run()
+            # A job that is still held back may have runs that are unknown.
+            may_have_started = (
+                job.may_have_run() or job.job.id in self._held_job_ids
+            )
             if now_s >= job.deadline_s:
                 kind = (
                     _records.OutcomeKind.UNKNOWN
--- a/tests/dispatch/test_takeover.py
+++ b/tests/dispatch/test_takeover.py
@@ -40,9 +40,11 @@
         departed=(),
         earlier_list=dispatch.ListInUse(5, 5),
         running_job_ids=None,
+        deadline_s=5.0,
     ):
         self.now_s = 100.0
         self.starts = []
+        self.answers = []
         self.polled = set()
         self.dispatcher = dispatch.Dispatcher(
             token=5,
@@ -75,7 +77,7 @@
             JOB,
             'e2',
             arrived_s=self.now_s,
-            deadline_s=self.now_s + 5.0,
+            deadline_s=self.now_s + deadline_s,
             now_s=self.now_s,
         )
         self.carry_out()
@@ -105,6 +107,8 @@
             match effect:
                 case dispatch.StartRun():
                     self.starts.append(effect)
+                case dispatch.AnswerJob():
+                    self.answers.append(effect)
                 case dispatch.PollWorkerOnce():
                     self.polled.add(effect.worker_id)
 
@@ -206,3 +210,13 @@
         harness.report('w1')
         harness.wait(0.1)
         assert len(harness.starts) == n_starts
+
+
+def test_held_job_is_not_refused_as_not_run():
+    """Guards against an untrue answer: the silent worker may run the job."""
+    harness = Harness(deadline_s=0.3)
+    harness.report('w1')
+    harness.wait(0.4)
+    assert not harness.starts
+    (answer,) = harness.answers
+    assert answer.outcome.kind is dispatch.OutcomeKind.UNKNOWN
