Share the folder of the soaks, and name the missing message

Cause: the two soaks made their folders with the same lines, and a message that has not arrived was kept as one of term 0. Change: soak.run_in_folder() for both; None until a RunningJobs message arrives.

--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -234,8 +234,8 @@
         # Highest fencing token received from any leader.
         self._highest_token = 0
         self._worker_list = dispatch.WorkerListTracker()
-        # The newest message of a leader that is about to hand over.
-        self._running_jobs = ('', _messages.RunningJobs(0, []))
+        # The latest such message and its sender, a leader that hands over.
+        self._running_jobs: tuple[str, _messages.RunningJobs] | None = None
         # Workers that recent leaders have used, by the leader's id and term.
         self._lists_in_use: dict[tuple[str, int], _HeardList] = {}
         self._must_update_successors = False
@@ -773,6 +773,8 @@
         self, leader_id: str, term: int
     ) -> typing.Collection[str] | None:
         """Return the jobs that a leader has named for its handover."""
+        if self._running_jobs is None:
+            return None
         sender_id, message = self._running_jobs
         if (sender_id, message.term) != (leader_id, term):
             return None
@@ -1146,7 +1148,8 @@
     def _can_end_before_stop(self, pending: PendingJob) -> bool:
         """Return whether a planned stop leaves a job the time to end.
 
-        It needs the time that its objective allows, or its caller waits.
+        That is the time that its objective allows, or until its deadline if
+        that is earlier.
         """
         if self.stop_by_s == math.inf:
             return True
--- a/src/orioleloom_standins/soak.py
+++ b/src/orioleloom_standins/soak.py
@@ -283,7 +283,7 @@
 
 
 async def _run(
-    seed: int, duration_s: float, folder: str, network: int
+    seed: int, duration_s: float, network: int, folder: str
 ) -> SoakReport:
     rng = random.Random(seed)
     async with trio.open_nursery() as nursery:
@@ -319,8 +319,20 @@
         temporary one is used and deleted if not given
     :param network: second octet of the instances' loopback addresses
     """
+    return run_in_folder(log_folder, _run, seed, duration_s, network)
+
+
+def run_in_folder(
+    log_folder: str | None,
+    run: typing.Callable[..., typing.Awaitable[typing.Any]],
+    *args: typing.Any,
+) -> typing.Any:
+    """Run a soak with the folder of its settings and logs as last argument.
+
+    :param log_folder: a temporary directory is used and deleted if not given
+    """
     with contextlib.ExitStack() as stack:
         folder = log_folder or stack.enter_context(
             tempfile.TemporaryDirectory()
         )
-        return trio.run(_run, seed, duration_s, folder, network)
+        return trio.run(run, *args, folder)
--- a/src/orioleloom_standins/stop_soak.py
+++ b/src/orioleloom_standins/stop_soak.py
@@ -8,7 +8,6 @@
 import contextlib
 import random
 import signal
-import tempfile
 import typing
 
 import trio
@@ -226,8 +225,8 @@
     n_rounds: int,
     n_clients: int,
     n_instances: int,
-    folder: str,
     network: int,
+    folder: str,
 ) -> StopReport:
     rng = random.Random(seed)
     async with trio.open_nursery() as nursery:
@@ -266,10 +265,6 @@
         temporary one is used and deleted if not given
     :param network: second octet of the instances' loopback addresses
     """
-    with contextlib.ExitStack() as stack:
-        folder = log_folder or stack.enter_context(
-            tempfile.TemporaryDirectory()
-        )
-        return trio.run(
-            _run, seed, n_rounds, n_clients, n_instances, folder, network
-        )
+    return soak.run_in_folder(
+        log_folder, _run, seed, n_rounds, n_clients, n_instances, network
+    )
