--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -331,6 +331,9 @@
         self.guards = guards
         self.state = 'ready'
         self.is_up = False
+        # Called with the fields of a start; if it returns true, the start
+        # gets no answer and is carried out by deliver(), if at all.
+        self.is_late = lambda _fields: False
         self.server = HttpServer(self._handle)
         self._beats = None
         self._seq = 0
@@ -372,22 +375,41 @@
             return
         self._last_write_s = time.monotonic()
         self._seq += 1
-        self.site.store.put(
-            'servers',
-            self.id,
-            {
-                'service': self.service,
-                'address': self.server.address,
-                'zone': self.zone,
-                'version': '1',
-                'slots': 8,
-                'state': self.state,
-                'coldRemainingMs': 0,
-                'seq': self._seq,
-                'capacity': self.capacity,
-                'labels': self.labels,
-                'born': self.born,
-            },
+        entry = {
+            'service': self.service,
+            'address': self.server.address,
+            'zone': self.zone,
+            'version': '1',
+            'slots': 8,
+            'state': self.state,
+            'coldRemainingMs': 0,
+            'seq': self._seq,
+            'capacity': self.capacity,
+            'labels': self.labels,
+            'born': self.born,
+        }
+        if not self.site.entry_lag_s:
+            self.site.store.put('servers', self.id, entry)
+            return
+        asyncio.get_running_loop().call_later(
+            self.site.entry_lag_s,
+            self.site.store.put, 'servers', self.id, entry,
+        )
+
+    def expire_entry(self):
+        """Remove the entry after three heartbeat intervals of silence."""
+        left_s = self._last_write_s + 3 * HEARTBEAT_S - time.monotonic()
+        asyncio.get_running_loop().call_later(
+            max(0.0, left_s), self.site.store.remove, 'servers', self.id,
+        )
+
+    def deliver(self, fields):
+        """Carry out a start that has come late."""
+        self._advance()
+        reason = self._accept(fields) or self._start(fields)
+        self.site.note(
+            f'late start of {fields["task"]} run {fields["runId"]} reaches '
+            f'{self.id}: {reason or "carried out"}'
         )
 
     async def _live(self):
@@ -433,14 +455,11 @@
             return 200, {}
         fields = json.loads(body)
         self._advance()
-        if fields.get('fencingToken', 0) < self._fence:
-            return 409, {'clockMs': self.clock_ms(), 'reason': 'fence'}
-        self._fence = fields.get('fencingToken', 0)
-        if fields.get('expiresMs') is not None:
-            limit_ms = self.clock_ms() + HOLD_MAX_MS
-            self._expires_ms = max(
-                self._expires_ms, min(fields['expiresMs'], limit_ms)
-            )
+        if target == '/run-start' and self.is_late(fields):
+            await asyncio.Event().wait()
+        reason = self._accept(fields)
+        if reason:
+            return 409, {'clockMs': self.clock_ms(), 'reason': reason}
         if target == '/run-start':
             reason = self._start(fields)
             if reason:
@@ -453,6 +472,18 @@
             return await self._hold(fields)
         return 404, {}
 
+    def _accept(self, fields):
+        """Check the token of a command and extend the lease."""
+        if fields.get('fencingToken', 0) < self._fence:
+            return 'fence'
+        self._fence = fields.get('fencingToken', 0)
+        if fields.get('expiresMs') is not None:
+            limit_ms = self.clock_ms() + HOLD_MAX_MS
+            self._expires_ms = max(
+                self._expires_ms, min(fields['expiresMs'], limit_ms)
+            )
+        return ''
+
     def _start(self, fields):
         task, number = fields['task'], fields['runId']
         known = self.runs.get(task)
@@ -669,6 +700,8 @@
         self.instances = []
         self.processes = processes
         self.job_phases = {}
+        # Time until the entry of a worker shows in the store.
+        self.entry_lag_s = 0.0
         self._record = record
         self._started_s = time.monotonic()
         self._version = 0
