--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -830,16 +830,17 @@
         self.store.server.stop()
 
 
-def main(case_folder, play):
+def main(case_folder, play, is_troubled):
     """Play a case and exit with its result.
 
-    :param play: coroutine function of record, folder and whether to disrupt;
-        returns the descriptions of the broken rule
+    :param play: coroutine function of record, folder, whether to disrupt and
+        the list of started processes; returns the descriptions of the broken
+        rule
+    :param is_troubled: whether the play has its disruption
     """
     if not (ROOT / 'target/deps/orioleloom').exists():
         print('the build of the deploy file is missing')
         sys.exit(NOT_RUN)
-    is_troubled = os.environ.get('TROUBLE', '1') != '0'
     # So that the processes are ended if the script is, and start with the
     # default actions of the signals, also under a shell that ignores some.
     for number in (signal.SIGTERM, signal.SIGHUP):
