Move the holds of handed over jobs into a module

Change: dispatch/_holds.py has the class JobHolds with the same rules; the dispatcher calls it. Two tests name the moved members; their checks are the same. No behaviour changes.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -6,6 +6,7 @@
 from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _estimates
 from orioleloom.dispatch import _foreign_runs
+from orioleloom.dispatch import _holds
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _late_starts
 from orioleloom.dispatch import _loss_detector
@@ -20,17 +21,6 @@
 # dispatcher of the same task uses a higher id without a write to the store.
 _RUN_IDS_PER_S = 4
 
-# How long a handed over job is held back, counted from the instance's last
-# contact with the earlier dispatcher, if not every worker has reported since
-# the handover. By then the earlier dispatcher has dropped the jobs of the
-# instance (after 0.6 s) and their leases have expired (1.07 s).
-_HANDOVER_HOLD_S = 1.8
-# Interval between polls of workers that have not reported since a handover. In
-# large fleets it is longer, so that a leader that is late and loses followers
-# again and again is not made later by these polls.
-_MIN_CONFIRM_POLL_INTERVAL_S = 0.05
-_MAX_CONFIRM_POLLS_PER_S = 1000.0
-
 # Reason of the outcome of a job that would wait too long for the dispatcher.
 OVERLOADED = 'leader overloaded'
 
@@ -38,12 +28,6 @@
 # the job again, usually after 1.3 s.
 OUTCOME_RETENTION_S = 5.0
 
-# The same for jobs that nobody hands over, which callers may have submitted
-# before, to an instance that has failed. The last contact with the earlier
-# dispatcher is up to 0.1 s before its end, and its leases last 1.07 s. Its
-# stops do not reach every worker, so that a run can last as long.
-_START_HOLD_S = 1.2
-
 # How long a handed over job is tried after it was held back, if it is late by
 # then.
 _LATE_TRIAL_S = 0.3
@@ -130,7 +114,6 @@
         self.created_s = now_s
         self.is_fleet_wide = is_fleet_wide
         self.workers: dict[str, _workers.Worker] = {}
-        self.list_state = _worker_lists.WorkerListState()
         self._has_list = False
         # Number of the latest announcement of the workers that are in use.
         self._announcement = 0
@@ -140,9 +123,6 @@
         # Workers that get no runs before every instance in contact knows that
         # they are in use.
         self._unacknowledged_ids: set[str] = set()
-        # Workers that have left the list up to this version may have been
-        # forgotten.
-        self._forgotten_version = 0
         self.jobs: dict[str, _jobs.JobState] = {}
         self._job_ids_by_instance: dict[str, set[str]] = {}
         self.run_times = _estimates.RunTimeEstimator()
@@ -155,6 +135,19 @@
         self._foreign_runs = _foreign_runs.ForeignRuns(
             self.workers, earlier_contact_s, now_s
         )
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.holds = _holds.JobHolds(
+            workers=self.workers,
+            jobs=self.jobs,
+            is_fleet_wide=is_fleet_wide,
+            earlier_contact_s=earlier_contact_s,
+            earlier_list=earlier_list,
+            running_job_ids=earlier_running_job_ids,
+            created_s=now_s,
+            log=self._log,
+            poll_once=self._poll_once,
+            count=self._count,
+        )
         self._recent_outcomes: dict[str, tuple[_records.Outcome, float]] = {}
         # Jobs that ended with an unknown outcome after a task was sent, and
         # when. Their callers may submit them again, at any instance.
@@ -162,44 +155,27 @@
         self._stop_due_s: dict[_workers.Run, float] = {}
         self._effects: list[_records.Effect] = []
         self._needs_placement = False
-        # A worker has reported since the held jobs were last checked.
-        self._must_check_holds = False
         # A worker has become usable since the workers were last sorted.
         self._needs_refresh = False
         # Workers that may have gained free resources since the last placement
         # round.
         self._changed_workers: dict[str, _workers.Worker] = {}
         self._search_all_workers = True
-        self._last_confirm_poll_s = -math.inf
-        # Jobs of an earlier dispatcher that are held back until all workers
-        # have reported.
-        self._held_job_ids: set[str] = set()
-        # Jobs that are new here are held back, too, at first: their callers
-        # may have submitted them before, at an instance that has failed.
-        self._start_held_until_s = earlier_contact_s + _START_HOLD_S
-        self._have_earlier_leases_ended = False
-        # All workers that the earlier dispatcher may still use have reported,
-        # except those with runs of jobs that it has named.
-        self._has_confirmed_start = earlier_running_job_ids is not None
-        self._earlier_list = (
-            earlier_list or _worker_lists.LISTED_WORKERS
-        ).add_uncertain_jobs(earlier_running_job_ids or ())
         self._next_fleet_scan_s = now_s
         # Instances that may now belong to another dispatcher.
         self._paused_instance_ids: set[str] = set()
         self._loss_detector = _loss_detector.LossDetector()
         self._late_starts = _late_starts.LateStarts()
         self.pacer = _pacing.StartPacer()
-        self.counters: collections.Counter[str] = collections.Counter()
 
     # Effects and bookkeeping
 
     def take_effects(self) -> list[_records.Effect]:
         """Return the effects recorded since the last call."""
-        if self._must_check_holds:
+        if self.holds.must_check:
             # Once for all reports of a turn: it takes time in proportion to
             # the workers and to the held jobs.
-            self._release_held_jobs(self._placement_s)
+            self.holds.release(self._placement_s)
         if self._needs_placement:
             self._needs_placement = False
             self._place_waiting_tasks(self._placement_s)
@@ -209,6 +185,12 @@
     def _log(self, decision: str, **fields: typing.Any) -> None:
         self._effects.append(_records.LogDecision(decision, fields))
 
+    def _poll_once(self, worker_id: str) -> None:
+        self._effects.append(_records.PollWorkerOnce(worker_id))
+
+    def _count(self, name: str) -> None:
+        self.counters[name] += 1
+
     def _request_placement(self, now_s: float) -> None:
         self._needs_placement = True
         self._placement_s = now_s
@@ -224,7 +206,7 @@
         ),
     ) -> None:
         """Apply the platform's list of workers."""
-        self.list_state = list_state
+        self.holds.list_state = list_state
         for worker_id, info in listed.items():
             worker = self.workers.get(worker_id)
             if worker is None or not worker.is_listed:
@@ -287,14 +269,16 @@
                 continue
             if now_s - worker.delisted_s > _worker_lists.DEPARTURE_RETENTION_S:
                 del self.workers[worker_id]
-                self._forgotten_version = max(
-                    self._forgotten_version, worker.delisted_version
+                self.holds.forgotten_version = max(
+                    self.holds.forgotten_version, worker.delisted_version
                 )
 
     def confirm_list(self, version: int) -> None:
         """Record that the list of workers is unchanged at a later version."""
-        if version > self.list_state.version:
-            self.list_state = self.list_state._replace(version=version)
+        if version > self.holds.list_state.version:
+            self.holds.list_state = self.holds.list_state._replace(
+                version=version
+            )
 
     def _withdraw_worker(self, worker: _workers.Worker) -> None:
         """Start nothing on a worker until its use is announced."""
@@ -328,8 +312,8 @@
                 uncertain_job_ids.update(key.job_id for key in worker.runs)
                 self._withdraw_worker(worker)
         return _worker_lists.ListInUse(
-            self.list_state.version,
-            self.list_state.changed_version,
+            self.holds.list_state.version,
+            self.holds.list_state.changed_version,
             frozenset(unlisted),
             frozenset(unused),
             frozenset(uncertain_job_ids),
@@ -341,7 +325,7 @@
         It may have some of an earlier dispatcher until it has reported here,
         or their leases have ended.
         """
-        return self._have_earlier_leases_ended or (
+        return self.holds.have_earlier_leases_ended or (
             worker.confirmed_s > -math.inf
         )
 
@@ -521,7 +505,7 @@
         if worker.has_unknown_runs:
             self._start_polling(worker, now_s)
         self._foreign_runs.drop_unlisted(worker_id, listed_run_ids)
-        self._must_check_holds = True
+        self.holds.must_check = True
         self._request_placement(now_s)
 
     def handle_poll_failure(
@@ -1020,7 +1004,7 @@
             known.deadline_s = max(known.deadline_s, deadline_s)
             if last_contact_s is not None:
                 # The instance has left this dispatcher and returned.
-                self._hold_handed_over(
+                self.holds.hold_handed_over(
                     known, last_contact_s, list_in_use, now_s
                 )
             return
@@ -1035,7 +1019,7 @@
         may_have_run = job.id in self._unknown_ended_s or (
             self.crashes.has_suspects(job.id)
         )
-        is_held_new = last_contact_s is None and self._must_hold_new(
+        is_held_new = last_contact_s is None and self.holds.must_hold_new(
             job.id, now_s
         )
         if (
@@ -1056,37 +1040,29 @@
             self._tasks[task.key] = task
         self._reattach_stopping_runs(state)
         if last_contact_s is not None:
-            self._hold_handed_over(state, last_contact_s, list_in_use, now_s)
-        elif is_held_new:
-            state.hold(
-                self.created_s, self._start_held_until_s, self._earlier_list
+            self.holds.hold_handed_over(
+                state, last_contact_s, list_in_use, now_s
             )
-            self._held_job_ids.add(job.id)
+        elif is_held_new:
+            self.holds.hold_new(state)
         self._claim_foreign_runs(state, now_s)
         if state.held_until_s <= now_s:
             self.pacer.add_waiting(len(state.waiting))
         self._request_placement(now_s)
 
-    def _must_hold_new(self, job_id: str, now_s: float) -> bool:
-        """Return whether a new job may run for an earlier dispatcher."""
-        return now_s < self._start_held_until_s and (
-            not self._has_confirmed_start
-            or job_id in self._earlier_list.uncertain_job_ids
-        )
-
     def running_job_ids(self, now_s: float) -> set[str] | None:
         """Return the jobs that may have runs, also those that have ended.
 
         :returns: ``None`` while runs of an earlier dispatcher may be unknown
         """
-        is_start_held = now_s < self._start_held_until_s
-        if is_start_held and not self._has_confirmed_start:
+        is_start_held = now_s < self.holds.start_held_until_s
+        if is_start_held and not self.holds.has_confirmed_start:
             return None
         job_ids = self._foreign_runs.job_ids()
         for worker in self.workers.values():
             job_ids.update(key.job_id for key in worker.runs)
         if is_start_held:
-            job_ids |= self._earlier_list.uncertain_job_ids
+            job_ids |= self.holds.earlier_list.uncertain_job_ids
         return job_ids
 
     def _refuse(self, job_id: str, instance_id: str, now_s: float) -> None:
@@ -1099,22 +1075,6 @@
         self._recent_outcomes[job_id] = (outcome, now_s)
         self._effects.append(_records.AnswerJob(job_id, instance_id, outcome))
 
-    def _hold_handed_over(
-        self,
-        job: _jobs.JobState,
-        last_contact_s: float,
-        list_in_use: _worker_lists.ListInUse,
-        now_s: float,
-    ) -> None:
-        """Hold a job back that another dispatcher may have started."""
-        if job.job.id in self._held_job_ids:
-            list_in_use = list_in_use.merge(job.earlier_list)
-        job.may_have_run_elsewhere = True
-        # The dispatcher that an earlier hold waits for may lease for longer.
-        until_s = max(job.held_until_s, last_contact_s + _HANDOVER_HOLD_S)
-        job.hold(now_s, until_s, list_in_use)
-        self._held_job_ids.add(job.job.id)
-
     def _reattach_stopping_runs(self, state: _jobs.JobState) -> None:
         """Let a resubmitted job wait for the ends of its earlier runs.
 
@@ -1171,104 +1131,6 @@
                 self._recent_outcomes.setdefault(job_id, (outcome, now_s))
         self._request_placement(now_s)
 
-    def _release_held_jobs(self, now_s: float) -> None:
-        """Release handed over jobs once all workers have reported.
-
-        A worker that has reported since the handover rejects requests of
-        the earlier dispatcher, and its report shows the runs which that
-        one has started. That holds only for a job whose earlier dispatcher
-        used no workers that are unknown here.
-        """
-        self._must_check_holds = False
-        for job_id in list(self._held_job_ids):
-            job = self.jobs.get(job_id)
-            if job is None:
-                self._held_job_ids.discard(job_id)
-            elif now_s >= job.held_until_s:
-                self._held_job_ids.discard(job_id)
-                self._log_release(job, 'leases ended', now_s)
-        if not self._held_job_ids or not self.is_fleet_wide:
-            # The leader of a data centre does not know the workers of others.
-            return
-        held = [self.jobs[job_id] for job_id in self._held_job_ids]
-        newest_s = max(job.held_since_s for job in held)
-        unconfirmed = [
-            worker
-            for worker in self.workers.values()
-            if worker.confirmed_s < newest_s
-        ]
-        for job in held:
-            if self._knows_workers_of(job.earlier_list) and not any(
-                worker.confirmed_s < job.held_since_s
-                and self._may_run(worker, job)
-                for worker in unconfirmed
-            ):
-                if not job.may_have_run_elsewhere:
-                    self._has_confirmed_start = True
-                job.held_until_s = 0.0
-                self._held_job_ids.discard(job.job.id)
-                self._log_release(job, 'confirmed', now_s)
-        self._poll_unconfirmed_workers(unconfirmed, now_s)
-
-    def _knows_workers_of(self, used: _worker_lists.ListInUse) -> bool:
-        """Return whether all workers that a dispatcher used are known here."""
-        state = self.list_state
-        return (
-            max(state.complete_since, self._forgotten_version)
-            <= used.confirmed_version
-            and used.changed_version <= state.version
-            and used.unlisted_worker_ids <= self.workers.keys()
-        )
-
-    @staticmethod
-    def _may_run(worker: _workers.Worker, job: _jobs.JobState) -> bool:
-        """Return whether a worker may run a task for an earlier dispatcher."""
-        used = job.earlier_list
-        if worker.is_listed:
-            return (
-                worker.id not in used.unused_worker_ids
-                or job.job.id in used.uncertain_job_ids
-            )
-        return (
-            worker.delisted_version > used.confirmed_version
-            or worker.id in used.unlisted_worker_ids
-        )
-
-    def _log_release(
-        self, job: _jobs.JobState, reason: str, now_s: float
-    ) -> None:
-        self.counters[f'holds_{reason.replace(" ", "_")}'] += 1
-        if not job.may_have_run_elsewhere:
-            return
-        self._log(
-            'handover_ended',
-            job=job.job.id,
-            reason=reason,
-            held_ms=round((now_s - job.held_since_s) * 1000),
-            list_version=self.list_state.version,
-            earlier_list_version=job.earlier_list.changed_version,
-        )
-
-    def _poll_unconfirmed_workers(
-        self, unconfirmed: list[_workers.Worker], now_s: float
-    ) -> None:
-        """Poll the workers on whose reports held jobs wait."""
-        interval_s = max(
-            _MIN_CONFIRM_POLL_INTERVAL_S,
-            len(self.workers) / _MAX_CONFIRM_POLLS_PER_S,
-        )
-        if (
-            self._held_job_ids
-            and now_s - self._last_confirm_poll_s > interval_s
-        ):
-            self._last_confirm_poll_s = now_s
-            held = [self.jobs[job_id] for job_id in self._held_job_ids]
-            self._effects.extend(
-                _records.PollWorkerOnce(worker.id)
-                for worker in unconfirmed
-                if any(self._may_run(worker, job) for job in held)
-            )
-
     def _claim_foreign_runs(self, state: _jobs.JobState, now_s: float) -> None:
         if self._foreign_runs.is_empty():
             return
@@ -1458,12 +1320,14 @@
             self._drop_unlisted_workers(now_s)
             self._read_old_clocks(now_s)
         self._search_all_workers = True
-        self._have_earlier_leases_ended = now_s >= self._start_held_until_s
+        self.holds.have_earlier_leases_ended = (
+            now_s >= self.holds.start_held_until_s
+        )
         self._expire_leases(now_s)
         self._end_blocked_jobs(now_s)
         self._repeat_stops(now_s)
         self._stop_foreign_runs(now_s)
-        self._release_held_jobs(now_s)
+        self.holds.release(now_s)
         self._poll_overdue_workers(now_s)
         self._expire_jobs(now_s)
         self._drop_old_results(now_s)
@@ -1687,8 +1551,8 @@
     def _expire_jobs(self, now_s: float) -> None:
         for job in list(self.jobs.values()):
             # A job that is still held back may have runs that are unknown.
-            may_have_started = (
-                job.may_have_run() or job.job.id in self._held_job_ids
+            may_have_started = job.may_have_run() or self.holds.is_held(
+                job.job.id
             )
             if now_s >= job.deadline_s:
                 kind = (
--- a/tests/dispatch/test_handover_load.py
+++ b/tests/dispatch/test_handover_load.py
@@ -10,6 +10,7 @@
 import pytest
 
 from orioleloom import dispatch
+from orioleloom.dispatch import _holds
 
 QUEUE = dispatch.Queue('check', 'pool', 0, 2, 1.6, 0.06)
 
@@ -79,14 +80,14 @@
     A leader with many held jobs spent a sixth of its time on this check.
     """
     n_checked = 0
-    knows_workers_of = dispatch.Dispatcher._knows_workers_of
+    knows_workers_of = _holds.JobHolds._knows_workers_of
 
     def count(self, used):
         nonlocal n_checked
         n_checked += 1
         return knows_workers_of(self, used)
 
-    monkeypatch.setattr(dispatch.Dispatcher, '_knows_workers_of', count)
+    monkeypatch.setattr(_holds.JobHolds, '_knows_workers_of', count)
     now_s = 100.0
     dispatcher = new_dispatcher(176, now_s)
     for number in range(50):
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -155,7 +155,7 @@
         dispatcher.pacer.max_starts = 1
         dispatcher.pacer.record_round(1, 1000, 100.001)
         assert dispatcher.pacer.is_overloaded()
-        dispatcher._has_confirmed_start = False
+        dispatcher.holds.has_confirmed_start = False
         now_s = 100.01
     else:
         now_s = overload(dispatcher)
