Start new jobs in a cut off data centre without waiting for old leases

Cause: the leader of a cut off data centre held every new job until 1.2 s after its last contact, since the job might run elsewhere, and the leader of the fleet held the jobs of the data centre for 1.8 s when the partition healed, since it could not tell that it knew the workers in use.

Change: node.HolderPresence tells whether an instance of the data centre has failed; if none has, new jobs wait for the reports of the workers inside only. Ranges of versions tell that two leaders have had the same list of workers. A job that its leader does not know keeps its earlier lists.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -6,6 +6,7 @@
 from orioleloom.dispatch._dispatcher import OUTCOME_RETENTION_S
 from orioleloom.dispatch._dispatcher import OVERLOADED
 from orioleloom.dispatch._dispatcher import Settings
+from orioleloom.dispatch._holds import MAX_START_HOLD_S
 from orioleloom.dispatch._jobs import declared_allowed_time_s
 from orioleloom.dispatch._jobs import latest_useful_start_s
 from orioleloom.dispatch._records import AnswerJob
@@ -49,6 +50,7 @@
     'ListInUse',
     'LogDecision',
     'LossCause',
+    'MAX_START_HOLD_S',
     'Outcome',
     'OutcomeKind',
     'PollWorker',
--- a/src/orioleloom/dispatch/_holds.py
+++ b/src/orioleloom/dispatch/_holds.py
@@ -16,7 +16,7 @@
 # before, to an instance that has failed. The last contact with the earlier
 # dispatcher is up to 0.1 s before its end, and its leases last 1.07 s. Its
 # stops do not reach every worker, so that a run can last as long.
-_START_HOLD_S = 1.2
+MAX_START_HOLD_S = 1.2
 # Interval between polls of workers that have not reported since a handover. In
 # large fleets it is longer, so that a leader that is late and loses followers
 # again and again is not made later by these polls.
@@ -73,9 +73,12 @@
         # A worker has reported since the held jobs were last checked.
         self.must_check = False
         self.have_earlier_leases_ended = False
+        # No caller of the data centre comes back with a job that has runs in
+        # another one, see :class:`node.HolderPresence`.
+        self.are_holders_present = False
         # Jobs that are new here are held back, too, at first: their callers
         # may have submitted them before, at an instance that has failed.
-        self.start_held_until_s = earlier_contact_s + _START_HOLD_S
+        self.start_held_until_s = earlier_contact_s + MAX_START_HOLD_S
         # All workers that the earlier dispatcher may still use have reported,
         # except those with runs of jobs that it has named.
         self.has_confirmed_start = running_job_ids is not None
@@ -127,10 +130,13 @@
             elif now_s >= job.held_until_s:
                 self._held_job_ids.discard(job_id)
                 self._log_release(job, 'leases ended', now_s)
-        if not self._held_job_ids or not self.is_fleet_wide:
-            # The leader of a data centre does not know the workers of others.
+        held = [
+            self.jobs[job_id]
+            for job_id in self._held_job_ids
+            if self.is_fleet_wide or self._runs_only_here(self.jobs[job_id])
+        ]
+        if not held:
             return
-        held = [self.jobs[job_id] for job_id in self._held_job_ids]
         newest_s = max(job.held_since_s for job in held)
         unconfirmed = [
             worker
@@ -148,15 +154,20 @@
                 job.held_until_s = 0.0
                 self._held_job_ids.discard(job.job.id)
                 self._log_release(job, 'confirmed', now_s)
-        self._poll_unconfirmed_workers(unconfirmed, now_s)
+        self._poll_unconfirmed_workers(unconfirmed, held, now_s)
+
+    def _runs_only_here(self, job: _jobs.JobState) -> bool:
+        """Return whether a job can have runs on the known workers only.
+
+        The leader of a data centre does not know the workers of others.
+        """
+        return self.are_holders_present and not job.may_have_run_elsewhere
 
     def _knows_workers_of(self, used: _worker_lists.ListInUse) -> bool:
         """Return whether all workers that a dispatcher used are known here."""
-        state = self.list_state
         return (
-            max(state.complete_since, self.forgotten_version)
-            <= used.confirmed_version
-            and used.changed_version <= state.version
+            self.forgotten_version <= used.confirmed_version
+            and self.list_state.has_known(used)
             and used.unlisted_worker_ids <= self.workers.keys()
         )
 
@@ -190,19 +201,18 @@
         )
 
     def _poll_unconfirmed_workers(
-        self, unconfirmed: list[_workers.Worker], now_s: float
+        self,
+        unconfirmed: list[_workers.Worker],
+        held: list[_jobs.JobState],
+        now_s: float,
     ) -> None:
         """Poll the workers on whose reports held jobs wait."""
         interval_s = max(
             _MIN_CONFIRM_POLL_INTERVAL_S,
             len(self.workers) / _MAX_CONFIRM_POLLS_PER_S,
         )
-        if (
-            self._held_job_ids
-            and now_s - self._last_confirm_poll_s > interval_s
-        ):
+        if now_s - self._last_confirm_poll_s > interval_s:
             self._last_confirm_poll_s = now_s
-            held = [self.jobs[job_id] for job_id in self._held_job_ids]
             for worker in unconfirmed:
                 if any(self._may_run(worker, job) for job in held):
                     self.poll_once(worker.id)
--- a/src/orioleloom/dispatch/_worker_lists.py
+++ b/src/orioleloom/dispatch/_worker_lists.py
@@ -30,12 +30,40 @@
     :param changed_version: version at which the list has last changed
     :param departures: workers that have left the list recently, by id
     :param complete_since: every departure after this version is among them
+    :param exact_since: first version of the store of which this is known to
+        be the list
+    :param earlier_lists: the lists before it, each by the first and the last
+        version of the store of which it was known to be the list; their
+        workers are in the present list or among the departures
     """
 
     version: int = 0
     changed_version: int = 0
     departures: typing.Mapping[str, Departure] = {}
     complete_since: int = 0
+    exact_since: int = sys.maxsize
+    earlier_lists: tuple[tuple[int, int], ...] = ()
+
+    def has_known(self, used: 'ListInUse') -> bool:
+        """Return whether all listed workers that others use are known.
+
+        Either every departure since their list is known, or their list was
+        the own one before: they have the list of all versions from its last
+        change to the newest that they have confirmed.
+        """
+        if (
+            self.complete_since <= used.confirmed_version
+            and used.changed_version <= self.version
+        ):
+            return True
+        if used.changed_version < 0:
+            return False
+        own = (self.exact_since, self.version)
+        return any(
+            first <= used.confirmed_version and used.changed_version <= last
+            for first, last in (*self.earlier_lists, own)
+            if first <= last
+        )
 
 
 class ListInUse(typing.NamedTuple):
@@ -91,6 +119,9 @@
         self._complete_since = 0
         # Departures up to this version have been dropped.
         self._dropped_version = 0
+        self._exact_since = sys.maxsize
+        # First version, last version and time of the end of earlier lists.
+        self._earlier_lists: list[tuple[int, int, float]] = []
 
     def update(
         self,
@@ -100,6 +131,7 @@
         changed_version: int | None = None,
         removed_versions: typing.Mapping[str, int] = {},
         complete_since: int,
+        is_exact: bool = False,
         now_s: float,
     ) -> bool:
         """Replace the copy by a newer one.
@@ -111,15 +143,21 @@
             far as they are known
         :param complete_since: every worker removed after this version was in
             the copy or is in ``removed_versions``
+        :param is_exact: whether ``workers`` is the list at ``version``
         :returns: whether the list has changed
         """
         if changed_version is None:
             changed_version = version
+        earlier = (self._exact_since, self.version, now_s)
         self.version = version
         self._complete_since = complete_since
         self._drop_old_departures(now_s)
         if workers == self.workers:
+            if is_exact:
+                self._exact_since = min(self._exact_since, version)
             return False
+        self._earlier_lists.append(earlier)
+        self._exact_since = version if is_exact else sys.maxsize
         for worker_id, info in self.workers.items():
             if worker_id not in workers:
                 self._departures[worker_id] = Departure(
@@ -144,6 +182,12 @@
                 self._dropped_version = max(
                     self._dropped_version, departure.version
                 )
+        # Departures since then may have been dropped.
+        self._earlier_lists = [
+            entry
+            for entry in self._earlier_lists
+            if now_s - entry[2] <= DEPARTURE_RETENTION_S
+        ]
 
     def state(self) -> WorkerListState:
         """Return which versions of the list are known."""
@@ -152,4 +196,6 @@
             self.changed_version,
             dict(self._departures),
             max(self._complete_since, self._dropped_version),
+            self._exact_since,
+            tuple((first, last) for first, last, _ in self._earlier_lists),
         )
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -189,6 +189,16 @@
     job_ids: list[str]
 
 
+class ProcessState(typing.NamedTuple):
+    """Tells a new leader how long the sender's process has been running.
+
+    An instance in a planned stop tells the instances of its data centre.
+    """
+
+    age_s: typing.Annotated[float, msgspec.Meta(ge=0)]
+    is_stopping: bool
+
+
 Message = (
     Probe
     | Beat
@@ -201,6 +211,7 @@
     | Handover
     | Crashes
     | RunningJobs
+    | ProcessState
 )
 
 _KINDS: dict[str, type] = {
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -11,11 +11,13 @@
 from orioleloom import leadership
 from orioleloom.node import _crash_rows
 from orioleloom.node import _leader
+from orioleloom.node import _leader_lists
 from orioleloom.node import _log
 from orioleloom.node import _loop_monitor
 from orioleloom.node import _messages
 from orioleloom.node import _peers
 from orioleloom.node import _ports
+from orioleloom.node import _presence
 from orioleloom.node import _tables
 from orioleloom import peer_api
 from orioleloom import timers
@@ -62,15 +64,6 @@
 _TOKENS_PER_MS = 1000
 # Time that a process takes to start until its node is created.
 _PROCESS_START_S = 0.3
-# Number of recent leaders whose use of workers is remembered, for jobs that
-# are handed over from one of them.
-_MAX_TRACKED_LEADERS = 8
-# A leader that this instance has not heard for longer may have lost contact
-# with it, and may use workers that it has named as not in use.
-_MAX_LIST_AGE_S = leadership.FOLLOWER_TIMEOUT_S + leadership.LEADER_TIMEOUT_S
-# New jobs of a new leader wait for the workers of all leaders that were heard
-# in this time before the latest heartbeat. Then their leases have ended.
-_EARLIER_LEADERS_S = 2.0
 _RUN_IDS_PER_S = 4
 
 
@@ -85,6 +78,8 @@
         been read
     :param config_apply_s: time in which a change of the configuration must
         be in force
+    :param resend_after_s: time after a lost answer until a caller submits its
+        job again, in seconds; 0 if it is not known
     """
 
     instance_id: str
@@ -93,18 +88,7 @@
     rank: float
     seed_peers: tuple[str, ...] = ()
     config_apply_s: float = 2.0
-
-
-class _HeardList(typing.NamedTuple):
-    """Workers in use, as a leader's newest heartbeat has named them.
-
-    :param sequence: number of the heartbeat
-    :param heard_s: when a heartbeat of the leader last arrived
-    """
-
-    list_in_use: dispatch.ListInUse
-    sequence: int
-    heard_s: float
+    resend_after_s: float = 0.0
 
 
 class PendingJob:
@@ -236,12 +220,12 @@
         self._worker_list = dispatch.WorkerListTracker()
         # The latest such message and its sender, a leader that hands over.
         self._running_jobs: tuple[str, _messages.RunningJobs] | None = None
-        # Workers that recent leaders have used, by the leader's id and term.
-        self._lists_in_use: dict[tuple[str, int], _HeardList] = {}
+        self._leader_lists = _leader_lists.LeaderLists()
         self._must_update_successors = False
         self._successors_updated_s = -1e9
         self._last_probe_s = -1e9
         self._last_leader_contact_s = 0.0
+        self._presence = _presence.HolderPresence()
         # Leaders that this process has not heard ended before it was started.
         self._first_search_s = trio.current_time() - _PROCESS_START_S
         self._is_checking_reachability = False
@@ -366,16 +350,31 @@
         self.is_stopping = True
         self.stop_by_s = stop_by_s
         self.elector.is_stopping = True
+        now_s = trio.current_time()
+        for member_id in self._local_ids():
+            self.send(member_id, self._process_state(now_s))
         leader = self.leader
         if leader is None:
             return
-        now_s = trio.current_time()
         successors = leader.rank_successors()
         if not successors:
             _log.log('no_successor', n_followers=len(leader.followers))
             return
         self._hand_over_leadership(successors[0].instance_id, now_s)
 
+    def _process_state(self, now_s: float) -> _messages.ProcessState:
+        return _messages.ProcessState(
+            now_s - self._first_search_s, self.is_stopping
+        )
+
+    def _local_ids(self) -> list[str]:
+        """Return the ids of the other instances of the data centre."""
+        return [
+            member.instance_id
+            for member in self.peers.members.values()
+            if member.data_centre == self.local_sender.data_centre
+        ]
+
     def end_stop(self) -> None:
         """Refuse all new jobs, and end those that have no outcome yet."""
         self.stop_by_s = -math.inf
@@ -440,6 +439,7 @@
             table_version.version,
             removed_versions=table_version.removed_versions,
             complete_since=table_version.complete_since,
+            is_exact=table_version.is_exact,
             now_s=trio.current_time(),
         )
         if has_changed:
@@ -531,7 +531,8 @@
                     sender_id,
                     message.term,
                 ):
-                    pending.assigned_leader = None
+                    if pending.earlier_list is None:
+                        pending.assigned_leader = None
                     self._submit_pending(pending, now_s)
             case _messages.Crashes():
                 self._handle_crashes(message, now_s)
@@ -539,6 +540,8 @@
                 self._handle_tables(sender_id, message)
             case _messages.RunningJobs():
                 self._running_jobs = (sender_id, message)
+            case _messages.ProcessState():
+                self._presence.record(sender_id, message, now_s)
             case _messages.Handover():
                 self._handle_handover(sender_id, message, now_s)
 
@@ -654,9 +657,10 @@
             return
         if was_leading:
             self._stop_leading(now_s, has_stepped_down=True)
+        self._presence.record_heartbeat(beat, now_s)
         self._leader_session = beat.session
         self._highest_token = max(self._highest_token, beat.token)
-        self._record_list_in_use(
+        self._leader_lists.record(
             (sender.instance_id, beat.term),
             beat.list_in_use,
             beat.sequence,
@@ -707,54 +711,11 @@
             crashes = self._crashes.records(now_s)
             if crashes:
                 self.send(sender.instance_id, _messages.Crashes(crashes))
+            self.send(sender.instance_id, self._process_state(now_s))
         for pending in list(self.pending.values()):
             if pending.assigned_leader != (sender.instance_id, beat.term):
                 self._submit_pending(pending, now_s)
 
-    def _record_list_in_use(
-        self,
-        leader: tuple[str, int],
-        list_in_use: dispatch.ListInUse,
-        sequence: int,
-        now_s: float,
-    ) -> None:
-        earlier = self._lists_in_use.pop(leader, None)
-        if earlier is not None and sequence < earlier.sequence:
-            # A late heartbeat, as when the connection was replaced.
-            list_in_use, sequence, _ = earlier
-        self._lists_in_use[leader] = _HeardList(list_in_use, sequence, now_s)
-        while len(self._lists_in_use) > _MAX_TRACKED_LEADERS:
-            del self._lists_in_use[next(iter(self._lists_in_use))]
-
-    def _list_of_leader(
-        self, leader: tuple[str, int] | None
-    ) -> dispatch.ListInUse:
-        """Return which workers a leader has used, as far as it is known."""
-        heard = self._lists_in_use.get(leader)
-        return dispatch.ListInUse() if heard is None else heard.list_in_use
-
-    def _list_of_recent_leaders(
-        self, now_s: float
-    ) -> dispatch.ListInUse | None:
-        """Return which workers the leaders that were heard last have used.
-
-        The late heartbeat of a former leader must not hide what a later one
-        has used.
-        """
-        last_heard_s = max(
-            (heard.heard_s for heard in self._lists_in_use.values()),
-            default=math.inf,
-        )
-        if now_s - last_heard_s > _MAX_LIST_AGE_S:
-            return dispatch.ListInUse()
-        recent: dispatch.ListInUse | None = None
-        for heard in reversed(self._lists_in_use.values()):
-            if recent is None:
-                recent = heard.list_in_use
-            elif heard.heard_s >= last_heard_s - _EARLIER_LEADERS_S:
-                recent = recent.merge(heard.list_in_use)
-        return recent
-
     def _handle_handover(
         self, sender_id: str, message: _messages.Handover, now_s: float
     ) -> None:
@@ -815,7 +776,7 @@
                 # this time. This one may have been out of contact before.
                 now_s - leadership.LEADER_TIMEOUT_S,
             ),
-            earlier_list=self._list_of_recent_leaders(now_s),
+            earlier_list=self._leader_lists.of_recent_leaders(now_s),
             earlier_running_job_ids=running_job_ids,
             now_s=now_s,
             random_state=self.random_state,
@@ -866,7 +827,7 @@
         if leader is None:
             return
         self.leader = None
-        self._record_list_in_use(
+        self._leader_lists.record(
             (self.local_sender.instance_id, leader.term),
             leader.list_in_use,
             leader.sequence,
@@ -942,6 +903,17 @@
                 self.worker_watch.last_success_s
             )
             self._confirm_worker_list()
+            if (
+                self.leader.scope != leadership.FLEET
+                and self.settings.resend_after_s >= dispatch.MAX_START_HOLD_S
+            ):
+                self.leader.dispatcher.holds.are_holders_present = (
+                    self._presence.update(
+                        self._local_ids(),
+                        self.leader.instances_in_contact(),
+                        now_s,
+                    )
+                )
             self.leader.tick(now_s)
         self._expire_pending(now_s)
 
@@ -1170,7 +1142,7 @@
         contact_s = self._last_leader_contact_s if may_run_elsewhere else None
         if may_run_elsewhere:
             pending.add_earlier_leader(
-                self._list_of_leader(pending.assigned_leader)
+                self._leader_lists.of_leader(pending.assigned_leader)
             )
         earlier_list = pending.earlier_list or dispatch.ListInUse()
         if role is leadership.Role.LEADING and self.leader is not None:
--- a/src/orioleloom/node/_ports.py
+++ b/src/orioleloom/node/_ports.py
@@ -98,11 +98,13 @@
     :param version: newest version of the store when the rows were read
     :param rows: decoded rows by key; ``None`` for a removed row
     :param removed_versions: versions at which rows were removed, by key
+    :param is_exact: whether all rows are those of that version
     """
 
     version: int
     rows: dict[str, T | None]
     removed_versions: dict[str, int] = {}
+    is_exact: bool = True
 
 
 class Table(typing.Protocol[T]):
--- a/src/orioleloom/node/_tables.py
+++ b/src/orioleloom/node/_tables.py
@@ -30,11 +30,13 @@
         copy before
     :param removed_versions: versions at which rows were removed since the
         copy before, as far as they are known
+    :param is_exact: whether all rows are those of that version
     """
 
     version: int
     complete_since: int = 0
     removed_versions: typing.Mapping[str, int] = {}
+    is_exact: bool = False
 
 
 class TableWatch:
@@ -67,6 +69,9 @@
         self.rows: dict[str, typing.Any] = {}
         self.version = 0
         self._complete_since = 0
+        # Pages of a large table may show different versions; the changes that
+        # follow then do not tell when the copy is exact.
+        self._is_exact = False
         self.is_current = False
         # The next successful read calls on_change even if nothing changed,
         # since its user has taken rows from elsewhere.
@@ -122,6 +127,7 @@
         self._record_success()
         self._next_full_read_s = trio.current_time() + _FULL_READ_INTERVAL_S
         self.version = self._complete_since = snapshot.version
+        self._is_exact = snapshot.is_exact
         rows = {k: v for k, v in snapshot.rows.items() if v is not None}
         if rows != self.rows or not self.is_current or self.must_report:
             self.must_report = False
@@ -202,6 +208,7 @@
                 self.version,
                 self._complete_since,
                 {**earlier, **removed_versions},
+                self._is_exact,
             ),
         )
 
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -66,6 +66,7 @@
                 rank=settings.limits.cpu_share * settings.limits.cores,
                 seed_peers=settings.seed_peers(),
                 config_apply_s=settings.bounds.config_apply_ms / 1000,
+                resend_after_s=settings.bounds.resend_ms / 1000,
             ),
             store=self.store,
             gateway=_workers.WorkerClient(self.client),
--- a/src/orioleloom/platform/_settings.py
+++ b/src/orioleloom/platform/_settings.py
@@ -34,10 +34,13 @@
 
     :param grace_s: time between SIGTERM and SIGKILL
     :param config_apply_ms: time in which a configuration must be in force
+    :param resend_ms: time after a lost answer until a caller submits its job
+        again; 0 if it is not known
     """
 
     grace_s: float = msgspec.field(name='graceS', default=6.0)
     config_apply_ms: float = msgspec.field(name='configApplyMs', default=2000)
+    resend_ms: float = msgspec.field(name='resendMs', default=0)
 
 
 class StoreSettings(msgspec.Struct):
--- a/src/orioleloom/platform/_store.py
+++ b/src/orioleloom/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import itertools
 import typing
 import urllib.parse
 
@@ -52,7 +53,7 @@
         rows: dict[str, _T | None] = {}
         version = 0
         start = self._only_key
-        while True:
+        for n_pages in itertools.count(1):
             query = {
                 'table': self._table,
                 'part': '',
@@ -65,7 +66,7 @@
             # is returned, so that the change feed covers all later changes.
             version = version or response.ver
             if self._only_key or not response.has_more or not response.rows:
-                return node.Snapshot(version, rows)
+                return node.Snapshot(version, rows, {}, n_pages == 1)
             start = response.rows[-1].key + '\0'
 
     async def changes(self, after: int, wait_s: float) -> node.Snapshot[_T]:
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -29,6 +29,8 @@
 # growing intervals.
 _STALLED_CONNECTION_S = 3.0
 # Number of instances whose addresses are in the settings of all.
+# Callers submit a job whose answer was lost again after this time.
+_RESEND_S = 1.3
 _N_SEEDS = 3
 # Unix time at the start of the mock clock.
 _START_UNIX_S = 1_750_000_000.0
@@ -764,6 +766,7 @@
                     _peer_address(name)
                     for name in list(self._data_centres)[:_N_SEEDS]
                 ),
+                resend_after_s=_RESEND_S,
             ),
             store=self._new_store(instance_id),
             gateway=self._new_gateway(instance_id),
