--- a/tests/node/test_late_heartbeats.py
+++ b/tests/node/test_late_heartbeats.py
@@ -44,7 +44,7 @@
     now_s = trio.current_time()
     instance.elector.become_leader('', now_s)
     instance._start_leading(now_s)
-    return instance.leader.dispatcher._earlier_list
+    return instance.leader.dispatcher.holds.earlier_list
 
 
 async def test_earlier_heartbeat_of_the_same_leader(nursery, autojump_clock):
