Evacuate data centres at the operator's request

Cause: an operator could not keep tasks away from the workers of a data centre; the row evacuate/ZONE of the table op was not read.

Change: one read and one feed of the table serve the configuration and the evacuations, over all pages, at no more calls. Workers of an evacuated data centre are not usable; their runs go on. Starts that were not sent when the rows came are withdrawn. Jobs that only evacuated workers can run are refused as not run, unless they may have run. Each instance keeps a copy with the store's version, which never goes back; instances tell their leader, candidates and processes without the store (new message Evacuations). A process starts nothing before it knows the rows.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -5,6 +5,7 @@
 from orioleloom.dispatch import _capacity
 from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _estimates
+from orioleloom.dispatch import _evacuation
 from orioleloom.dispatch import _foreign_runs
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _late_starts
@@ -12,6 +13,7 @@
 from orioleloom.dispatch import _pacing
 from orioleloom.dispatch import _placement
 from orioleloom.dispatch import _records
+from orioleloom.dispatch import _state
 from orioleloom.dispatch import _stragglers
 from orioleloom.dispatch import _worker_lists
 from orioleloom.dispatch import _workers
@@ -130,6 +132,7 @@
         self.created_s = now_s
         self.is_fleet_wide = is_fleet_wide
         self.workers: dict[str, _workers.Worker] = {}
+        self.evacuation = _evacuation.Evacuation(self.workers)
         self.list_state = _worker_lists.WorkerListState()
         self._has_list = False
         # Number of the latest announcement of the workers that are in use.
@@ -277,15 +280,25 @@
                 worker.delisted_version = departure.version
         self._has_list = True
         self._drop_unlisted_workers(now_s)
+        self._apply_evacuation(now_s)
+
+    def set_evacuation(
+        self, data_centres: frozenset[str] | None, now_s: float
+    ) -> None:
+        """Start nothing in some data centres, or anywhere if ``None``."""
+        if self.evacuation.update(data_centres):
+            self._apply_evacuation(now_s)
+
+    def _apply_evacuation(self, now_s: float) -> None:
+        self.evacuation.mark_workers()
+        self._refuse_unservable(list(self.jobs.values()), now_s)
         self.placement.refresh_workers()
         self._search_all_workers = True
         self._request_placement(now_s)
 
     def _drop_unlisted_workers(self, now_s: float) -> None:
         for worker_id, worker in list(self.workers.items()):
-            if worker.is_listed or worker.runs or worker.n_foreign_runs:
-                continue
-            if now_s - worker.delisted_s > _worker_lists.DEPARTURE_RETENTION_S:
+            if worker.can_be_forgotten(now_s):
                 del self.workers[worker_id]
                 self._forgotten_version = max(
                     self._forgotten_version, worker.delisted_version
@@ -1065,6 +1078,7 @@
         self._claim_foreign_runs(state, now_s)
         if state.held_until_s <= now_s:
             self.pacer.add_waiting(len(state.waiting))
+        self._refuse_unservable((state,), now_s)
         self._request_placement(now_s)
 
     def _must_hold_new(self, job_id: str, now_s: float) -> bool:
@@ -1099,6 +1113,15 @@
         self._recent_outcomes[job_id] = (outcome, now_s)
         self._effects.append(_records.AnswerJob(job_id, instance_id, outcome))
 
+    def _refuse_unservable(
+        self, jobs: typing.Iterable[_jobs.JobState], now_s: float
+    ) -> None:
+        """Refuse the jobs that only evacuated workers could run."""
+        for job in self.evacuation.find_unservable(jobs, self._held_job_ids):
+            self.counters['jobs_refused_evacuated'] += 1
+            outcome = _evacuation.refusal(self._retry_after_s())
+            self._finish_job(job, outcome, now_s)
+
     def _hold_handed_over(
         self,
         job: _jobs.JobState,
@@ -1356,20 +1379,7 @@
             if task.run is not None:
                 self._stop_run(task.run, now_s)
         self.counters[f'jobs_{outcome.kind}'] += 1
-        self._log(
-            'job_ended',
-            job=job.job.id,
-            queue=job.job.queue.name,
-            outcome=outcome.kind,
-            reason=outcome.reason,
-            n_tasks=sum(step.n_tasks for step in job.job.steps),
-            n_sent=job.n_sent,
-            waited_ms=round((job.first_start_s - job.arrived_s) * 1000)
-            if job.first_start_s is not None
-            else None,
-            total_ms=round((now_s - job.arrived_s) * 1000),
-            objective_ms=round((job.objective_s - job.arrived_s) * 1000),
-        )
+        self._log('job_ended', **_state.describe_end(job, outcome, now_s))
         if outcome.kind is _records.OutcomeKind.UNKNOWN and job.may_have_run():
             self._unknown_ended_s.pop(job.job.id, None)
             self._unknown_ended_s[job.job.id] = now_s
@@ -1466,6 +1476,7 @@
         self._release_held_jobs(now_s)
         self._poll_overdue_workers(now_s)
         self._expire_jobs(now_s)
+        self._refuse_unservable(self.jobs.values(), now_s)
         self._drop_old_results(now_s)
         self._request_placement(now_s)
 
@@ -1759,19 +1770,7 @@
             'age_s': round(now_s - self.created_s, 3),
             'counters': dict(self.counters),
             'n_orphans': len(self._foreign_runs),
-            'suspects': self.crashes.state(),
-            'jobs': {
-                job.job.id: {
-                    'queue': job.job.queue.name,
-                    'instance': job.instance_id,
-                    'age_s': round(now_s - job.arrived_s, 3),
-                    'n_waiting': len(job.waiting),
-                    'n_open': sum(job.n_unfinished_tasks),
-                }
-                for job in self.jobs.values()
-            },
-            'workers': {
-                worker.id: worker.state(now_s)
-                for worker in self.workers.values()
-            },
+            **_state.describe(
+                self.jobs.values(), self.workers.values(), self.crashes, now_s
+            ),
         }
--- a/src/orioleloom/dispatch/_records.py
+++ b/src/orioleloom/dispatch/_records.py
@@ -254,6 +254,8 @@
     OTHER_INCARNATION = 'other_life'
     UNHEALTHY = 'unhealthy'
     REFUSED = 'refused'
+    # Not sent, since the data centre is evacuated.
+    EVACUATED = 'evacuated'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -2,6 +2,7 @@
 import typing
 
 from orioleloom.dispatch import _records
+from orioleloom.dispatch import _worker_lists
 
 # Minimum weight of a new result in a worker's run time ratio, which then
 # follows about the last five results. Workers slow down within seconds.
@@ -103,6 +104,8 @@
         self.is_known = False
         self.is_listed = True
         self.delisted_s = math.inf
+        # The operator has asked to start nothing in its data centre.
+        self.is_evacuated = False
         # The newest report shows runs that are not in ``runs``, so that the
         # resources which they take are unknown.
         self.has_unknown_runs = False
@@ -256,6 +259,15 @@
         """Return whether the worker seems to be unreachable."""
         return self.n_missed_responses >= _UNRESPONSIVE_AFTER
 
+    def can_be_forgotten(self, now_s: float) -> bool:
+        """Return whether the worker left the list long ago, without runs."""
+        return (
+            not self.is_listed
+            and not self.runs
+            and not self.n_foreign_runs
+            and now_s - self.delisted_s > _worker_lists.DEPARTURE_RETENTION_S
+        )
+
     def is_usable(self) -> bool:
         """Return whether the worker takes new work, now or later.
 
@@ -266,6 +278,7 @@
             and self.is_listed
             and self.is_acknowledged
             and not self.info.is_leaving
+            and not self.is_evacuated
             and not self.is_unresponsive()
         )
 
@@ -339,6 +352,7 @@
             'is_known': self.is_known,
             'is_listed': self.is_listed,
             'is_leaving': self.info.is_leaving,
+            'is_evacuated': self.is_evacuated,
             'n_silences': self.n_missed_responses,
             'n_failures': self.n_failures,
             'closed_ago_s': round(now_s - self.closed_s, 3)
--- a/src/orioleloom/node/__init__.py
+++ b/src/orioleloom/node/__init__.py
@@ -7,6 +7,7 @@
 from orioleloom.node._node import Settings
 from orioleloom.node._ports import ClosedError
 from orioleloom.node._ports import CrashRow
+from orioleloom.node._ports import EvacuationRow
 from orioleloom.node._ports import HistoryLostError
 from orioleloom.node._ports import IngressLimits
 from orioleloom.node._ports import MemberInfo
@@ -22,6 +23,7 @@
 __all__ = [
     'ClosedError',
     'CrashRow',
+    'EvacuationRow',
     'HistoryLostError',
     'IngressLimits',
     'LogWriter',
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -189,6 +189,23 @@
     job_ids: list[str]
 
 
+class Evacuations(typing.NamedTuple):
+    """Tells which data centres the sender knows to be evacuated.
+
+    Followers tell a leader that does not know it, and a leader tells its
+    followers. It is a message of its own, since earlier builds ignore an
+    unknown message and reject unknown fields.
+
+    :param version: version of the store that shows them; 0 if the sender
+        does not know any
+    :param wants_answer: the receiver should reply with what it knows
+    """
+
+    version: _Natural
+    data_centres: list[str]
+    wants_answer: bool = False
+
+
 Message = (
     Probe
     | Beat
@@ -201,6 +218,7 @@
     | Handover
     | Crashes
     | RunningJobs
+    | Evacuations
 )
 
 _KINDS: dict[str, type] = {
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -10,10 +10,12 @@
 from orioleloom import dispatch
 from orioleloom import leadership
 from orioleloom.node import _crash_rows
+from orioleloom.node import _evacuations
 from orioleloom.node import _leader
 from orioleloom.node import _log
 from orioleloom.node import _loop_monitor
 from orioleloom.node import _messages
+from orioleloom.node import _operator_rows
 from orioleloom.node import _peers
 from orioleloom.node import _ports
 from orioleloom.node import _tables
@@ -206,7 +208,6 @@
             now_s=trio.current_time(),
         )
         self.leader: _leader.Leader | None = None
-        self.routing: _ports.Routing | None = None
         self.pending: dict[str, PendingJob] = {}
         self.peers = _peers.PeerDirectory(
             local_sender=self.local_sender,
@@ -246,11 +247,16 @@
         self._first_search_s = trio.current_time() - _PROCESS_START_S
         self._is_checking_reachability = False
         self._nursery: trio.Nursery | None = None
-        self.routing_watch = _tables.TableWatch(
-            'routing',
-            store.routing,
-            self._apply_routing,
-            wait_s=settings.config_apply_s / 2,
+        self.evacuations = _evacuations.Evacuations(
+            send=self.send,
+            on_change=self._apply_evacuations,
+            now_s=trio.current_time(),
+        )
+        self.operator_rows = _operator_rows.OperatorRows(
+            table=store.routing,
+            apply_s=settings.config_apply_s,
+            evacuations=self.evacuations,
+            on_routing=self._apply_routing,
             random_state=self.random_state,
         )
         self.worker_watch = _tables.TableWatch(
@@ -267,6 +273,11 @@
             random_state=self.random_state,
         )
 
+    @property
+    def routing(self) -> _ports.Routing | None:
+        """Return the configuration in force, if one has been read."""
+        return self.operator_rows.routing
+
     # Lifecycle
 
     async def run(
@@ -288,7 +299,7 @@
             )
             nursery.start_soon(self._receive)
             for name, function in (
-                ('routing watch', self.routing_watch.run),
+                ('routing watch', self.operator_rows.watch.run),
                 ('worker watch', self._watch_workers),
                 ('member watch', self._watch_members),
             ):
@@ -388,6 +399,7 @@
         _log.log('leadership_handed_over', successor=successor_id)
         # The successor's own copy of the workers may be seconds old.
         self._send_tables(successor_id, now_s)
+        self.evacuations.send_rows(successor_id)
         crashes = leader.dispatcher.crashes.records(now_s)
         if crashes:
             self.send(successor_id, _messages.Crashes(crashes))
@@ -409,26 +421,17 @@
 
     # Tables of the store
 
-    def _apply_routing(
-        self,
-        rows: dict[str, _ports.Routing],
-        table_version: _tables.TableVersion,
-    ) -> None:
-        newest = max(rows.values(), key=lambda r: r.version, default=None)
-        if newest is None or (
-            self.routing is not None and newest.version <= self.routing.version
-        ):
-            return
-        self.routing = newest
+    def _apply_routing(self, routing: _ports.Routing) -> None:
         if self.leader is not None:
-            self.leader.use_routing(newest)
-        _log.log(
-            'configuration_in_force',
-            version=newest.version,
-            n_routes=len(newest.routes),
-            store_version=table_version.version,
-        )
-        self.on_routing(newest)
+            self.leader.use_routing(routing)
+        self.on_routing(routing)
+
+    def _apply_evacuations(self, data_centres: frozenset[str] | None) -> None:
+        if self.leader is not None:
+            self.leader.dispatcher.set_evacuation(
+                data_centres, trio.current_time()
+            )
+            self.leader.schedule_effects()
 
     def _apply_workers(
         self,
@@ -454,8 +457,7 @@
         """Record the version of a list that reads have shown unchanged."""
         if not self.worker_watch.must_report:
             self._worker_list.confirm(self.worker_watch.version)
-        if self.leader is not None:
-            self.leader.dispatcher.confirm_list(self._worker_list.version)
+        self.leader.dispatcher.confirm_list(self._worker_list.version)
 
     def _update_dispatcher_workers(self, now_s: float) -> None:
         scope = self.leader.scope
@@ -537,6 +539,8 @@
                 self._handle_crashes(message, now_s)
             case _messages.Tables():
                 self._handle_tables(sender_id, message)
+            case _messages.Evacuations():
+                self.evacuations.handle_message(sender_id, message)
             case _messages.RunningJobs():
                 self._running_jobs = (sender_id, message)
             case _messages.Handover():
@@ -553,6 +557,7 @@
             self.leader.send_heartbeat(
                 self.leader.get_or_add_follower(sender.instance_id)
             )
+        self.evacuations.answer_probe(sender.instance_id)
         self.peers.send_to(
             sender.address, _messages.Probe(self.elector.state(), False)
         )
@@ -567,6 +572,7 @@
             member_id, now_s
         ):
             return
+        self.evacuations.send_rows(member_id)
         self.send(
             member_id,
             _messages.Tables(
@@ -592,10 +598,7 @@
             workers_version=tables.workers_version,
         )
         now_s = trio.current_time()
-        if tables.routing is not None and (
-            self.routing is None or self._is_routing_stale(now_s)
-        ):
-            self._apply_routing({'': tables.routing}, _tables.TableVersion(0))
+        self.operator_rows.use_peer_routing(tables.routing, now_s)
         if not self._worker_list.workers or (
             sender_id == self.elector.leader_id
             and tables.workers_version > self._worker_list.version
@@ -624,13 +627,6 @@
         if self.leader is not None:
             self.leader.dispatcher.add_crashes(message.records, now_s)
 
-    def _is_routing_stale(self, now_s: float) -> bool:
-        """Return whether the store has long not confirmed the routing."""
-        return (
-            now_s - self.routing_watch.last_success_s
-            > self.settings.config_apply_s
-        )
-
     def _handle_heartbeat(
         self, sender: _messages.Sender, beat: _messages.Beat, now_s: float
     ) -> None:
@@ -677,6 +673,8 @@
                 )
         if not beat.is_heard:
             self.peers.reconnect(sender.address, now_s)
+        # Before the jobs that the leader must not start there.
+        self.evacuations.report_to((sender.instance_id, beat.term))
         self.peers.send_to(
             sender.address,
             _messages.BeatReply(
@@ -691,10 +689,7 @@
                 ],
                 self.is_stopping,
                 self._lacks_tables()
-                or (
-                    self.routing.version < beat.routing_version
-                    and self._is_routing_stale(now_s)
-                ),
+                or self.operator_rows.is_behind(beat.routing_version, now_s),
                 self.settings.rank,
                 self._recent_results()
                 if (sender.instance_id, beat.term) != previous_leader
@@ -801,7 +796,7 @@
             scope=self.elector.scope,
             token=self._new_token(),
             run_id_base=(now_ms * _RUN_IDS_PER_S // 1000) & 0x7FFFFFFF,
-            gateway=self.gateway,
+            gateway=_evacuations.Gateway(self.gateway, self.evacuations),
             send=self.send,
             deliver_local=self._deliver_outcome,
             on_superseded=self._handle_superseded,
@@ -831,6 +826,8 @@
             workers_age_s=round(now_s - self.worker_watch.last_success_s, 3),
         )
         leader.use_routing(self.routing)
+        self.evacuations.begin_leading()
+        self._apply_evacuations(self.evacuations.in_force)
         self._nursery.start_soon(leader.run)
         self._crashes.drop_old(now_s)
         leader.dispatcher.add_crashes(self._crashes.records(now_s), now_s)
@@ -903,6 +900,7 @@
 
     def _tick(self) -> None:
         now_s = trio.current_time()
+        self.evacuations.confirm(self.operator_rows.watch.version)
         previous_role = self.elector.role
         became_leader = self.elector.tick(now_s, self._n_members())
         if self.elector.role is not previous_role:
@@ -1042,6 +1040,7 @@
         now_s = trio.current_time()
         leader.send_heartbeats(self.peers.members)
         leader.send_crashes(now_s)
+        self.evacuations.announce(leader.instances_in_contact()[1:], now_s)
         self._update_successors(leader, now_s)
         successor = leader.find_successor(
             self.settings.rank, now_s, is_stopping=self.is_stopping
@@ -1366,6 +1365,7 @@
             'beat_ago_s': round(now_s - self.elector.last_heartbeat_s, 3),
             'peers': sorted(self.peers.members),
             'configuration': self.routing.version if self.routing else None,
+            'evacuated': sorted(self.evacuations.rows.data_centres),
             'n_pending': len(self.pending),
             'counters': self.counters,
             'dispatcher': self.leader.dispatcher.state(now_s)
--- a/src/orioleloom/node/_ports.py
+++ b/src/orioleloom/node/_ports.py
@@ -54,6 +54,15 @@
         return longest
 
 
+class EvacuationRow(typing.NamedTuple):
+    """Request of the operator to start nothing in a data centre.
+
+    It is in force while the row exists.
+    """
+
+    data_centre: str
+
+
 class MemberInfo(typing.NamedTuple):
     """Entry of an instance in the member table.
 
@@ -126,7 +135,8 @@
 class Store(typing.Protocol):
     """Access to the platform's store."""
 
-    routing: Table[Routing]
+    # The operator's rows.
+    routing: Table[Routing | EvacuationRow]
     workers: Table[dispatch.WorkerInfo]
     members: Table[MemberInfo]
     # By job id.
--- a/src/orioleloom/node/metrics.py
+++ b/src/orioleloom/node/metrics.py
@@ -65,6 +65,10 @@
         self._set('orioleloom_node_pending', len(node.pending))
         self._set('orioleloom_node_ready', int(node.is_ready()))
         self._set('orioleloom_node_leading', int(node.leader is not None))
+        self._set(
+            'orioleloom_evacuated_data_centres',
+            len(node.evacuations.rows.data_centres),
+        )
         self._set('orioleloom_connects_total', self.client.n_connects)
         totals = node.loop_monitor.totals
         self._set('orioleloom_loop_turns_total', totals.n_turns)
--- a/src/orioleloom/platform/_store.py
+++ b/src/orioleloom/platform/_store.py
@@ -16,8 +16,6 @@
 
 # The store returns at most this many rows in one response.
 _PAGE_ROWS = 500
-_CONFIGURATION_TABLE = 'op'
-_CONFIGURATION_KEY = 'config'
 _WORKER_TABLE = 'servers'
 _MEMBER_TABLE = 'orioleloom-members'
 _LEADER_HEARTBEAT_TABLE = 'orioleloom-leader'
@@ -30,7 +28,9 @@
 
     :param decode: decodes a row from its key and value; raises
         :class:`_wire.WireError` for an invalid row, which is then left out
-    :param only_key: key of the only row to read; if empty, all rows are read
+    :param is_read: whether a row with this key is read; others are ignored
+    :param first_key: the first key that may be read
+    :param end_key: the first key after those that may be read, or empty
     """
 
     def __init__(
@@ -38,35 +38,41 @@
         store: 'PlatformStore',
         table: str,
         decode: typing.Callable[[str, bytes], _T],
-        only_key: str = '',
+        is_read: typing.Callable[[str], bool] = lambda _: True,
+        first_key: str = '',
+        end_key: str = '',
     ):
         self._store = store
         self._table = table
         self._decode = decode
-        self._only_key = only_key
+        self._is_read = is_read
+        self._first_key = first_key
+        self._end_key = end_key
         # Last logged version of each row that could not be decoded, by key.
         self._logged_unreadable: dict[str, int] = {}
 
     async def read(self) -> node.Snapshot[_T]:
-        """Return all rows."""
+        """Return the rows that are read, of all pages."""
         rows: dict[str, _T | None] = {}
         version = 0
-        start = self._only_key
+        start = self._first_key
         while True:
             query = {
                 'table': self._table,
                 'part': '',
                 'from': start,
-                'limit': '1' if self._only_key else str(_PAGE_ROWS),
+                'limit': str(_PAGE_ROWS),
             }
             response = await self._store.read_rows('/rows-get', query)
             rows.update(self._decode_rows(response.rows))
             # Pages may have different versions. The version of the first one
             # is returned, so that the change feed covers all later changes.
             version = version or response.ver
-            if self._only_key or not response.has_more or not response.rows:
+            if not response.has_more or not response.rows:
                 return node.Snapshot(version, rows)
             start = response.rows[-1].key + '\0'
+            if self._end_key and start >= self._end_key:
+                return node.Snapshot(version, rows)
 
     async def changes(self, after: int, wait_s: float) -> node.Snapshot[_T]:
         """Return the rows changed after a version."""
@@ -91,7 +97,7 @@
     def _decode_rows(self, rows: list[_wire.StoreRow]) -> dict[str, _T | None]:
         decoded: dict[str, _T | None] = {}
         for row in rows:
-            if self._only_key and row.key != self._only_key:
+            if not self._is_read(row.key):
                 continue
             if row.deleted:
                 decoded[row.key] = None
@@ -116,6 +122,20 @@
         return decoded
 
 
+def new_operator_table(
+    store: 'PlatformStore',
+) -> _StoreTable[node.Routing | node.EvacuationRow]:
+    """Return the table with the configuration and the evacuations."""
+    return _StoreTable(
+        store,
+        'op',
+        _wire.decode_operator_row,
+        _wire.is_operator_key,
+        _wire.CONFIGURATION_KEY,
+        _wire.AFTER_EVACUATIONS,
+    )
+
+
 class PlatformStore:
     """Client of the store that all instances share.
 
@@ -126,12 +146,7 @@
         self.client = client
         self.address = address
         self.n_calls = 0
-        self.routing: _StoreTable[node.Routing] = _StoreTable(
-            self,
-            _CONFIGURATION_TABLE,
-            lambda _, data: _wire.decode_configuration(data),
-            _CONFIGURATION_KEY,
-        )
+        self.routing = new_operator_table(self)
         self.workers: _StoreTable[dispatch.WorkerInfo] = _StoreTable(
             self, _WORKER_TABLE, _wire.decode_worker
         )
--- a/src/orioleloom/platform/_wire.py
+++ b/src/orioleloom/platform/_wire.py
@@ -123,6 +123,37 @@
     )
 
 
+# The operator's table
+
+CONFIGURATION_KEY = 'config'
+EVACUATION_PREFIX = 'evacuate/'
+# Keys from here on follow those with the prefix.
+AFTER_EVACUATIONS = 'evacuate0'
+
+
+def is_operator_key(key: str) -> bool:
+    """Return whether a row of the operator's table concerns this system."""
+    return key == CONFIGURATION_KEY or key.startswith(EVACUATION_PREFIX)
+
+
+def decode_operator_row(
+    key: str, data: bytes
+) -> node.Routing | node.EvacuationRow:
+    """Decode a row of the operator's table.
+
+    The value of an evacuation is ignored: its key says everything, and an odd
+    value must not end it.
+
+    :raises WireError: the row is invalid
+    """
+    if key == CONFIGURATION_KEY:
+        return decode_configuration(data)
+    data_centre = key.removeprefix(EVACUATION_PREFIX)
+    if not data_centre:
+        raise WireError(f'row {key!r}: no data centre is named')
+    return node.EvacuationRow(data_centre)
+
+
 # Workers
 
 
--- a/src/orioleloom_standins/wire/_store.py
+++ b/src/orioleloom_standins/wire/_store.py
@@ -79,8 +79,13 @@
             case _:
                 connection.respond(404)
 
-    def _respond(self, connection: http1.Connection, rows: list[dict]) -> None:
-        body = {'rows': rows, 'hasMore': False, 'ver': self.ver, 'nowMs': 0}
+    def _respond(
+        self,
+        connection: http1.Connection,
+        rows: list[dict],
+        has_more: bool = False,
+    ) -> None:
+        body = {'rows': rows, 'hasMore': has_more, 'ver': self.ver, 'nowMs': 0}
         connection.respond(200, msgspec.json.encode(body))
 
     def _get(self, connection: http1.Connection, query: dict) -> None:
@@ -90,7 +95,8 @@
             for key, (value, ver, is_deleted) in sorted(rows.items())
             if not is_deleted and key >= query.get('from', '')
         ]
-        self._respond(connection, found[: int(query.get('limit', 500))])
+        limit = int(query.get('limit', 500))
+        self._respond(connection, found[:limit], len(found) > limit)
 
     async def _feed(self, connection: http1.Connection, query: dict) -> None:
         after = int(query['after'])
