--- a/src/orioleloom/dispatch/_holds.py
+++ b/src/orioleloom/dispatch/_holds.py
@@ -85,12 +85,12 @@
         self.earlier_list = (
             earlier_list or _worker_lists.LISTED_WORKERS
         ).add_uncertain_jobs(running_job_ids or ())
-        self._held_job_ids: set[str] = set()
+        self.held_job_ids: set[str] = set()
         self._last_confirm_poll_s = -math.inf
 
     def is_held(self, job_id: str) -> bool:
         """Return whether a job is held back."""
-        return job_id in self._held_job_ids
+        return job_id in self.held_job_ids
 
     def must_hold_new(self, job_id: str, now_s: float) -> bool:
         """Return whether a new job may run for an earlier dispatcher."""
@@ -102,7 +102,7 @@
     def hold_new(self, job: _jobs.JobState) -> None:
         """Hold back a new job that may run for an earlier dispatcher."""
         job.hold(self.created_s, self.start_held_until_s, self.earlier_list)
-        self._held_job_ids.add(job.job.id)
+        self.held_job_ids.add(job.job.id)
 
     def hold_handed_over(
         self,
@@ -112,27 +112,27 @@
         now_s: float,
     ) -> None:
         """Hold a job back that another dispatcher may have started."""
-        if job.job.id in self._held_job_ids:
+        if job.job.id in self.held_job_ids:
             list_in_use = list_in_use.merge(job.earlier_list)
         job.may_have_run_elsewhere = True
         # The dispatcher that an earlier hold waits for may lease for longer.
         until_s = max(job.held_until_s, last_contact_s + _HANDOVER_HOLD_S)
         job.hold(now_s, until_s, list_in_use)
-        self._held_job_ids.add(job.job.id)
+        self.held_job_ids.add(job.job.id)
 
     def release(self, now_s: float) -> None:
         """Release the jobs that no longer have to wait."""
         self.must_check = False
-        for job_id in list(self._held_job_ids):
+        for job_id in list(self.held_job_ids):
             job = self.jobs.get(job_id)
             if job is None:
-                self._held_job_ids.discard(job_id)
+                self.held_job_ids.discard(job_id)
             elif now_s >= job.held_until_s:
-                self._held_job_ids.discard(job_id)
+                self.held_job_ids.discard(job_id)
                 self._log_release(job, 'leases ended', now_s)
         held = [
             self.jobs[job_id]
-            for job_id in self._held_job_ids
+            for job_id in self.held_job_ids
             if self.is_fleet_wide or self._runs_only_here(self.jobs[job_id])
         ]
         if not held:
@@ -152,7 +152,7 @@
                 if not job.may_have_run_elsewhere:
                     self.has_confirmed_start = True
                 job.held_until_s = 0.0
-                self._held_job_ids.discard(job.job.id)
+                self.held_job_ids.discard(job.job.id)
                 self._log_release(job, 'confirmed', now_s)
         self._poll_unconfirmed_workers(unconfirmed, held, now_s)
 
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -199,6 +199,23 @@
     is_stopping: bool
 
 
+class Evacuations(typing.NamedTuple):
+    """Tells which data centres the sender knows to be evacuated.
+
+    Followers tell a leader that does not know it, and a leader tells its
+    followers. It is a message of its own, since earlier builds ignore an
+    unknown message and reject unknown fields.
+
+    :param version: version of the store that shows them; 0 if the sender
+        does not know any
+    :param wants_answer: the receiver should reply with what it knows
+    """
+
+    version: _Natural
+    data_centres: list[str]
+    wants_answer: bool = False
+
+
 Message = (
     Probe
     | Beat
@@ -212,6 +229,7 @@
     | Crashes
     | RunningJobs
     | ProcessState
+    | Evacuations
 )
 
 _KINDS: dict[str, type] = {
--- a/src/orioleloom/platform/_wire.py
+++ b/src/orioleloom/platform/_wire.py
@@ -123,6 +123,37 @@
     )
 
 
+# The operator's table
+
+CONFIGURATION_KEY = 'config'
+EVACUATION_PREFIX = 'evacuate/'
+# Keys from here on follow those with the prefix.
+AFTER_EVACUATIONS = 'evacuate0'
+
+
+def is_operator_key(key: str) -> bool:
+    """Return whether a row of the operator's table concerns this system."""
+    return key == CONFIGURATION_KEY or key.startswith(EVACUATION_PREFIX)
+
+
+def decode_operator_row(
+    key: str, data: bytes
+) -> node.Routing | node.EvacuationRow:
+    """Decode a row of the operator's table.
+
+    The value of an evacuation is ignored: its key says everything, and an odd
+    value must not end it.
+
+    :raises WireError: the row is invalid
+    """
+    if key == CONFIGURATION_KEY:
+        return decode_configuration(data)
+    data_centre = key.removeprefix(EVACUATION_PREFIX)
+    if not data_centre:
+        raise WireError(f'row {key!r}: no data centre is named')
+    return node.EvacuationRow(data_centre)
+
+
 # Workers
 
 
@@ -133,6 +164,9 @@
     gpu: _Natural = 0
 
 
+_Cold = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _WorkerFields(msgspec.Struct):
     service: str
     address: str
@@ -142,6 +176,10 @@
     labels: list[str] = []
     # Unix time at which the worker started, in milliseconds.
     born: _Natural = 0
+    # How much longer the worker is slow.
+    cold_remaining_ms: _Cold = msgspec.field(
+        name='coldRemainingMs', default=0.0
+    )
 
 
 _WORKER_DECODER = msgspec.json.Decoder(_WorkerFields)
@@ -187,6 +225,7 @@
         tuple(fields.labels),
         fields.born,
         fields.state == 'draining',
+        fields.cold_remaining_ms / 1000,
     )
 
 
