Refuse jobs that cannot end in time when that is known

Cause: a job waited until a start was of no use any more.

Change: while jobs wait, the leader forecasts from the present runs and the waiting work when a job can start, on arrival and every 0.1 s, and refuses it if even 0.8 of the corrected wait is too long and no free worker could end a task of it in time. Nothing is computed while no job waits. The expiry of jobs moves to a module of its own. A job with a known run or completion of an earlier leader is not refused as not run any more, also not by the pacer.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -1,11 +1,16 @@
 """Dispatch of repeatable jobs to workers that run tasks under leases."""
 
+from orioleloom.dispatch._admission import Admit
+from orioleloom.dispatch._admission import MAX_WAIT_S
+from orioleloom.dispatch._admission import NO_CAPACITY
+from orioleloom.dispatch._admission import Refuse
 from orioleloom.dispatch._crashes import CrashLedger
 from orioleloom.dispatch._crashes import CrashRecord
 from orioleloom.dispatch._dispatcher import Dispatcher
 from orioleloom.dispatch._dispatcher import OUTCOME_RETENTION_S
 from orioleloom.dispatch._dispatcher import OVERLOADED
 from orioleloom.dispatch._dispatcher import Settings
+from orioleloom.dispatch._jobs import count_unstarted_by_queue
 from orioleloom.dispatch._jobs import declared_allowed_time_s
 from orioleloom.dispatch._jobs import latest_useful_start_s
 from orioleloom.dispatch._records import AnswerJob
@@ -35,7 +40,15 @@
 from orioleloom.dispatch._worker_lists import WorkerListState
 from orioleloom.dispatch._worker_lists import WorkerListTracker
 
+# Reasons of refusals on arrival, which the dispatcher does not log.
+REFUSAL_REASONS = frozenset({OVERLOADED, NO_CAPACITY})
+
 __all__ = [
+    'Admit',
+    'MAX_WAIT_S',
+    'NO_CAPACITY',
+    'REFUSAL_REASONS',
+    'Refuse',
     'AnswerJob',
     'CrashLedger',
     'CrashRecord',
@@ -68,6 +81,7 @@
     'WorkerListTracker',
     'WorkerReport',
     'check_job',
+    'count_unstarted_by_queue',
     'declared_allowed_time_s',
     'latest_useful_start_s',
 ]
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -2,9 +2,11 @@
 import math
 import typing
 
+from orioleloom.dispatch import _admission
 from orioleloom.dispatch import _capacity
 from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _estimates
+from orioleloom.dispatch import _expiry
 from orioleloom.dispatch import _foreign_runs
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _late_starts
@@ -44,10 +46,6 @@
 # stops do not reach every worker, so that a run can last as long.
 _START_HOLD_S = 1.2
 
-# How long a handed over job is tried after it was held back, if it is late by
-# then.
-_LATE_TRIAL_S = 0.3
-
 # How often one task may be moved away from a slow worker.
 _MAX_MOVES = 2
 
@@ -70,9 +68,6 @@
 # A run is overdue after this multiple of its expected time; most runs end
 # earlier.
 _OVERDUE_FACTOR = 1.3
-# Range of the Retry-After of a refused job, in seconds. Random values keep
-# callers from retrying at the same time.
-_RETRY_AFTER_S = (1.0, 3.0)
 
 
 def _task_names(keys: typing.Iterable[_records.TaskKey]) -> list[str]:
@@ -151,6 +146,17 @@
         self.placement = _placement.Placement(
             self.workers, self.crashes, self.capacity
         )
+        self.admission = _admission.Admission(
+            workers=self.workers,
+            placement=self.placement,
+            random_state=random_state,
+            now_s=now_s,
+        )
+        self._expiry = _expiry.JobExpiry(
+            crashes=self.crashes,
+            placement=self.placement,
+            random_state=random_state,
+        )
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
         self._foreign_runs = _foreign_runs.ForeignRuns(
             self.workers, earlier_contact_s, now_s
@@ -845,6 +851,7 @@
         job.n_sent += 1
         if job.first_start_s is None:
             job.first_start_s = now_s
+            self.admission.record_start(job, now_s)
         worker.add_run(run)
         self.counters['starts'] += 1
         self._effects.append(
@@ -1038,17 +1045,29 @@
         is_held_new = last_contact_s is None and self._must_hold_new(
             job.id, now_s
         )
-        if (
-            self.pacer.is_overloaded()
-            and last_contact_s is None
+        has_certainly_not_run = (
+            last_contact_s is None
             and not is_held_new
             and not may_have_run
-        ):
+            and not self._foreign_runs.has_job(job.id)
+        )
+        if has_certainly_not_run and self.pacer.is_overloaded():
             self._refuse(job.id, instance_id, now_s)
             return
         state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
         state.may_have_run_elsewhere = may_have_run
         state.set_expected_run_time(_jobs.critical_path_s(job, self.run_times))
+        state.set_work(_jobs.total_work_s(job, self.run_times))
+        if has_certainly_not_run:
+            match self.admission.decide(state, now_s):
+                case _admission.Refuse() as refusal:
+                    self.counters['jobs_refused_capacity'] += 1
+                    self._answer_refused(
+                        job.id, instance_id, refusal.outcome(), now_s
+                    )
+                    return
+                case _admission.Admit(expected_start_s):
+                    state.expected_start_s = expected_start_s
         self.jobs[job.id] = state
         self._assign_instance(state)
         self.counters['jobs'] += 1
@@ -1091,10 +1110,18 @@
 
     def _refuse(self, job_id: str, instance_id: str, now_s: float) -> None:
         """Refuse a new job that would wait too long for this dispatcher."""
-        outcome = _records.Outcome(
-            _records.OutcomeKind.NOT_RUN, OVERLOADED, self._retry_after_s()
-        )
         self.counters['jobs_refused_overload'] += 1
+        retry_after_s = self._expiry.retry_after_s()
+        outcome = _admission.Refuse(OVERLOADED, retry_after_s).outcome()
+        self._answer_refused(job_id, instance_id, outcome, now_s)
+
+    def _answer_refused(
+        self,
+        job_id: str,
+        instance_id: str,
+        outcome: _records.Outcome,
+        now_s: float,
+    ) -> None:
         # Its instance may name the job once more before it has the answer.
         self._recent_outcomes[job_id] = (outcome, now_s)
         self._effects.append(_records.AnswerJob(job_id, instance_id, outcome))
@@ -1411,11 +1438,10 @@
         waiting = [
             job
             for job in self.jobs.values()
-            if job.waiting
-            and job.instance_id not in self._paused_instance_ids
-            and not self.crashes.is_blocked(job.job.id)
+            if job.waiting and self._is_placed(job)
         ]
         if not waiting:
+            self.admission.record_round((), now_s)
             self.pacer.record_round(0, 0, now_s)
             return
         if self._needs_refresh:
@@ -1435,6 +1461,7 @@
         for start in starts:
             start.task.job.waiting.remove(start.task)
             self._start_run(start.task, start.worker, now_s)
+        self.admission.record_round(waiting, now_s)
         n_waiting_tasks = (
             sum(
                 len(job.waiting)
@@ -1466,6 +1493,7 @@
         self._release_held_jobs(now_s)
         self._poll_overdue_workers(now_s)
         self._expire_jobs(now_s)
+        self._refuse_waiting_jobs(now_s)
         self._drop_old_results(now_s)
         self._request_placement(now_s)
 
@@ -1685,61 +1713,29 @@
             )
 
     def _expire_jobs(self, now_s: float) -> None:
-        for job in list(self.jobs.values()):
-            # A job that is still held back may have runs that are unknown.
-            may_have_started = (
-                job.may_have_run() or job.job.id in self._held_job_ids
-            )
-            if now_s >= job.deadline_s:
-                kind = (
-                    _records.OutcomeKind.UNKNOWN
-                    if may_have_started
-                    else _records.OutcomeKind.NOT_RUN
-                )
-                reason = (
-                    f'deadline, {self.crashes.reason(job.job.id)}'
-                    if self.crashes.is_blocked(job.job.id)
-                    else 'deadline'
-                )
-                self._finish_job(
-                    job,
-                    _records.Outcome(kind, reason, self._retry_after_s()),
-                    now_s,
-                )
-            elif self.crashes.is_blocked(job.job.id):
-                # It is answered as soon as the crashes are proven.
-                continue
-            elif not job.n_sent and self._is_too_late(job, now_s):
-                self._finish_job(
-                    job,
-                    _records.Outcome(
-                        _records.OutcomeKind.UNKNOWN
-                        if may_have_started
-                        else _records.OutcomeKind.NOT_RUN,
-                        'no room in time',
-                        self._retry_after_s(),
-                    ),
-                    now_s,
-                )
-
-    def _is_too_late(self, job: _jobs.JobState, now_s: float) -> bool:
-        """Return whether a start now is of no use to the caller.
+        for job, outcome in self._expiry.find_expired(
+            self.jobs.values(), self._held_job_ids, now_s
+        ):
+            self._finish_job(job, outcome, now_s)
 
-        A job that another dispatcher may have started was held back in the
-        meantime. It is tried late, but does not wait for room that long.
-        """
-        if job.may_have_run_elsewhere and (
-            now_s < max(job.held_until_s, job.accepted_s) + _LATE_TRIAL_S
+    def _refuse_waiting_jobs(self, now_s: float) -> None:
+        """Refuse waiting jobs that can no longer end in time."""
+        for job, refusal in self.admission.review(
+            self.jobs.values(), self._is_placed, now_s
         ):
-            return False
-        return now_s > (
-            job.useful_until_s
-            - job.expected_s * self.placement.lowest_run_time_ratio(job)
+            self.counters['jobs_refused_waiting'] += 1
+            self._finish_job(job, refusal.outcome(), now_s)
+        fields = self.admission.take_log_fields(now_s)
+        if fields is not None:
+            self._log('admission', **fields)
+
+    def _is_placed(self, job: _jobs.JobState) -> bool:
+        """Return whether the placement tries the waiting tasks of a job."""
+        return (
+            job.instance_id not in self._paused_instance_ids
+            and not self.crashes.is_blocked(job.job.id)
         )
 
-    def _retry_after_s(self) -> float:
-        return self.random_state.uniform(*_RETRY_AFTER_S)
-
     def _drop_old_results(self, now_s: float) -> None:
         self.crashes.drop_old(now_s)
         self._foreign_runs.drop_old_completions(now_s)
--- a/src/orioleloom/dispatch/_foreign_runs.py
+++ b/src/orioleloom/dispatch/_foreign_runs.py
@@ -62,6 +62,12 @@
         """Return whether there are neither runs nor completions."""
         return not self._runs and not self._completed_s
 
+    def has_job(self, job_id: str) -> bool:
+        """Return whether a task of a job has a run or a completion."""
+        return any(
+            key.job_id == job_id for key in (*self._runs, *self._completed_s)
+        )
+
     def job_ids(self) -> set[str]:
         """Return the jobs that have runs."""
         return {key.job_id for key in self._runs}
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -26,6 +26,19 @@
     return max(step_ends_s)
 
 
+def total_work_s(
+    job: _records.Job, run_times: _estimates.RunTimeEstimator
+) -> float:
+    """Return the sum of the expected run times of all tasks.
+
+    :returns: seconds on workers of speed 1
+    """
+    return sum(
+        step.n_tasks * run_times.expected_s(job.queue.name, step.estimate_s)
+        for step in job.steps
+    )
+
+
 def allowed_time_s(queue: _records.Queue, expected_s: float) -> float:
     """Return how long a job may take to meet its queue's objective."""
     return queue.slack_factor * expected_s + queue.target_latency_s
@@ -120,6 +133,11 @@
         self.expected_s = 0.0
         self.objective_s = 0.0
         self.useful_until_s = 0.0
+        # Expected run time of all tasks together, and of one on average.
+        self.work_s = 0.0
+        self.task_s = 0.0
+        # When the first start was expected, if the job had to wait for it.
+        self.expected_start_s: float | None = None
         self.first_start_s: float | None = None
         self.tasks: list[list[TaskState]] = [
             [
@@ -196,6 +214,23 @@
             self.arrived_s + _LATE_FACTOR * allowed_s, self.deadline_s
         )
 
+    def set_work(self, work_s: float) -> None:
+        """Set the expected run time of all tasks, at speed 1."""
+        self.work_s = work_s
+        self.task_s = work_s / sum(step.n_tasks for step in self.job.steps)
+
     def may_have_run(self) -> bool:
         """Return whether any task may have started anywhere."""
         return self.n_sent > 0 or self.may_have_run_elsewhere
+
+
+def count_unstarted_by_queue(
+    jobs: typing.Iterable[JobState],
+) -> dict[str, int]:
+    """Return the number of jobs without a started task, by queue."""
+    counts: dict[str, int] = {}
+    for job in jobs:
+        if job.first_start_s is None:
+            name = job.job.queue.name
+            counts[name] = counts.get(name, 0) + 1
+    return counts
--- a/src/orioleloom/node/metrics.py
+++ b/src/orioleloom/node/metrics.py
@@ -89,6 +89,10 @@
         for name, value in dispatcher.counters.items():
             self._set(f'orioleloom_dispatch_{name}_total', value)
         self._set('orioleloom_dispatch_jobs', len(dispatcher.jobs))
+        self._set(
+            'orioleloom_dispatch_expected_wait_seconds',
+            max(dispatcher.admission.expected_waits_s().values(), default=0.0),
+        )
         self._set(
             'orioleloom_dispatch_runs',
             sum(len(worker.runs) for worker in dispatcher.workers.values()),
--- a/src/orioleloom_standins/leased/_disruptions.py
+++ b/src/orioleloom_standins/leased/_disruptions.py
@@ -170,7 +170,7 @@
         self, attempt: _Attempt, outcome: dispatch.Outcome, is_first: bool
     ) -> None:
         job = attempt.job
-        if outcome.reason == dispatch.OVERLOADED:
+        if outcome.reason in dispatch.REFUSAL_REASONS:
             self.n_refused += 1
             if is_first:
                 self.refused_job_ids.add(job.id)
