--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -216,6 +216,20 @@
     wants_answer: bool = False
 
 
+class ExpectedWaits(typing.NamedTuple):
+    """Tells followers how long new jobs wait for workers, by queue.
+
+    Sent with heartbeats while jobs wait, and once when none does any more. It
+    is a message of its own, since earlier builds ignore an unknown message and
+    reject unknown fields.
+
+    :param waits_s: seconds; empty if no job waits
+    """
+
+    term: _Natural
+    waits_s: dict[str, float]
+
+
 Message = (
     Probe
     | Beat
@@ -230,6 +244,7 @@
     | RunningJobs
     | ProcessState
     | Evacuations
+    | ExpectedWaits
 )
 
 _KINDS: dict[str, type] = {
@@ -277,6 +292,8 @@
                 _check_rank(message.state.rank)
             case Tables():
                 _check_tables(message)
+            case ExpectedWaits():
+                _check_waits(message)
     except (
         msgspec.MsgspecError,
         KeyError,
@@ -296,6 +313,19 @@
         raise ValueError(f'rank is {rank}; accepted is a finite number')
 
 
+def _check_waits(message: ExpectedWaits) -> None:
+    """Check the expected waits.
+
+    :raises ValueError: one cannot be compared
+    """
+    for queue, wait_s in message.waits_s.items():
+        if not 0 <= wait_s <= dispatch.MAX_WAIT_S:
+            raise ValueError(
+                f'expected wait of {queue} is {wait_s}; accepted is 0 to '
+                f'{dispatch.MAX_WAIT_S}'
+            )
+
+
 def _check_tables(tables: Tables) -> None:
     """Check the numbers of copied tables.
 
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -13,11 +13,13 @@
 from orioleloom.node import _evacuations
 from orioleloom.node import _leader
 from orioleloom.node import _leader_lists
+from orioleloom.node import _load_shedding
 from orioleloom.node import _log
 from orioleloom.node import _loop_monitor
 from orioleloom.node import _messages
 from orioleloom.node import _operator_rows
 from orioleloom.node import _peers
+from orioleloom.node import _pending
 from orioleloom.node import _ports
 from orioleloom.node import _presence
 from orioleloom.node import _tables
@@ -82,6 +84,9 @@
         be in force
     :param resend_after_s: time after a lost answer until a caller submits its
         job again, in seconds; 0 if it is not known
+    :param sheds_load: refuse jobs by the waits that the leader expects. Only
+        if callers submit each job at one instance only: an instance does not
+        know whether a job has run that was submitted at another one
     """
 
     instance_id: str
@@ -91,52 +96,7 @@
     seed_peers: tuple[str, ...] = ()
     config_apply_s: float = 2.0
     resend_after_s: float = 0.0
-
-
-class PendingJob:
-    """A job whose caller is connected to this instance.
-
-    :param on_outcome: called with the outcome of the job
-    """
-
-    __slots__ = (
-        'arrived_s',
-        'assigned_leader',
-        'earlier_list',
-        'deadline_s',
-        'job',
-        'latest_useful_start_s',
-        'on_outcome',
-        'was_submitted',
-    )
-
-    def __init__(
-        self,
-        job: dispatch.Job,
-        arrived_s: float,
-        deadline_s: float,
-        on_outcome: typing.Callable[[dispatch.Outcome], None],
-    ):
-        self.job = job
-        self.arrived_s = arrived_s
-        self.deadline_s = deadline_s
-        self.latest_useful_start_s = dispatch.latest_useful_start_s(
-            job, arrived_s=arrived_s, deadline_s=deadline_s
-        )
-        self.on_outcome = on_outcome
-        # Id and term of the leader that the job was submitted to.
-        self.assigned_leader: tuple[str, int] | None = None
-        self.was_submitted = False
-        # Workers that earlier leaders of the job have used.
-        self.earlier_list: dispatch.ListInUse | None = None
-
-    def add_earlier_leader(self, list_in_use: dispatch.ListInUse) -> None:
-        """Record which workers a leader has used that the job had."""
-        self.earlier_list = (
-            list_in_use
-            if self.earlier_list is None
-            else self.earlier_list.merge(list_in_use)
-        )
+    sheds_load: bool = False
 
 
 class Node:
@@ -192,7 +152,8 @@
             now_s=trio.current_time(),
         )
         self.leader: _leader.Leader | None = None
-        self.pending: dict[str, PendingJob] = {}
+        self.load_shedding = _load_shedding.LoadShedding()
+        self.pending: dict[str, _pending.PendingJob] = {}
         self.peers = _peers.PeerDirectory(
             local_sender=self.local_sender,
             socket=self.peer_socket,
@@ -542,6 +503,10 @@
                 self._handle_tables(sender_id, message)
             case _messages.Evacuations():
                 self.evacuations.handle_message(sender_id, message)
+            case _messages.ExpectedWaits():
+                self.load_shedding.handle_waits(
+                    (sender_id, message.term), message, now_s
+                )
             case _messages.RunningJobs():
                 self._running_jobs = (sender_id, message)
             case _messages.ProcessState():
@@ -1013,6 +978,10 @@
         leader.send_heartbeats(self.peers.members)
         leader.send_crashes(now_s)
         self.evacuations.announce(leader.instances_in_contact()[1:], now_s)
+        if self.settings.sheds_load:
+            leader.wait_sender.send_waits(
+                leader.dispatcher.admission, leader.instances_in_contact()[1:]
+            )
         self._update_successors(leader, now_s)
         successor = leader.find_successor(
             self.settings.rank, now_s, is_stopping=self.is_stopping
@@ -1099,7 +1068,7 @@
         """Accept a caller's job and report its outcome to ``on_outcome``."""
         self.counters['jobs'] += 1
         replaced = self.pending.pop(job.id, None)
-        pending = PendingJob(job, arrived_s, deadline_s, on_outcome)
+        pending = _pending.PendingJob(job, arrived_s, deadline_s, on_outcome)
         if replaced is not None:
             # The caller has resubmitted the job on another connection.
             pending.assigned_leader = replaced.assigned_leader
@@ -1113,10 +1082,32 @@
             self._give_up(pending, _STOPPING, _STOPPING_RETRY_AFTER_S)
         elif self.elector.role is leadership.Role.ISOLATED:
             self._give_up(pending, 'instance out of contact')
-        elif pending.assigned_leader is None:
+        elif pending.assigned_leader is None and not self._shed(pending):
             self._submit_pending(pending, trio.current_time())
 
-    def _can_end_before_stop(self, pending: PendingJob) -> bool:
+    def _shed(self, pending: _pending.PendingJob) -> bool:
+        """Refuse a job that would wait too long at the followed leader."""
+        is_following = self.elector.role is leadership.Role.FOLLOWING
+        if (
+            not self.settings.sheds_load
+            or not is_following
+            or pending.was_submitted
+        ):
+            return False
+        wait_s = self.load_shedding.refusal(
+            pending.job,
+            pending.latest_useful_start_s,
+            (self.elector.leader_id, self.elector.term),
+            trio.current_time(),
+        )
+        if wait_s is None:
+            return False
+        self.counters['jobs_shed'] += 1
+        retry_after_s = wait_s + self.random_state.random()
+        self._give_up(pending, _load_shedding.EXPECTED_WAIT, retry_after_s)
+        return True
+
+    def _can_end_before_stop(self, pending: _pending.PendingJob) -> bool:
         """Return whether a planned stop leaves a job the time to end.
 
         That is the time that its objective allows, or until its deadline if
@@ -1129,7 +1120,9 @@
         )
         return min(needed_until_s, pending.deadline_s) <= self.stop_by_s
 
-    def _submit_pending(self, pending: PendingJob, now_s: float) -> None:
+    def _submit_pending(
+        self, pending: _pending.PendingJob, now_s: float
+    ) -> None:
         role = self.elector.role
         job = pending.job
         leader = (self.elector.leader_id, self.elector.term)
@@ -1195,7 +1188,9 @@
         )
         return True
 
-    def _cancel_at_leader(self, pending: PendingJob, reason: str) -> None:
+    def _cancel_at_leader(
+        self, pending: _pending.PendingJob, reason: str
+    ) -> None:
         job_id = pending.job.id
         if self.leader is not None:
             self.leader.dispatcher.cancel(
@@ -1235,7 +1230,7 @@
                 outcome.kind, trio.current_time() - pending.arrived_s
             )
             pending.on_outcome(outcome)
-            if outcome.reason == dispatch.OVERLOADED:
+            if outcome.reason in dispatch.REFUSAL_REASONS:
                 # Logged here, since the leader is short of time.
                 _log.log('job_refused', job=job_id, reason=outcome.reason)
             if outcome.is_result():
@@ -1260,7 +1255,7 @@
 
     def _give_up(
         self,
-        pending: PendingJob,
+        pending: _pending.PendingJob,
         reason: str,
         retry_after_s: float | None = None,
     ) -> None:
@@ -1301,7 +1296,9 @@
             ):
                 self._give_up(pending, 'no leader found')
 
-    def _has_waited_long(self, pending: PendingJob, now_s: float) -> bool:
+    def _has_waited_long(
+        self, pending: _pending.PendingJob, now_s: float
+    ) -> bool:
         """Return whether a job must not wait longer for a leader.
 
         A job that was not submitted to any leader is refused as soon as the
