Move a late run only if its worker is probably slow

Cause: a run of three times its expected time was taken for a straggler. In queues where 3 tasks in 100 take seven times as long, such tasks were stopped and restarted, even where the new run could not end in time, and raised the learned run time of a healthy worker. Change: a life table per queue, which also counts stopped runs, gives the probability that a run is merely long; the other runs of the worker are the evidence that it has stalled. A run is moved if a new one ends by the latest useful time and earlier. Speeds and queue statistics are robust against single long tasks.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -12,7 +12,9 @@
 from orioleloom.dispatch import _pacing
 from orioleloom.dispatch import _placement
 from orioleloom.dispatch import _records
+from orioleloom.dispatch import _run_results
 from orioleloom.dispatch import _stragglers
+from orioleloom.dispatch import _tails
 from orioleloom.dispatch import _worker_lists
 from orioleloom.dispatch import _workers
 
@@ -48,9 +50,6 @@
 # then.
 _LATE_TRIAL_S = 0.3
 
-# How often one task may be moved away from a slow worker.
-_MAX_MOVES = 2
-
 # Interval at which workers are sorted by speed and stragglers are detected,
 # both of which take time in proportion to the number of workers.
 _FLEET_SCAN_INTERVAL_S = 0.1
@@ -151,6 +150,11 @@
         self.placement = _placement.Placement(
             self.workers, self.crashes, self.capacity
         )
+        self.tails = _tails.RunTimeTails()
+        self.stragglers = _stragglers.StragglerMitigation(
+            self.placement, self.run_times, self.tails
+        )
+        self.run_results = _run_results.RunResults(self.run_times, self.tails)
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
         self._foreign_runs = _foreign_runs.ForeignRuns(
             self.workers, earlier_contact_s, now_s
@@ -676,7 +680,7 @@
         is_current = task is not None and task.run is run
         match end.kind:
             case _records.EndKind.DONE:
-                self._update_estimates(worker, run, task, now_s)
+                self.run_results.record_success(run, task, now_s)
                 worker.clear_failures()
                 worker.last_success_s = now_s
                 if is_current:
@@ -687,26 +691,11 @@
                     worker, run, task if is_current else None, now_s
                 )
             case _:
+                self.run_results.record_stop(run, end.kind, now_s)
                 if is_current:
                     self._requeue(task, now_s)
         self._request_placement(now_s)
 
-    def _update_estimates(
-        self,
-        worker: _workers.Worker,
-        run: _workers.Run,
-        task: _jobs.TaskState | None,
-        now_s: float,
-    ) -> None:
-        if run.expected_s == math.inf or task is None:
-            return
-        elapsed_s = max(now_s - run.started_s, 1e-3)
-        declared_s = task.step.estimate_s
-        worker.observe_run_time(math.log(elapsed_s / run.expected_s))
-        self.run_times.observe(
-            run.queue, declared_s, elapsed_s / worker.run_time_ratio()
-        )
-
     def _handle_run_failure(
         self,
         worker: _workers.Worker,
@@ -1624,31 +1613,13 @@
                 self._send_stop(worker, key, run_id)
 
     def _move_stragglers(self, now_s: float) -> None:
-        for run in _stragglers.find(self.workers.values(), now_s):
-            if _stragglers.correct_speed(run, now_s):
-                self._log(
-                    'worker_slow',
-                    worker=run.worker.id,
-                    job=run.key.job_id,
-                    elapsed_ms=round(1000 * (now_s - run.started_s)),
-                    expected_ms=round(
-                        1000 * run.expected_s * run.worker.run_time_ratio()
-                    ),
-                )
-            self._move_task(run, now_s)
-
-    def _move_task(self, run: _workers.Run, now_s: float) -> None:
-        """Stop a run so that its task can start on another worker."""
-        worker = run.worker
-        task = self._tasks.get(run.key)
-        if task is None or task.run is not run or task.n_moves >= _MAX_MOVES:
-            return
-        if not self.placement.fits_elsewhere(task, worker, now_s):
-            return
-        task.n_moves += 1
-        task.excluded_worker_ids.add(worker.id)
-        self.counters['runs_moved'] += 1
-        self._stop_run(run, now_s)
+        decisions = self.stragglers.decide(
+            self.workers.values(), self._tasks, self.counters, now_s
+        )
+        for fields in decisions.slow:
+            self._log('worker_slow', **fields)
+        for run in decisions.moves:
+            self._stop_run(run, now_s)
 
     def _poll_overdue_workers(self, now_s: float) -> None:
         if not self._loss_detector.is_loss_high(now_s):
@@ -1760,6 +1731,7 @@
             'counters': dict(self.counters),
             'n_orphans': len(self._foreign_runs),
             'suspects': self.crashes.state(),
+            'run_times': self.tails.state(),
             'jobs': {
                 job.job.id: {
                     'queue': job.job.queue.name,
--- a/src/orioleloom/dispatch/_estimates.py
+++ b/src/orioleloom/dispatch/_estimates.py
@@ -11,6 +11,12 @@
 # Deviations of single results from a mean are clipped to this (natural
 # logarithm).
 _MAX_DEVIATION = 1.0
+# A deviation of more than this many standard deviations gets less weight: with
+# 3 tasks in 100 that take seven times as long, five standard deviations, the
+# mean would otherwise be 3 % too high. The minimum lets the mean follow when
+# the run times of a queue really change.
+_USUAL_DEVIATION = 3.0
+_MIN_OUTLIER_WEIGHT = 0.1
 _DEFAULT_RUN_TIME_S = 0.25
 _MIN_VARIANCE = 0.01
 
@@ -79,10 +85,12 @@
             statistics = self._queues[queue] = _QueueStatistics(log_s)
         statistics.n_results += 1
         weight = max(_MIN_WEIGHT, 1.0 / statistics.n_results)
-        deviation = _clip(log_s - statistics.mean_log_s)
-        statistics.mean_log_s += weight * deviation
+        deviation = log_s - statistics.mean_log_s
+        own_weight = weight * _plausibility(deviation, statistics.variance)
+        deviation = _clip(deviation)
+        statistics.mean_log_s += own_weight * deviation
         if statistics.n_results > 3:
-            statistics.variance += weight * (
+            statistics.variance += own_weight * (
                 deviation * deviation - statistics.variance
             )
             statistics.variance = max(statistics.variance, _MIN_VARIANCE)
@@ -90,6 +98,7 @@
             deviation = (
                 log_s - math.log(declared_s) - statistics.declared_offset
             )
+            weight *= _plausibility(deviation, statistics.declared_variance)
             deviation = _clip(deviation)
             statistics.declared_offset += weight * deviation
             if statistics.n_results > 3:
@@ -101,5 +110,11 @@
                 )
 
 
+def _plausibility(deviation: float, variance: float) -> float:
+    """Return the weight of a result that may be of the tail."""
+    excess = abs(deviation) / (_USUAL_DEVIATION * math.sqrt(variance))
+    return 1.0 if excess <= 1.0 else max(excess**-4, _MIN_OUTLIER_WEIGHT)
+
+
 def _clip(value: float) -> float:
     return min(max(value, -_MAX_DEVIATION), _MAX_DEVIATION)
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -26,6 +26,25 @@
     return max(step_ends_s)
 
 
+def remaining_path_s(
+    job: _records.Job, first: int, run_times: _estimates.RunTimeEstimator
+) -> float:
+    """Return the expected run time of the longest chain from a step on.
+
+    :param first: index of the first step of the chain
+    :returns: seconds on workers of speed 1
+    """
+    # Steps only depend on earlier ones.
+    ends_s = {first: 0.0}
+    for number, step in enumerate(job.steps[first:], first):
+        starts_s = [ends_s[n] for n in step.after if n in ends_s]
+        if starts_s or number == first:
+            ends_s[number] = max(starts_s, default=0.0) + run_times.expected_s(
+                job.queue.name, step.estimate_s
+            )
+    return max(ends_s.values())
+
+
 def allowed_time_s(queue: _records.Queue, expected_s: float) -> float:
     """Return how long a job may take to meet its queue's objective."""
     return queue.slack_factor * expected_s + queue.target_latency_s
--- a/src/orioleloom/dispatch/_placement.py
+++ b/src/orioleloom/dispatch/_placement.py
@@ -71,24 +71,25 @@
             self._workers_by_upstream, job.job.queue.upstream
         )
 
-    def fits_elsewhere(
+    def find_elsewhere(
         self,
         task: _jobs.TaskState,
         current: _workers.Worker,
+        limit_s: float,
         now_s: float,
-    ) -> bool:
-        """Return whether a task could start now on another worker.
+    ) -> _workers.Worker | None:
+        """Return another worker on which a task could start now.
 
         :param current: worker that is excluded
+        :param limit_s: longest acceptable run time of the job's longest chain
         """
         workers = self._workers_by_upstream.get(
             task.job.job.queue.upstream, []
         )
         others = [w for w in workers if w is not current]
-        limit_s = task.job.deadline_s - now_s
         usage = self._new_usage(now_s)
         search = _WorkerSearch(others, limit_s, now_s, usage)
-        return search.find_worker(task) is not None
+        return search.find_worker(task)
 
     def _new_usage(self, now_s: float) -> '_RoundUsage':
         return _RoundUsage(
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -8,6 +8,9 @@
 _MIN_RESULT_WEIGHT = 0.2
 # Deviations of single results are clipped to this (natural logarithm).
 _MAX_LOG_STEP = 1.2
+# A run that is slower than expected by more than this (natural logarithm; a
+# factor of 2.5) may be of a long task.
+_OUTLIER_STEP = 0.9
 
 # Duration of the first suspension of a worker, and the maximum that repeated
 # suspensions reach by doubling, in seconds.
@@ -143,6 +146,10 @@
         self.confirmed_s = -math.inf
         # Natural logarithm of the run time relative to a worker of speed 1.
         self.log_run_time_ratio = 0.0
+        # The ratio before unfinished runs raised it, until one succeeds.
+        self._log_healthy_ratio: float | None = None
+        # The latest result was much slower than expected.
+        self._was_slow = False
         self.n_results = 0
         self.n_failures = 0
         self.n_missed_responses = 0
@@ -283,20 +290,44 @@
         """Return the run time relative to a worker of speed 1."""
         return math.exp(self.log_run_time_ratio)
 
-    def observe_run_time(self, log_ratio: float) -> None:
+    def healthy_run_time_ratio(self) -> float:
+        """Return the run time ratio without that of unfinished runs."""
+        if self._log_healthy_ratio is None:
+            return self.run_time_ratio()
+        return math.exp(self._log_healthy_ratio)
+
+    def observe_run_time(
+        self, log_ratio: float, *, may_be_long: bool = False
+    ) -> None:
         """Update the run time ratio with a finished run.
 
         :param log_ratio: logarithm of the ratio of its run time to the
             time expected on a worker of speed 1
+        :param may_be_long: whether its task is as likely to be long as the
+            worker to be slow. Such a result counts only if the next one is
+            slow as well.
         """
+        if self._log_healthy_ratio is not None:
+            # Unfinished runs made the worker seem slow. If this one was not,
+            # the tasks of the others were long.
+            middle = (self._log_healthy_ratio + self.log_run_time_ratio) / 2
+            if log_ratio < middle:
+                self.log_run_time_ratio = self._log_healthy_ratio
+            self._log_healthy_ratio = None
+        step = log_ratio - self.log_run_time_ratio
+        was_slow = self._was_slow
+        self._was_slow = step > _OUTLIER_STEP
+        if self._was_slow and may_be_long and not was_slow:
+            return
         self.n_results += 1
         weight = max(_MIN_RESULT_WEIGHT, 1.0 / (self.n_results + 1))
-        step = log_ratio - self.log_run_time_ratio
         step = min(max(step, -_MAX_LOG_STEP), _MAX_LOG_STEP)
         self.log_run_time_ratio += weight * step
 
     def observe_straggler(self, log_ratio: float) -> None:
         """Raise the run time ratio to that of an unfinished run."""
+        if self._log_healthy_ratio is None:
+            self._log_healthy_ratio = self.log_run_time_ratio
         self.log_run_time_ratio = max(self.log_run_time_ratio, log_ratio)
 
     def clear_failures(self) -> None:
--- a/src/orioleloom_standins/leased/_load.py
+++ b/src/orioleloom_standins/leased/_load.py
@@ -12,6 +12,8 @@
 # earns this share of the job's worth; a later one earns nothing.
 _LATE_FACTOR = 3.0
 _LATE_SHARE = 0.2
+# How many times as long as others the long tasks take.
+_LONG_FACTOR = 7.0
 # Callers submit a job again this long after an unknown outcome.
 _RESUBMISSION_DELAY_S = 1.3
 # No caller waits for longer than this.
@@ -135,6 +137,7 @@
     poison_share: float = 0.0,
     deadly_shares: typing.Mapping[str, float] = {},
     bursts: typing.Mapping[str, tuple[float, float, float]] = {},
+    long_share: float = 0.0,
     random_state: random.Random | None = None,
 ) -> LoadReport:
     """Send jobs with Poisson arrivals and report the earned worth.
@@ -145,6 +148,7 @@
         its workers, by queue name; these jobs are not counted in the worth
     :param bursts: rate factor, start and end in seconds of a burst, by queue
         name; the name ``''`` applies to all queues
+    :param long_share: share of tasks that take seven times as long
     :param random_state: source of the jobs; that of the world if ``None``.
         With a source of its own the jobs do not depend on the dispatcher.
     """
@@ -171,6 +175,7 @@
             rng,
             poison_share,
             deadly_shares.get(kind.queue.name, 0.0),
+            long_share,
         )
         world.after(
             rng.expovariate(kind.per_s * factor(kind)), lambda: arrive(kind)
@@ -193,8 +198,14 @@
     rng: random.Random,
     poison_share: float,
     deadly_share: float,
+    long_share: float,
 ) -> None:
     job, tasks_s = draw_job(kind, len(sent), rng)
+    if long_share:
+        tasks_s = [
+            work_s * (_LONG_FACTOR if rng.random() < long_share else 1.0)
+            for work_s in tasks_s
+        ]
     is_poison = rng.random() < poison_share
     world.declare(job, tasks_s, is_poison)
     is_deadly = deadly_share > 0 and rng.random() < deadly_share
