Learn which queues slow each other down on a worker

Cause: some tasks slow each other down on one worker, which placement did not know; their run times also made the worker seem slow. Placement prefers a worker without an interfering neighbour if it meets the limit and is slower by less, and otherwise uses the worker found first. Settings.learns_interference is off by default; bounds has interferenceMs.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -6,6 +6,7 @@
 from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _estimates
 from orioleloom.dispatch import _foreign_runs
+from orioleloom.dispatch import _interference
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _late_starts
 from orioleloom.dispatch import _loss_detector
@@ -83,9 +84,12 @@
 
     :param lease_s: duration of the lease of a run, in seconds; each renewal
         starts it again
+    :param learns_interference: learn which queues slow each other down on one
+        worker, and place their tasks apart where there is room
     """
 
     lease_s: float = 1.0
+    learns_interference: bool = False
 
 
 class Dispatcher:
@@ -154,7 +158,15 @@
         self.stragglers = _stragglers.StragglerMitigation(
             self.placement, self.run_times, self.tails
         )
-        self.run_results = _run_results.RunResults(self.run_times, self.tails)
+        self.interference = (
+            _interference.Interference()
+            if settings.learns_interference
+            else None
+        )
+        self.placement.interference = self.interference
+        self.run_results = _run_results.RunResults(
+            self.run_times, self.tails, self.interference
+        )
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
         self._foreign_runs = _foreign_runs.ForeignRuns(
             self.workers, earlier_contact_s, now_s
@@ -674,6 +686,7 @@
                 else:
                     self._foreign_runs.add_completion(end.key, now_s)
             return
+        self.run_results.record_end(run, now_s)
         self._release_run(run)
         self.counters[f'runs_{end.kind}'] += 1
         task = self._tasks.get(end.key)
@@ -1444,6 +1457,8 @@
                 self.counters['starts'], _FLEET_SCAN_INTERVAL_S
             )
             self._move_stragglers(now_s)
+            if self.interference is not None:
+                self.interference.tick(now_s, self._log, self.counters)
             self._drop_unlisted_workers(now_s)
             self._read_old_clocks(now_s)
         self._search_all_workers = True
@@ -1732,6 +1747,9 @@
             'n_orphans': len(self._foreign_runs),
             'suspects': self.crashes.state(),
             'run_times': self.tails.state(),
+            'interference': self.interference.state()
+            if self.interference is not None
+            else None,
             'jobs': {
                 job.job.id: {
                     'queue': job.job.queue.name,
--- a/src/orioleloom/dispatch/_placement.py
+++ b/src/orioleloom/dispatch/_placement.py
@@ -4,6 +4,7 @@
 
 from orioleloom.dispatch import _capacity
 from orioleloom.dispatch import _crashes
+from orioleloom.dispatch import _interference
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _workers
@@ -14,6 +15,9 @@
 _OVERHEAD_S = 0.006
 
 
+# Workers with room that are compared to avoid interference, for each task.
+_MAX_ALTERNATIVES = 16
+
 _NO_WORKERS: list[_workers.Worker] = []
 
 
@@ -51,6 +55,8 @@
         self.workers = workers
         self.crashes = crashes
         self.capacity = capacity
+        # Set by the owner if it is learned.
+        self.interference: _interference.Interference | None = None
         self._workers_by_upstream: dict[str, list[_workers.Worker]] = {}
 
     def refresh_workers(self) -> None:
@@ -96,6 +102,7 @@
             self.crashes,
             self.crashes.paused_queues(len(self.workers), now_s),
             self.capacity,
+            self.interference,
         )
 
     def choose_starts(
@@ -215,6 +222,7 @@
     :param crashes: tasks under which workers have crashed
     :param paused_queues: queues whose suspects must wait
     :param capacity: see :class:`Placement`
+    :param interference: see :class:`Placement`
     """
 
     def __init__(
@@ -222,7 +230,13 @@
         crashes: _crashes.CrashLedger,
         paused_queues: typing.Collection[str],
         capacity: _capacity.CapacityGuard,
+        interference: _interference.Interference | None = None,
     ) -> None:
+        # None unless a pair of queues interferes.
+        self.interference = (
+            interference if interference and interference.log_factors else None
+        )
+        self._queues_started: dict[str, list[str]] = {}
         self.crashes = crashes
         self.paused_queues = paused_queues
         self.capacity = capacity
@@ -277,9 +291,25 @@
             self._n_started_by_step.get(step, 0) + 1
         )
         self.n_started[worker.id] = self.n_started.get(worker.id, 0) + 1
+        if self.interference is not None:
+            self._queues_started.setdefault(worker.id, []).append(
+                task.job.job.queue.name
+            )
         if self.crashes.is_suspect(task.key):
             self._suspect_worker_ids.add(worker.id)
 
+    def interference_factor(
+        self, task: _jobs.TaskState, worker: _workers.Worker
+    ) -> float:
+        """Return how much a task and the runs of a worker slow down."""
+        if self.interference is None:
+            return 1.0
+        neighbours = {run.queue for run in worker.runs.values()}
+        neighbours.update(self._queues_started.get(worker.id, ()))
+        return self.interference.mutual_factor(
+            task.job.job.queue.name, neighbours
+        )
+
     def is_empty(self, worker: _workers.Worker) -> bool:
         """Return whether a worker has no run."""
         return not worker.runs and not self.n_started.get(worker.id)
@@ -376,11 +406,49 @@
             ):
                 fallback = fallback or worker
                 continue
+            if self.usage.interference is not None:
+                return self._avoid_interference(task, worker, index)
             return worker
         if is_first and position == 0:
             self.usage.set_unplaceable(self.workers, step.room)
         return fallback
 
+    def _avoid_interference(
+        self, task: _jobs.TaskState, found: _workers.Worker, index: int
+    ) -> _workers.Worker:
+        """Return a worker whose runs disturb less, or the one found.
+
+        The others are as good for the objective and the rack, and slower by
+        less than the interference.
+
+        :param index: index of the worker that was found
+        """
+        step = task.step
+        best = found
+        factor = self.usage.interference_factor(task, found)
+        lowest = found.run_time_ratio() * factor
+        if factor == 1.0:
+            return found
+        n_tried = 0
+        for worker in itertools.islice(self.workers, index + 1, None):
+            ratio = worker.run_time_ratio()
+            if (
+                ratio >= lowest
+                or task.job.expected_s * ratio > self.limit_s
+                or n_tried >= _MAX_ALTERNATIVES
+            ):
+                break
+            if not self.usage.free(worker).can_fit(step.room):
+                continue
+            n_tried += 1
+            if step.preferred_rack in ('', *worker.info.labels) and (
+                self._is_eligible(task, worker)
+            ):
+                ratio *= self.usage.interference_factor(task, worker)
+                if ratio < lowest:
+                    best, lowest = worker, ratio
+        return best
+
     def _is_eligible(
         self, task: _jobs.TaskState, worker: _workers.Worker
     ) -> bool:
--- a/src/orioleloom/dispatch/_run_results.py
+++ b/src/orioleloom/dispatch/_run_results.py
@@ -1,6 +1,7 @@
 import math
 
 from orioleloom.dispatch import _estimates
+from orioleloom.dispatch import _interference
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _stragglers
@@ -14,15 +15,25 @@
 
 
 class RunResults:
-    """Updates the run time estimates with the ends of runs."""
+    """Updates the run time estimates with the ends of runs.
+
+    :param interference: if the effect of runs on each other is learned
+    """
 
     def __init__(
         self,
         run_times: _estimates.RunTimeEstimator,
         tails: _tails.RunTimeTails,
+        interference: _interference.Interference | None = None,
     ):
         self.run_times = run_times
         self.tails = tails
+        self.interference = interference
+
+    def record_end(self, run: _workers.Run, now_s: float) -> None:
+        """Record that a run is about to leave its worker."""
+        if self.interference is not None:
+            self.interference.record_end(run, now_s)
 
     def record_success(
         self,
@@ -42,6 +53,12 @@
         elapsed_s = max(now_s - run.started_s, _MIN_RUN_S)
         self._observe_tail(run, elapsed_s, now_s, is_stopped=False)
         log_ratio = math.log(elapsed_s / run.expected_s)
+        if self.interference is not None:
+            self.interference.observe(run, log_ratio, elapsed_s, now_s)
+            # The worker and the queue are not slow because of neighbours.
+            log_slowdown = self.interference.log_slowdown(run, elapsed_s)
+            log_ratio -= log_slowdown
+            elapsed_s *= math.exp(-log_slowdown)
         excess = log_ratio - math.log(worker.healthy_run_time_ratio())
         may_be_long = excess > _LONG_LOG_RATIO and (
             self.tails.of(run.queue).survival(excess)
--- a/src/orioleloom/dispatch/_workers.py
+++ b/src/orioleloom/dispatch/_workers.py
@@ -48,6 +48,7 @@
         'expected_s',
         'is_speed_corrected',
         'accepted_s',
+        'beside_s',
         'is_accepted',
         'is_stopping',
         'key',
@@ -85,6 +86,8 @@
         self.stop_confirmed_s = math.inf
         self.is_stopping = False
         self.n_stops = 0
+        # How long ended runs of each queue were beside this one, if recorded.
+        self.beside_s: dict[str, float] | None = None
         # The worker's run time ratio was already raised for this run.
         self.is_speed_corrected = False
 
--- a/src/orioleloom/platform/_settings.py
+++ b/src/orioleloom/platform/_settings.py
@@ -34,10 +34,13 @@
 
     :param grace_s: time between SIGTERM and SIGKILL
     :param config_apply_ms: time in which a configuration must be in force
+    :param interference_ms: time in which interference of tasks is to be
+        found; 0 if it is not learned
     """
 
     grace_s: float = msgspec.field(name='graceS', default=6.0)
     config_apply_ms: float = msgspec.field(name='configApplyMs', default=2000)
+    interference_ms: float = msgspec.field(name='interferenceMs', default=0.0)
 
 
 class StoreSettings(msgspec.Struct):
