--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -10,14 +10,17 @@
 from orioleloom.dispatch import _expiry
 from orioleloom.dispatch import _foreign_runs
 from orioleloom.dispatch import _holds
+from orioleloom.dispatch import _interference
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _late_starts
 from orioleloom.dispatch import _loss_detector
 from orioleloom.dispatch import _pacing
 from orioleloom.dispatch import _placement
 from orioleloom.dispatch import _records
+from orioleloom.dispatch import _run_results
 from orioleloom.dispatch import _state
 from orioleloom.dispatch import _stragglers
+from orioleloom.dispatch import _tails
 from orioleloom.dispatch import _worker_lists
 from orioleloom.dispatch import _workers
 
@@ -33,9 +36,6 @@
 OUTCOME_RETENTION_S = 5.0
 
 
-# How often one task may be moved away from a slow worker.
-_MAX_MOVES = 2
-
 # Interval at which workers are sorted by speed and stragglers are detected,
 # both of which take time in proportion to the number of workers.
 _FLEET_SCAN_INTERVAL_S = 0.1
@@ -66,9 +66,12 @@
 
     :param lease_s: duration of the lease of a run, in seconds; each renewal
         starts it again
+    :param learns_interference: learn which queues slow each other down on one
+        worker, and place their tasks apart where there is room
     """
 
     lease_s: float = 1.0
+    learns_interference: bool = False
 
 
 class Dispatcher:
@@ -141,6 +144,19 @@
             placement=self.placement,
             random_state=random_state,
         )
+        self.tails = _tails.RunTimeTails()
+        self.stragglers = _stragglers.StragglerMitigation(
+            self.placement, self.run_times, self.tails
+        )
+        self.interference = (
+            _interference.Interference()
+            if settings.learns_interference
+            else None
+        )
+        self.placement.interference = self.interference
+        self.run_results = _run_results.RunResults(
+            self.run_times, self.tails, self.interference
+        )
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
         self._foreign_runs = _foreign_runs.ForeignRuns(
             self.workers, earlier_contact_s, now_s
@@ -674,13 +690,14 @@
                 else:
                     self._foreign_runs.add_completion(end.key, now_s)
             return
+        self.run_results.record_end(run, now_s)
         self._release_run(run)
         self.counters[f'runs_{end.kind}'] += 1
         task = self._tasks.get(end.key)
         is_current = task is not None and task.run is run
         match end.kind:
             case _records.EndKind.DONE:
-                self._update_estimates(worker, run, task, now_s)
+                self.run_results.record_success(run, task, now_s)
                 worker.clear_failures()
                 worker.last_success_s = now_s
                 if is_current:
@@ -691,26 +708,11 @@
                     worker, run, task if is_current else None, now_s
                 )
             case _:
+                self.run_results.record_stop(run, end.kind, now_s)
                 if is_current:
                     self._requeue(task, now_s)
         self._request_placement(now_s)
 
-    def _update_estimates(
-        self,
-        worker: _workers.Worker,
-        run: _workers.Run,
-        task: _jobs.TaskState | None,
-        now_s: float,
-    ) -> None:
-        if run.expected_s == math.inf or task is None:
-            return
-        elapsed_s = max(now_s - run.started_s, 1e-3)
-        declared_s = task.step.estimate_s
-        worker.observe_run_time(math.log(elapsed_s / run.expected_s))
-        self.run_times.observe(
-            run.queue, declared_s, elapsed_s / worker.run_time_ratio()
-        )
-
     def _handle_run_failure(
         self,
         worker: _workers.Worker,
@@ -1357,6 +1359,8 @@
                 self.counters['starts'], _FLEET_SCAN_INTERVAL_S
             )
             self._move_stragglers(now_s)
+            if self.interference is not None:
+                self.interference.tick(now_s, self._log, self.counters)
             self._drop_unlisted_workers(now_s)
             self._read_old_clocks(now_s)
         self._search_all_workers = True
@@ -1530,31 +1534,13 @@
                 self._send_stop(worker, key, run_id)
 
     def _move_stragglers(self, now_s: float) -> None:
-        for run in _stragglers.find(self.workers.values(), now_s):
-            if _stragglers.correct_speed(run, now_s):
-                self._log(
-                    'worker_slow',
-                    worker=run.worker.id,
-                    job=run.key.job_id,
-                    elapsed_ms=round(1000 * (now_s - run.started_s)),
-                    expected_ms=round(
-                        1000 * run.expected_s * run.worker.run_time_ratio()
-                    ),
-                )
-            self._move_task(run, now_s)
-
-    def _move_task(self, run: _workers.Run, now_s: float) -> None:
-        """Stop a run so that its task can start on another worker."""
-        worker = run.worker
-        task = self._tasks.get(run.key)
-        if task is None or task.run is not run or task.n_moves >= _MAX_MOVES:
-            return
-        if not self.placement.fits_elsewhere(task, worker, now_s):
-            return
-        task.n_moves += 1
-        task.excluded_worker_ids.add(worker.id)
-        self.counters['runs_moved'] += 1
-        self._stop_run(run, now_s)
+        decisions = self.stragglers.decide(
+            self.workers.values(), self._tasks, self.counters, now_s
+        )
+        for fields in decisions.slow:
+            self._log('worker_slow', **fields)
+        for run in decisions.moves:
+            self._stop_run(run, now_s)
 
     def _poll_overdue_workers(self, now_s: float) -> None:
         if not self._loss_detector.is_loss_high(now_s):
@@ -1633,6 +1619,10 @@
             'age_s': round(now_s - self.created_s, 3),
             'counters': dict(self.counters),
             'n_orphans': len(self._foreign_runs),
+            'run_times': self.tails.state(),
+            'interference': self.interference.state()
+            if self.interference is not None
+            else None,
             **_state.describe(
                 self.jobs.values(), self.workers.values(), self.crashes, now_s
             ),
