Tests: crowds of clients outside the operator's control

Nothing bounds what all clients together have sent of their requests. Memory is the resident memory, with the bytes that the process has received and not read.

--- /dev/null
+++ b/tests/processes/crowds.py
@@ -0,0 +1,226 @@
+"""Clients outside the operator's control, and what they cost a process."""
+
+import base64
+import contextlib
+import os
+import random
+import signal
+import socket
+import struct
+import typing
+
+import msgspec
+import trio
+
+from orioleloom import http1
+from orioleloom_standins import soak
+from orioleloom_standins import wire
+
+MAX_BODY_BYTES = 262_144
+MAX_HEADER_BYTES = 16_384
+# Settings of the instance. Its bounds follow from them.
+MEMORY_MB = 80
+MAX_FDS = 2_500
+
+# One client in this many sends its request completely.
+_COMPLETE_EVERY = 10
+_SAMPLE_INTERVAL_S = 0.05
+# A crowd is quiet once it has sent nothing for this long.
+_QUIET_S = 0.5
+# Generous time-outs, so that a hang fails a test instead of stopping it.
+_CROWD_TIMEOUT_S = 20.0
+_ANSWER_TIMEOUT_S = 5.0
+
+
+class Crowd(typing.NamedTuple):
+    """Clients that behave alike.
+
+    :param pieces: what a client sends, in pieces; the last byte of the last
+        one is kept back
+    """
+
+    n_clients: int
+    pieces: typing.Sequence[bytes]
+
+
+class Seen(typing.NamedTuple):
+    """What a process cost under a crowd.
+
+    :param peak_memory_bytes: resident memory, with the received bytes that
+        it has not read from its sockets
+    :param status: status of an ordinary request afterwards; 0 if it got no
+        answer
+    """
+
+    is_alive: bool
+    peak_memory_bytes: int
+    peak_fds: int
+    status: int
+
+
+class _Process:
+    """Memory and descriptors of a process, from ``/proc``."""
+
+    def __init__(self, pid: int, ip: str):
+        self.pid = pid
+        self._local_address = '%08X' % struct.unpack(
+            '<I', socket.inet_aton(ip)
+        )
+        self.peak_memory_bytes = 0
+        self.peak_fds = 0
+
+    def _status_bytes(self, name: str) -> int:
+        with open(f'/proc/{self.pid}/status') as file:
+            for line in file:
+                if line.startswith(name + ':'):
+                    return int(line.split()[1]) * 1024
+        return 0
+
+    def _unread_bytes(self) -> int:
+        with open('/proc/net/tcp') as file:
+            rows = [line.split() for line in file]
+        return sum(
+            int(row[4].partition(':')[2], 16)
+            for row in rows[1:]
+            # Of a listening socket this is the number of connections.
+            if row[1].startswith(self._local_address) and row[3] != '0A'
+        )
+
+    def sample(self) -> None:
+        """Record the present values; those of a dead process stay."""
+        with contextlib.suppress(OSError):
+            self.peak_fds = max(
+                self.peak_fds, len(os.listdir(f'/proc/{self.pid}/fd'))
+            )
+            self.peak_memory_bytes = max(
+                self.peak_memory_bytes,
+                self._status_bytes('VmHWM'),
+                self._status_bytes('VmRSS') + self._unread_bytes(),
+            )
+
+
+class _Run:
+    def __init__(self, site: wire.Site, crowd: Crowd, folder: str):
+        self.site = site
+        self.crowd = crowd
+        self.instance = soak.Instance(site, 1, 1, folder)
+        self.process: _Process | None = None
+        self.sent_s = 0.0
+        self.n_sending = 0
+
+    def _write_settings(self) -> None:
+        settings = self.site.settings(1, 1)
+        settings['limits'] |= {'memoryMb': MEMORY_MB, 'maxFds': MAX_FDS}
+        self.instance.path.write_bytes(msgspec.json.encode(settings))
+
+    def _configure(self) -> None:
+        """Write the limits that the platform has by default."""
+        value, *_ = self.site.store.rows['op']['config']
+        config = msgspec.json.decode(base64.b64decode(value))
+        config['version'] += 1
+        config['limits'] = {
+            'maxHeaderBytes': MAX_HEADER_BYTES,
+            'maxBodyBytes': MAX_BODY_BYTES,
+            'headerTimeoutMs': 3_000,
+            'idleTimeoutMs': 15_000,
+        }
+        self.site.store.put('op', 'config', config)
+
+    async def _sample(self) -> None:
+        while True:
+            self.process.sample()
+            await trio.sleep(_SAMPLE_INTERVAL_S)
+
+    async def _send(self, number: int) -> None:
+        """Send a request and keep the connection open."""
+        is_complete = number % _COMPLETE_EVERY == 0
+        host, port = self.instance.address.split(':')
+        try:
+            stream = await trio.open_tcp_stream(host, int(port))
+            *pieces, last = self.crowd.pieces
+            for piece in (*pieces, last if is_complete else last[:-1]):
+                await stream.send_all(piece)
+                self.sent_s = trio.current_time()
+        except (OSError, trio.BrokenResourceError):
+            # The server has closed the connection.
+            pass
+        finally:
+            self.n_sending -= 1
+        await trio.sleep_forever()
+
+    async def _answer(self) -> int:
+        """Return the status of an ordinary request."""
+        with trio.move_on_after(_ANSWER_TIMEOUT_S):
+            with contextlib.suppress(http1.NotSentError, http1.NoAnswerError):
+                response = await http1.Client().request(
+                    self.instance.address,
+                    'POST',
+                    f'/check/{1:016x}',
+                    wire.submission(1, 0.02),
+                    host=wire.HOST,
+                )
+                return response.status
+        return 0
+
+    async def _wait_ready(self) -> None:
+        client = http1.Client()
+        with trio.fail_after(soak.READY_TIMEOUT_S):
+            while True:
+                with contextlib.suppress(
+                    http1.NotSentError, http1.NoAnswerError
+                ):
+                    response = await client.request(
+                        f'{self.site.ip(1)}:8167', 'GET', '/readyz'
+                    )
+                    if response.status == 200:
+                        break
+                await trio.sleep(0.05)
+        client.close()
+
+    async def run(self, nursery: trio.Nursery) -> Seen:
+        self._configure()
+        self._write_settings()
+        self.instance.start()
+        await self._wait_ready()
+        self.process = _Process(self.instance.process.pid, self.site.ip(1))
+        nursery.start_soon(self._sample)
+        self.sent_s = trio.current_time()
+        self.n_sending = self.crowd.n_clients
+        for number in range(self.crowd.n_clients):
+            nursery.start_soon(self._send, number)
+        with trio.move_on_after(_CROWD_TIMEOUT_S):
+            while self.n_sending:
+                await trio.sleep(_SAMPLE_INTERVAL_S)
+                # Clients whose bytes the server does not take are done, too.
+                if trio.current_time() > self.sent_s + _QUIET_S:
+                    break
+        status = await self._answer()
+        self.process.sample()
+        return Seen(
+            self.instance.process.poll() is None,
+            self.process.peak_memory_bytes,
+            self.process.peak_fds,
+            status,
+        )
+
+
+async def send(crowd: Crowd, folder: str, network: int = 11) -> Seen:
+    """Let a crowd call one instance, and an ordinary caller after it.
+
+    The crowd keeps its connections open until the ordinary call has ended.
+
+    :param folder: directory for the instance's settings and log
+    :param network: second octet of the instance's loopback address
+    """
+    async with trio.open_nursery() as nursery:
+        site = wire.Site(nursery, random.Random(1), network)
+        await site.start(2)
+        run = _Run(site, crowd, folder)
+        try:
+            seen = await run.run(nursery)
+        finally:
+            run.instance.signal(signal.SIGKILL)
+            with trio.CancelScope(shield=True):
+                await run.instance.wait(5.0)
+        nursery.cancel_scope.cancel()
+    return seen
