HTTP server: one budget for the bytes of requests in reception

Each request was bounded, the sum over all connections was not; the time-out began again with each byte; empty lines, chunk headers and a header that is not complete yet were not counted; and a connection kept what it had read last until its next byte.

Servers share a Budget. Every byte counts from the first one of a request to its response, with a fixed amount for a connection, a request and a header. When it is short, stalled requests are closed first, then the slowest; when requests being handled hold it all, the new one gets 503 and is not handed over. A whole head and a whole body have a deadline. When all connections are taken, slow ones make room.

--- a/src/orioleloom/http1/__init__.py
+++ b/src/orioleloom/http1/__init__.py
@@ -5,6 +5,8 @@
 parses a request in some microseconds.
 """
 
+from orioleloom.http1._budget import Budget
+from orioleloom.http1._budget import limit_bytes
 from orioleloom.http1._client import Client
 from orioleloom.http1._client import ClosedError
 from orioleloom.http1._client import NoAnswerError
@@ -17,6 +19,7 @@
 from orioleloom.http1._server import Server
 
 __all__ = [
+    'Budget',
     'Client',
     'Connection',
     'Limits',
@@ -27,4 +30,5 @@
     'Request',
     'Response',
     'Server',
+    'limit_bytes',
 ]
--- a/src/orioleloom/http1/_server.py
+++ b/src/orioleloom/http1/_server.py
@@ -8,9 +8,33 @@
 import httptools
 import trio
 
+from orioleloom.http1 import _budget
 from orioleloom.http1 import _sockets
 
 _BACKLOG = 1024
+# Bytes read and parsed at a time.
+_READ_BYTES = 16_384
+# A request is large from this size on; its connection then waits for its turn
+# to read.
+_LARGE_BYTES = 16_384
+# Bytes that are read after a refusal before the connection is closed, so that
+# a client that sends its whole request first can read the response.
+_MAX_DISCARDED_BYTES = 524_288
+# Bytes of a head that `max_header_bytes` does not count: method, version and
+# the white space around values.
+_UNCOUNTED_HEAD_BYTES = 1_024
+# Framing that is accepted for a byte of the body. A chunk of one byte has 5.
+_MAX_FRAMING_PER_BODY_BYTE = 8
+# Memory of a connection with an unanswered request: its task, its parser and
+# its buffers.
+_CONNECTION_BYTES = 4_096
+# Memory of a request and of each of its headers beside their bytes. A header
+# of 5 bytes takes two strings of 50 bytes and a place in a dict.
+_REQUEST_BYTES = 512
+_HEADER_BYTES = 256
+_RETRY_AFTER_S = 1
+# Share of the connections that are closed at a time when all are taken.
+_CLOSED_SHARE = 1 / 16
 # Pause of accepting while the process has no file descriptor left.
 _ACCEPT_PAUSE_S = 0.1
 _OUT_OF_DESCRIPTORS_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS)
@@ -25,6 +49,7 @@
     400: 'Bad Request',
     404: 'Not Found',
     405: 'Method Not Allowed',
+    408: 'Request Timeout',
     410: 'Gone',
     413: 'Content Too Large',
     429: 'Too Many Requests',
@@ -35,20 +60,35 @@
     504: 'Gateway Timeout',
 }
 
+_CLOSE_AND_RETRY_LATER = (
+    f'Connection: close\r\nRetry-After: {_RETRY_AFTER_S}\r\n'
+)
+# Counters of refusals by status.
+_REFUSALS = {
+    408: 'late_requests',
+    413: 'large_bodies',
+    431: 'large_heads',
+    503: 'refused_for_memory',
+}
+
 
 class Limits(typing.NamedTuple):
     """Limits of a server.
 
-    :param header_timeout_s: longest wait for the next bytes of a request
-        that has arrived in part
+    :param header_timeout_s: longest time in which a whole head arrives, and
+        longest wait for the next bytes of a request that has arrived in part
     :param idle_timeout_s: longest time that a connection may stay open
-        without a request
+        without a request; empty lines do not extend it
+    :param body_timeout_s: longest time in which a whole body arrives
     """
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 1_048_576
     header_timeout_s: float = 5.0
     idle_timeout_s: float = 60.0
+    # The longest deadline of a caller. 262,144 bytes take 0.22 s at 9.5
+    # Mbit/s.
+    body_timeout_s: float = 10.0
 
 
 class Request(typing.NamedTuple):
@@ -74,6 +114,17 @@
         self.status = status
 
 
+class _Received(typing.NamedTuple):
+    """A complete request.
+
+    :param n_bytes: memory that it takes
+    """
+
+    request: Request
+    keep_alive: bool
+    n_bytes: int
+
+
 class Connection:
     """A client connection; its requests are handled one at a time."""
 
@@ -84,34 +135,50 @@
         self.is_open = True
         # For the use of the request handler.
         self.context: typing.Any = None
+        self.reception = _budget.Reception(self)
         self._socket = sock
-        # Requests that wait for the ones before them, and whether the client
-        # keeps the connection open after each.
-        self._waiting: collections.deque[tuple[Request, bool]] = (
-            collections.deque()
-        )
+        # Requests that wait for the ones before them.
+        self._waiting: collections.deque[_Received] = collections.deque()
+        self._n_waiting_bytes = 0
+        self._n_current_bytes = 0
         self._keep_alive = True
         self._is_handling = False
-        # Status for what arrived last and cannot be parsed.
+        # Status for what arrived last and is refused.
         self._reject_status: int | None = None
         # The last response was sent; what still arrives is discarded.
         self._is_finished = False
+        self._n_discarded_bytes = 0
         self._linger_until_s = math.inf
+        self._idle_since_s = trio.current_time()
         self._receive_scope = trio.CancelScope()
+        self._is_parsing = False
+        # Bytes since the last complete request, of whatever kind.
+        self._n_raw_bytes = 0
         self._reset_request()
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
 
     def _reset_request(self) -> None:
+        self._has_begun = False
+        self._has_head = False
         self._url = b''
         self._headers: dict[str, str] = {}
+        self._n_headers = 0
         self._n_header_bytes = 0
         self._body = bytearray()
+        # When the head, and later the body, must have arrived.
+        self._deadline_s = math.inf
 
     # Callbacks of httptools
 
     def on_message_begin(self) -> None:
         """Start a request."""
         self._reset_request()
+        self._has_begun = True
+        now_s = trio.current_time()
+        self.reception.started_s = now_s
+        self._deadline_s = now_s + self.server.limits.header_timeout_s
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -119,8 +186,11 @@
         self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header; a trailer is only counted."""
         self._count_header_bytes(len(name) + len(value) + 4)
+        if self._has_head:
+            return
+        self._n_headers += 1
         self._headers[name.decode('latin-1').lower()] = value.decode('latin-1')
 
     def _count_header_bytes(self, n_bytes: int) -> None:
@@ -130,6 +200,10 @@
 
     def on_headers_complete(self) -> None:
         """Check the declared size and confirm ``Expect: 100-continue``."""
+        self._has_head = True
+        self._deadline_s = (
+            trio.current_time() + self.server.limits.body_timeout_s
+        )
         length = self._headers.get('content-length', '')
         if length.isdigit() and (
             int(length) > self.server.limits.max_body_bytes
@@ -155,8 +229,21 @@
             bytes(self._body),
             trio.current_time(),
         )
+        n_bytes = (
+            _REQUEST_BYTES
+            + self._n_header_bytes
+            + self._n_headers * _HEADER_BYTES
+            + len(request.body)
+        )
         self._reset_request()
-        self._waiting.append((request, self._parser.should_keep_alive()))
+        # What follows in the bytes being parsed belongs to the next request
+        # and is counted with its next bytes.
+        self._n_raw_bytes = 0
+        self._idle_since_s = request.arrived_s
+        self._n_waiting_bytes += n_bytes
+        self._waiting.append(
+            _Received(request, self._parser.should_keep_alive(), n_bytes)
+        )
 
     # Reading and writing
 
@@ -164,15 +251,18 @@
         """Read requests until the client disconnects or a time-out."""
         try:
             while self.is_open:
-                data = await self._receive()
-                if data is None:
-                    if self.current_request is not None:
+                if not await self._wait_readable():
+                    if self._handle_timeout():
                         continue
                     break
-                if not data:
+                if self._is_large():
+                    async with self.server.budget.large_reads:
+                        can_go_on = self._read()
+                        await trio.lowlevel.checkpoint()
+                else:
+                    can_go_on = self._read()
+                if not can_go_on:
                     break
-                self._parse(data)
-                self._handle_waiting()
         except (OSError, trio.ClosedResourceError):
             # The client reset the connection, or a response closed it
             # while this task was waiting for data. Both are normal.
@@ -180,32 +270,184 @@
         finally:
             self.close()
 
-    async def _receive(self) -> bytes | None:
-        """Return the next bytes, or ``None`` after a time-out."""
-        limits = self.server.limits
-        timeout_s = (
-            limits.header_timeout_s
-            if self._n_header_bytes
-            else limits.idle_timeout_s
+    def _is_large(self) -> bool:
+        """Return whether reading must not keep small requests waiting."""
+        return (
+            self._n_raw_bytes > _LARGE_BYTES
+            or self._is_finished
+            or self._reject_status is not None
         )
-        until_s = min(trio.current_time() + timeout_s, self._linger_until_s)
+
+    def _is_receiving(self) -> bool:
+        """Return whether a request has arrived in part."""
+        return self._has_begun and self._reject_status is None
+
+    async def _wait_readable(self) -> bool:
+        """Wait for bytes; return false after a time-out."""
+        limits = self.server.limits
+        if self._is_receiving():
+            until_s = min(
+                self.reception.progress_s + limits.header_timeout_s,
+                self._deadline_s,
+            )
+        else:
+            until_s = self._idle_since_s + limits.idle_timeout_s
+        until_s = min(until_s, self._linger_until_s)
         with trio.move_on_at(until_s) as self._receive_scope:
-            return await _sockets.receive(self._socket)
-        return None
+            await trio.lowlevel.wait_readable(self._socket)
+            # Until they are read, the client has not stalled.
+            self.reception.progress_s = math.inf
+            return True
+        return False
+
+    def _handle_timeout(self) -> bool:
+        """Return whether the connection stays open."""
+        if self._is_finished:
+            return False
+        if self._is_receiving():
+            self.server.counters[
+                'late_bodies' if self._has_head else 'late_heads'
+            ] += 1
+        if self.current_request is None:
+            return False
+        if self._is_receiving():
+            self._refuse_rest(408)
+        self._idle_since_s = trio.current_time()
+        return True
+
+    def _read(self) -> bool:
+        """Read and handle bytes; return false at the end of the stream."""
+        if not self.is_open:
+            return False
+        try:
+            data = self._socket.recv(_READ_BYTES)
+        except BlockingIOError:
+            self.reception.progress_s = trio.current_time()
+            return True
+        if not data:
+            return False
+        self._parse(data)
+        self._handle_waiting()
+        return True
 
     def _parse(self, data: bytes) -> None:
         """Queue the requests that the data completes."""
+        now_s = trio.current_time()
+        self.reception.progress_s = now_s
+        limits = self.server.limits
+        if self._n_waiting_bytes > (
+            limits.max_header_bytes + limits.max_body_bytes
+        ):
+            # The client sends without waiting for responses.
+            self._refuse_rest(503)
         if self._is_finished or self._reject_status is not None:
+            self._n_discarded_bytes += len(data)
+            if self._n_discarded_bytes > _MAX_DISCARDED_BYTES:
+                self.close()
             return
+        if not self._n_raw_bytes:
+            self.reception.started_s = now_s
+        self._n_raw_bytes += len(data)
+        self._is_parsing = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as exc:
             cause = exc.__context__
-            self._reject_status = (
+            self._refuse_rest(
                 cause.status if isinstance(cause, _TooLargeError) else 400
             )
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reject_status = 400
+            self._refuse_rest(400)
+        finally:
+            self._is_parsing = False
+        if not self.is_open:
+            self._release()
+            return
+        self._check_framing()
+        if self._reject_status is not None:
+            # It may hold a part of a header.
+            self._parser = None
+        self._update_budget()
+        if self.server.budget.is_short():
+            self._free_memory(now_s)
+
+    def _check_framing(self) -> None:
+        """Refuse what is too large and not seen by the parser's callbacks.
+
+        The parser reports a header once it is complete, and neither empty
+        lines before a request nor the extensions of chunks.
+        """
+        max_header_bytes = self.server.limits.max_header_bytes
+        n_framing_bytes = self._n_raw_bytes - len(self._body)
+        if not self._has_head:
+            if n_framing_bytes > max_header_bytes + _UNCOUNTED_HEAD_BYTES:
+                self._refuse_rest(431 if self._has_begun else 400)
+        elif n_framing_bytes > (
+            2 * max_header_bytes
+            + _UNCOUNTED_HEAD_BYTES
+            + _MAX_FRAMING_PER_BODY_BYTE * len(self._body)
+        ):
+            self._refuse_rest(413)
+
+    def _refuse_rest(self, status: int) -> None:
+        """Refuse what has not arrived completely, and all that follows."""
+        if self._reject_status is None:
+            self._reject_status = status
+        self._reset_request()
+        self._n_raw_bytes = 0
+
+    # Memory
+
+    def _update_budget(self) -> None:
+        """Set what this connection holds of the process's budget."""
+        reception = self.reception
+        n_bytes = self._n_waiting_bytes + self._n_current_bytes
+        has_partial = self._has_begun or self._n_raw_bytes > 0
+        reception.is_partial = has_partial and not n_bytes
+        if has_partial:
+            # A bytearray allocates an eighth more than it has. Framing is
+            # work rather than memory and counts all the same.
+            n_bytes += (
+                self._n_raw_bytes
+                + len(self._body) // 8
+                + self._n_headers * _HEADER_BYTES
+            )
+        reception.n_received_bytes = self._n_raw_bytes
+        self.server.budget.hold(
+            reception, n_bytes + _CONNECTION_BYTES if n_bytes else 0
+        )
+
+    def _free_memory(self, now_s: float) -> None:
+        """Close the slowest connections, or refuse what arrived here."""
+        budget = self.server.budget
+        for reception in budget.select_slowest(now_s):
+            reception.owner.refuse_slow('closed_for_memory')
+        if self.is_open and budget.is_short():
+            # Requests that are being handled hold the rest.
+            self._waiting.clear()
+            self._n_waiting_bytes = 0
+            self._refuse_rest(503)
+            self._update_budget()
+
+    def refuse_slow(self, counter: str) -> None:
+        """Close the connection because of a request that arrives slowly."""
+        self.server.counters[counter] += 1
+        if self._has_begun:
+            self._write(_encode_response(503, b'', _CLOSE_AND_RETRY_LATER))
+        self.close()
+
+    def _release(self) -> None:
+        """Free the memory, although others may still refer to this."""
+        self._reset_request()
+        self._n_raw_bytes = 0
+        self._waiting.clear()
+        self._n_waiting_bytes = 0
+        self._n_current_bytes = 0
+        if not self._is_parsing:
+            # It refers to this connection; without the cycle both are freed
+            # at once.
+            self._parser = None
+        self._update_budget()
 
     def _parse_available(self) -> None:
         """Queue the requests that have arrived, without waiting."""
@@ -221,7 +463,7 @@
         return bool(
             self.current_request is not None
             or self._waiting
-            or self._n_header_bytes
+            or self._has_begun
             or self._reject_status is not None
         )
 
@@ -240,13 +482,23 @@
                 if self._reject_status is not None:
                     self._reject(self._reject_status)
                 break
-            self.current_request, self._keep_alive = self._waiting.popleft()
+            received = self._waiting.popleft()
+            self.current_request, self._keep_alive, n_bytes = received
+            self._n_waiting_bytes -= n_bytes
+            self._n_current_bytes = n_bytes
             self.server.handle(self, self.current_request)
         self._is_handling = False
+        if self.is_open:
+            self._update_budget()
 
     def _reject(self, status: int) -> None:
-        self.server.counters['malformed_requests'] += 1
-        self._write(_encode_response(status, b'', 'Connection: close\r\n'))
+        self.server.counters[_REFUSALS.get(status, 'malformed_requests')] += 1
+        headers = (
+            _CLOSE_AND_RETRY_LATER
+            if status == 503
+            else 'Connection: close\r\n'
+        )
+        self._write(_encode_response(status, b'', headers))
         self._finish()
 
     def respond(
@@ -268,6 +520,8 @@
         if self.current_request is None:
             return
         self.current_request = None
+        self._n_current_bytes = 0
+        self._idle_since_s = trio.current_time()
         keep_open = self._keep_alive and not close
         if keep_open and self.server.is_draining:
             # Requests that have arrived behind this one are answered, too.
@@ -329,6 +583,7 @@
         if not self._is_finished:
             self._shut_down_sending()
         self._socket.close()
+        self._release()
         if self.current_request is not None:
             self.current_request = None
             self.server.on_disconnect(self)
@@ -352,8 +607,12 @@
     :param on_disconnect: called when a connection is closed before the
         response to its current request was sent
     :param limits: sizes and time-outs of a connection
-    :param max_connections: maximum number of open connections; further
-        ones are closed at once
+    :param max_connections: maximum number of open connections; for a
+        further one, those are closed whose requests arrive slowly, or it is
+        closed at once
+    :param budget: bytes in reception; servers of one process share it
+    :param receive_buffer_bytes: receive buffer of a connection, of which the
+        kernel allocates twice as much; its default if not given
     """
 
     def __init__(
@@ -363,11 +622,15 @@
         *,
         limits: Limits = Limits(),
         max_connections: int = 2000,
+        budget: _budget.Budget | None = None,
+        receive_buffer_bytes: int | None = None,
     ):
         self.on_request = on_request
         self.on_disconnect = on_disconnect
         self.limits = limits
         self.max_connections = max_connections
+        self.budget = budget or _budget.Budget()
+        self.receive_buffer_bytes = receive_buffer_bytes
         self.is_draining = False
         self.connections: set[Connection] = set()
         # The nursery of the connections that each one accepts.
@@ -395,6 +658,13 @@
         host, _, port = address.rpartition(':')
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.receive_buffer_bytes is not None:
+            # Accepted connections inherit it with their first window.
+            listener.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_RCVBUF,
+                self.receive_buffer_bytes,
+            )
         listener.setblocking(False)
         listener.bind((host, int(port)))
         listener.listen(_BACKLOG)
@@ -463,6 +733,8 @@
             except OSError as exc:
                 self.counters['failed_accepts'] += 1
                 return exc.errno not in _OUT_OF_DESCRIPTORS_ERRNOS
+            if len(self.connections) >= self.max_connections:
+                self._close_slow_connections()
             if len(self.connections) >= self.max_connections:
                 self.counters['refused_connections'] += 1
                 sock.close()
@@ -473,3 +745,12 @@
             self.connections.add(connection)
             nursery.start_soon(connection.serve)
         return True
+
+    def _close_slow_connections(self) -> None:
+        """Close connections whose requests arrive slowly."""
+        for reception in self.budget.select_late(
+            (connection.reception for connection in self.connections),
+            math.ceil(self.max_connections * _CLOSED_SHARE),
+            trio.current_time(),
+        ):
+            reception.owner.refuse_slow('closed_for_connections')
