Peer messages: a limit of their size that the sender keeps, too

A message over the limit made the receiver drop the connection, with all that was queued for it. The sender now drops and counts it instead, and the limit is a parameter, so that an instance on the platform can use less than 17 MiB for each of 1,000 queued messages.

Measured: tests/peer_api pass, with a new test of the dropped message.

--- a/src/orioleloom/peer_api/_socket.py
+++ b/src/orioleloom/peer_api/_socket.py
@@ -69,6 +69,8 @@
     :param identity: ``<instance>/<incarnation>`` of this process
     :param high_water_mark: maximum number of messages queued for one
         peer
+    :param max_message_bytes: maximum size of a message. A longer one is not
+        sent, and a peer that sends one is disconnected
     :raises DispatchError: ``bad_field`` for an address without an IP
         address
     :raises zmq.ZMQError: when the address cannot be bound
@@ -80,10 +82,12 @@
         identity: str,
         *,
         high_water_mark: int = _HIGH_WATER_MARK_MESSAGES,
+        max_message_bytes: int = codec.MAX_PEER_MESSAGE_BYTES,
     ):
         self.bind_address = check_peer_address(bind_address)
         self.identity = identity
         self.high_water_mark = high_water_mark
+        self.max_message_bytes = max_message_bytes
         self.counters = PeerCounters()
         self._context = zmq.Context(io_threads=1)
         self._dealers: dict[str, zmq.Socket] = {}
@@ -99,7 +103,7 @@
         socket.linger = 0
         socket.sndhwm = self.high_water_mark
         socket.rcvhwm = self.high_water_mark
-        socket.setsockopt(zmq.MAXMSGSIZE, codec.MAX_PEER_MESSAGE_BYTES)
+        socket.setsockopt(zmq.MAXMSGSIZE, self.max_message_bytes)
         # Back off from 100 ms to 5 s. Otherwise all peers would try to
         # reach a dead instance ten times a second until the platform
         # removes it from the member list.
@@ -113,9 +117,13 @@
         :param peer_address: ``tcp://IP:PORT`` from the member list
         :param frame: an encoded peer message
         :returns: whether the frame was queued; false when the queue is
-            full
+            full or the frame is too long
         :raises DispatchError: ``bad_field`` for a malformed address
         """
+        if len(frame) > self.max_message_bytes:
+            # The peer would drop the connection, and what is queued with it.
+            self.counters.dropped_messages += 1
+            return False
         dealer = self._dealers.get(peer_address)
         if dealer is None:
             check_peer_address(peer_address)
--- a/tests/peer_api/test_socket.py
+++ b/tests/peer_api/test_socket.py
@@ -70,6 +70,23 @@
     assert sender.counters.dropped_messages == 5
 
 
+async def test_message_over_the_limit_is_dropped_by_its_sender():
+    """Guards against a message that costs the connection.
+
+    The receiver disconnects a peer that sends it, and what is queued for it
+    is lost.
+    """
+    sender = peer_api.PeerSocket(
+        ANY_PORT_ADDRESS, 'e1/abc', max_message_bytes=100
+    )
+    try:
+        assert not sender.send(ANY_PORT_ADDRESS, 101 * b'x')
+        assert sender.counters.dropped_messages == 1
+        assert sender.send('tcp://127.0.0.1:1', 100 * b'x')
+    finally:
+        sender.close()
+
+
 async def test_sockets_to_removed_peers_are_closed(pair):
     # Guards against a leaked socket for every replaced instance.
     sender, receiver = pair
