Platform: derive the reception budget from limits.memoryMb

The platform's program did not know its memory. Each kind of refusal has a counter on the metrics page and at most one line a second in the log (reception_refused).

--- a/src/orioleloom/node/metrics.py
+++ b/src/orioleloom/node/metrics.py
@@ -30,11 +30,19 @@
     """Exports the metrics of a node and its dispatcher.
 
     Counters are read when the metrics are rendered.
+
+    :param servers: HTTP servers of the process by name; they share a budget
     """
 
-    def __init__(self, node: _node.Node, client: http1.Client):
+    def __init__(
+        self,
+        node: _node.Node,
+        client: http1.Client,
+        servers: typing.Mapping[str, http1.Server],
+    ):
         self.node = node
         self.client = client
+        self.servers = servers
         self._registry = aioprometheus.Registry()
         self._gauges: dict[str, aioprometheus.Gauge] = {}
         self._latency = aioprometheus.Histogram(
@@ -66,6 +74,7 @@
         self._set('orioleloom_node_ready', int(node.is_ready()))
         self._set('orioleloom_node_leading', int(node.leader is not None))
         self._set('orioleloom_connects_total', self.client.n_connects)
+        self._render_servers()
         totals = node.loop_monitor.totals
         self._set('orioleloom_loop_turns_total', totals.n_turns)
         self._set('orioleloom_loop_busy_seconds_total', totals.busy_s)
@@ -85,6 +94,17 @@
         )
         return body, lines
 
+    def _render_servers(self) -> None:
+        for name, server in self.servers.items():
+            prefix = f'orioleloom_http_{name}'
+            self._set(f'{prefix}_connections', len(server.connections))
+            for kind, value in server.counters.items():
+                self._set(f'{prefix}_{kind}_total', value)
+            budget = server.budget
+            self._set('orioleloom_reception_bytes', budget.held_bytes)
+            self._set('orioleloom_reception_peak_bytes', budget.peak_bytes)
+            self._set('orioleloom_reception_limit_bytes', budget.limit_bytes)
+
     def _render_dispatcher(self, dispatcher: typing.Any) -> None:
         for name, value in dispatcher.counters.items():
             self._set(f'orioleloom_dispatch_{name}_total', value)
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -15,7 +15,9 @@
 from orioleloom import http1
 from orioleloom import node
 from orioleloom.node import metrics
+from orioleloom import peer_api
 from orioleloom.platform import _ingress
+from orioleloom.platform import _refusals
 from orioleloom.platform import _settings
 from orioleloom.platform import _store
 from orioleloom.platform import _workers
@@ -33,6 +35,20 @@
 _CLIENTS_CLOSE_TIMEOUT_S = 0.15
 # File descriptors reserved for files and for connections to peers and workers.
 _RESERVED_FDS = 1000
+# Receive buffer of a connection. The kernel allocates twice as much, and what
+# it holds counts as memory of the process. 16 KiB for each round trip of 6 ms
+# are twice the rate of a client's link.
+_RECEIVE_BUFFER_BYTES = 16_384
+# A job's body has 262,144 bytes at most, and lists of jobs and workers are
+# smaller. All instances must accept what any of them sends, so this does not
+# depend on the memory.
+MAX_PEER_MESSAGE_BYTES = 4 * 1024 * 1024
+# Readiness checks and requests to the control address are few and have no
+# body. Their connections count against the reserved descriptors.
+_MAX_OTHER_CONNECTIONS = 200
+_OTHER_LIMITS = http1.Limits(max_body_bytes=16_384)
+# At most one line in this time for each kind of refusal.
+_REFUSALS_LOG_INTERVAL_S = 1.0
 _SETTINGS_CHECK_INTERVAL_S = 2.0
 _LOG_FLUSH_INTERVAL_S = 0.2
 _DRAIN_CHECK_INTERVAL_S = 0.05
@@ -58,11 +74,13 @@
         random_state = random.Random()
         self.timers = timers.TimerService(random_state=random_state)
         self.store = _store.PlatformStore(self.client, settings.store.address)
+        incarnation = secrets.token_hex(8)
+        peer_bind = settings.peer_address(settings.ip)
         self.node = node.Node(
             settings=node.Settings(
                 instance_id=settings.instance_id,
                 data_centre=settings.data_centre,
-                peer_bind=settings.peer_address(settings.ip),
+                peer_bind=peer_bind,
                 rank=settings.limits.cpu_share * settings.limits.cores,
                 seed_peers=settings.seed_peers(),
                 config_apply_s=settings.bounds.config_apply_ms / 1000,
@@ -71,21 +89,54 @@
             gateway=_workers.WorkerClient(self.client),
             timer_service=self.timers,
             random_state=random_state,
-            incarnation=secrets.token_hex(8),
+            incarnation=incarnation,
+            peer_socket=peer_api.PeerSocket(
+                peer_bind,
+                f'{settings.instance_id}/{incarnation}',
+                max_message_bytes=MAX_PEER_MESSAGE_BYTES,
+            ),
             loop_monitor=loop_monitor,
         )
-        self.metrics = metrics.NodeMetrics(self.node, self.client)
+        self.budget = http1.Budget(
+            http1.limit_bytes(settings.limits.memory_mb)
+        )
         ingress = _ingress.Ingress(self.node)
-        self.callers = http1.Server(
+        self.callers = self._new_server(
             ingress.on_request,
             ingress.on_disconnect,
             max_connections=max(100, settings.limits.max_fds - _RESERVED_FDS),
         )
-        self.readiness = http1.Server(_ingress.Readiness(self.node).on_request)
-        self.control = http1.Server(self._handle_control_request)
+        # Until the configuration names its limits.
+        self.callers.limits = http1.Limits()
+        self.readiness = self._new_server(
+            _ingress.Readiness(self.node).on_request
+        )
+        self.control = self._new_server(self._handle_control_request)
+        self.servers = {
+            'callers': self.callers,
+            'readiness': self.readiness,
+            'control': self.control,
+        }
+        self.metrics = metrics.NodeMetrics(
+            self.node, self.client, self.servers
+        )
+        self.refusals = _refusals.RefusalLog(self.servers)
         self.node.on_routing = self._apply_limits
         self._settings_modified_s = _settings.modified_s(os.environ)
 
+    def _new_server(
+        self,
+        *handlers: typing.Callable[..., None],
+        max_connections: int = _MAX_OTHER_CONNECTIONS,
+    ) -> http1.Server:
+        return http1.Server(
+            *handlers,
+            limits=_OTHER_LIMITS,
+            max_connections=max_connections,
+            budget=self.budget,
+            receive_buffer_bytes=_RECEIVE_BUFFER_BYTES,
+        )
+
     def _apply_limits(self, routing: node.Routing) -> None:
         limits = routing.limits
         if limits is not None:
@@ -139,6 +190,9 @@
                     _SETTINGS_CHECK_INTERVAL_S,
                     self._reload_if_modified,
                 )
+                self.timers.subscribe(
+                    'refusals', _REFUSALS_LOG_INTERVAL_S, self.refusals.log_new
+                )
                 await nursery.start(self.node.run)
                 stop_requested = trio.Event()
                 nursery.start_soon(
--- a/src/orioleloom/platform/_settings.py
+++ b/src/orioleloom/platform/_settings.py
@@ -22,11 +22,13 @@
 
     :param cpu_share: share of the cores that the process may use
     :param max_fds: maximum number of open file descriptors
+    :param memory_mb: memory of the machine; 0 if not known
     """
 
     cpu_share: float = 1.0
     cores: float = 1.0
     max_fds: int = 1024
+    memory_mb: float = 0.0
 
 
 class Bounds(msgspec.Struct):
