Reception budget: correct the figure of a body in one-byte chunks

A body of 262,144 one-byte chunks has 1.57 MB of bytes and counts an eighth of its payload more, which is 1.6 MB; the comment beside the least limit said 1.9. No change of behaviour; tests/http1/test_budget.py passes.

--- a/src/orioleloom/http1/_budget.py
+++ b/src/orioleloom/http1/_budget.py
@@ -6,7 +6,7 @@
 # Limit for a process whose memory is not known.
 DEFAULT_BYTES = 64 * 1024 * 1024
 # Holds a single request at the limits of the platform's configuration, also
-# with a body in chunks of one byte (262,144 of them take 1.9 MB) and a head
+# with a body in chunks of one byte (262,144 of them count 1.6 MB) and a head
 # of 3,276 headers (0.9 MB).
 MIN_BYTES = 4 * 1024 * 1024
 # Share of the process's memory. An idle process uses 46 MB with 1,000 open
