Add the load of deployment A to the stand-in, with locality

Cause: the stand-in had neither remote data nor the sheet of deployment A, so that order, shares and locality under overload could not be measured.

--- a/src/orioleloom_standins/leased/__init__.py
+++ b/src/orioleloom_standins/leased/__init__.py
@@ -12,6 +12,10 @@
 from orioleloom_standins.leased._fleet import PAUSE_POINTS
 from orioleloom_standins.leased._fleet import PlannedPause
 from orioleloom_standins.leased._fleet import seed_scheduler
+from orioleloom_standins.leased._heavy_load import heavy_workers
+from orioleloom_standins.leased._heavy_load import HeavyLoad
+from orioleloom_standins.leased._heavy_load import REMOTE_FACTOR
+from orioleloom_standins.leased._heavy_load import ServedJob
 from orioleloom_standins.leased._history import HistoryReport
 from orioleloom_standins.leased._history import LimitError
 from orioleloom_standins.leased._history import run_history
@@ -30,6 +34,10 @@
 
 __all__ = [
     'Costs',
+    'HeavyLoad',
+    'REMOTE_FACTOR',
+    'ServedJob',
+    'heavy_workers',
     'HistoryReport',
     'LimitError',
     'UnservedError',
--- a/src/orioleloom_standins/leased/_load.py
+++ b/src/orioleloom_standins/leased/_load.py
@@ -340,6 +340,15 @@
     return math.exp(rng.gauss(0.0, sigma) - sigma * sigma / 2)
 
 
+def earned_worth(job: _SentJob, answered_s: float) -> float:
+    """Return what a job earns with an answer at a time."""
+    took_s = answered_s - job.sent_s
+    if took_s <= job.objective_s:
+        return job.worth
+    late = took_s <= _LATE_FACTOR * job.objective_s
+    return _LATE_SHARE * job.worth if late else 0.0
+
+
 def _collect(dispatcher: typing.Any, sent: dict[str, _SentJob]) -> LoadReport:
     report = LoadReport()
     for job_id, job in sent.items():
@@ -361,12 +370,8 @@
         ):
             report.n_falsely_failed += 1
         else:
-            took_s = ended[1] + 0.001 - job.sent_s
-            if took_s <= job.objective_s:
-                earned = job.worth
-                report.n_on_time += 1
-            elif took_s <= _LATE_FACTOR * job.objective_s:
-                earned = _LATE_SHARE * job.worth
-                report.n_late += 1
+            earned = earned_worth(job, ended[1] + 0.001)
+            report.n_on_time += earned == job.worth
+            report.n_late += 0 < earned < job.worth
         report.add(job.kind.queue.name, int(job.sent_s), job.worth, earned)
     return report
--- a/src/orioleloom_standins/leased/_world.py
+++ b/src/orioleloom_standins/leased/_world.py
@@ -53,6 +53,8 @@
     is_poison: bool
     # Time from the start until the task crashes its worker.
     crash_after_s: float | None = None
+    # Rack that holds the data of the task, or empty.
+    rack: str = ''
 
 
 class _SimulatedDispatcher:
@@ -72,6 +74,7 @@
             run_id_base=int(now_s * 4) + 1,
             random_state=random.Random(7),
             now_s=now_s,
+            settings=world.settings,
         )
         self.outcomes: dict[str, tuple[dispatch.Outcome, float]] = {}
         self.n_superseded = 0
@@ -204,7 +207,7 @@
             worker = world.workers[command.worker.id]
             rejection = worker.start(
                 command,
-                work.work_s,
+                world.run_time_s(work, worker),
                 world.task_rooms[command.key],
                 work.is_poison,
                 world.now_s,
@@ -398,6 +401,9 @@
         # Workers whose reports a test falsifies. The dispatcher cannot rule
         # out a second run of what they claim to have ended.
         self.untrusted_worker_ids: set[str] = set()
+        # Slowdown of a task outside the rack that holds its data.
+        self.remote_factor = 1.0
+        self.settings = dispatch.Settings()
         self._heap: list[tuple[float, int, typing.Callable[[], None]]] = []
         self._sequence = itertools.count()
 
@@ -437,6 +443,9 @@
         for index, seconds in enumerate(work_s):
             key = dispatch.TaskKey(job.id, 0, index)
             self.set_task(key, seconds, job.steps[0].room, is_poison)
+            self.task_work[key] = self.task_work[key]._replace(
+                rack=job.steps[0].preferred_rack
+            )
 
     def set_crashing(
         self, key: dispatch.TaskKey, crash_after_s: float
@@ -446,6 +455,13 @@
             crash_after_s=crash_after_s
         )
 
+    def run_time_s(
+        self, work: _TaskWork, worker: _worker.LeasedWorker
+    ) -> float:
+        """Return the run time of a task on a worker, at speed 1."""
+        is_far = bool(work.rack) and work.rack not in worker.info.labels
+        return work.work_s * (self.remote_factor if is_far else 1.0)
+
     def set_task(
         self,
         key: dispatch.TaskKey,
