Place tasks by their run time near and far from their data

Cause: no estimate included remoteFactor. Workers outside the preferred rack were taken for slow, their tasks for stragglers, and far runs that could not be in time took three times the capacity. Change: dispatch.Settings.remote_factor from bounds.remoteFactor. A task starts in its rack, or elsewhere if it is in time there and after the tasks that are near; otherwise it waits for the rack until it is late. Without the factor the code path and its decisions are the same.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -5,7 +5,6 @@
 from orioleloom.dispatch._dispatcher import Dispatcher
 from orioleloom.dispatch._dispatcher import OUTCOME_RETENTION_S
 from orioleloom.dispatch._dispatcher import OVERLOADED
-from orioleloom.dispatch._dispatcher import Settings
 from orioleloom.dispatch._jobs import declared_allowed_time_s
 from orioleloom.dispatch._jobs import latest_useful_start_s
 from orioleloom.dispatch._records import AnswerJob
@@ -31,6 +30,7 @@
 from orioleloom.dispatch._records import TaskKey
 from orioleloom.dispatch._records import WorkerInfo
 from orioleloom.dispatch._records import WorkerReport
+from orioleloom.dispatch._settings import Settings
 from orioleloom.dispatch._worker_lists import ListInUse
 from orioleloom.dispatch._worker_lists import WorkerListState
 from orioleloom.dispatch._worker_lists import WorkerListTracker
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -8,10 +8,12 @@
 from orioleloom.dispatch import _foreign_runs
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _late_starts
+from orioleloom.dispatch import _locality
 from orioleloom.dispatch import _loss_detector
 from orioleloom.dispatch import _pacing
 from orioleloom.dispatch import _placement
 from orioleloom.dispatch import _records
+from orioleloom.dispatch import _settings
 from orioleloom.dispatch import _stragglers
 from orioleloom.dispatch import _worker_lists
 from orioleloom.dispatch import _workers
@@ -79,16 +81,6 @@
     return [f'{key.job_id}.{key.position()}' for key in keys]
 
 
-class Settings(typing.NamedTuple):
-    """Settings of a dispatcher.
-
-    :param lease_s: duration of the lease of a run, in seconds; each renewal
-        starts it again
-    """
-
-    lease_s: float = 1.0
-
-
 class Dispatcher:
     """Assigns the tasks of repeatable jobs to workers, under leases.
 
@@ -121,7 +113,7 @@
         earlier_contact_s: float = -math.inf,
         earlier_list: _worker_lists.ListInUse | None = None,
         earlier_running_job_ids: typing.Collection[str] | None = None,
-        settings: Settings = Settings(),
+        settings: _settings.Settings = _settings.Settings(),
     ):
         self.token = token
         self.run_id_base = run_id_base
@@ -148,8 +140,9 @@
         self.run_times = _estimates.RunTimeEstimator()
         self.crashes = _crashes.CrashLedger()
         self.capacity = _capacity.CapacityGuard()
+        self.locality = _locality.Locality(settings.remote_factor)
         self.placement = _placement.Placement(
-            self.workers, self.crashes, self.capacity
+            self.workers, self.crashes, self.capacity, self.locality
         )
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
         self._foreign_runs = _foreign_runs.ForeignRuns(
@@ -704,7 +697,11 @@
         declared_s = task.step.estimate_s
         worker.observe_run_time(math.log(elapsed_s / run.expected_s))
         self.run_times.observe(
-            run.queue, declared_s, elapsed_s / worker.run_time_ratio()
+            run.queue,
+            declared_s,
+            elapsed_s
+            / worker.run_time_ratio()
+            / self.locality.factor(task.step, worker),
         )
 
     def _handle_run_failure(
@@ -837,9 +834,8 @@
             task.step.room,
             job.job.queue.name,
             now_s,
-            self.run_times.expected_s(
-                job.job.queue.name, task.step.estimate_s
-            ),
+            self.run_times.expected_s(job.job.queue.name, task.step.estimate_s)
+            * self.locality.factor(task.step, worker),
         )
         task.run = run
         job.n_sent += 1
@@ -847,6 +843,7 @@
             job.first_start_s = now_s
         worker.add_run(run)
         self.counters['starts'] += 1
+        self.locality.count_start(task.step, worker, self.counters)
         self._effects.append(
             _records.StartRun(
                 worker.info,
--- a/src/orioleloom/dispatch/_placement.py
+++ b/src/orioleloom/dispatch/_placement.py
@@ -5,6 +5,7 @@
 from orioleloom.dispatch import _capacity
 from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _jobs
+from orioleloom.dispatch import _locality
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _workers
 
@@ -40,6 +41,10 @@
     :param workers: workers by id; the owner updates the dictionary
     :param crashes: tasks under which workers have crashed
     :param capacity: decides whether the free resources of a worker are certain
+    :param locality: run times outside the preferred racks. If they are
+        longer, a task starts in its rack if possible, or elsewhere if it is
+        in time there, after the tasks that are near their data. Otherwise it
+        waits for its rack until it is late.
     """
 
     def __init__(
@@ -47,10 +52,13 @@
         workers: dict[str, _workers.Worker],
         crashes: _crashes.CrashLedger,
         capacity: _capacity.CapacityGuard,
+        locality: _locality.Locality = _locality.Locality(),
     ):
         self.workers = workers
         self.crashes = crashes
         self.capacity = capacity
+        self.locality = locality
+        self._racks: dict[tuple[str, str], list[_workers.Worker]] = {}
         self._workers_by_upstream: dict[str, list[_workers.Worker]] = {}
 
     def refresh_workers(self) -> None:
@@ -64,12 +72,33 @@
         for workers in workers_by_upstream.values():
             workers.sort(key=_log_run_time_ratio)
         self._workers_by_upstream = workers_by_upstream
+        self._racks = {}
+
+    def _rack_workers(self, upstream: str, rack: str) -> list[_workers.Worker]:
+        """Return the usable workers of a rack, the fastest first."""
+        key = (upstream, rack)
+        if key not in self._racks:
+            self._racks[key] = _with_label(
+                self._workers_by_upstream.get(upstream, _NO_WORKERS), rack
+            )
+        return self._racks[key]
 
     def lowest_run_time_ratio(self, job: _jobs.JobState) -> float:
-        """Return the fastest worker's run time relative to speed 1."""
-        return _lowest_run_time_ratio(
-            self._workers_by_upstream, job.job.queue.upstream
+        """Return the shortest run time relative to speed 1.
+
+        It is that on the fastest worker, near or far from the data.
+        """
+        upstream = job.job.queue.upstream
+        ratio = _lowest_run_time_ratio(
+            self._workers_by_upstream.get(upstream, _NO_WORKERS)
         )
+        rack = self.locality.rack_of(job.waiting)
+        if rack:
+            ratio *= self.locality.remote_factor
+            local = self._rack_workers(upstream, rack)
+            if local:
+                ratio = min(ratio, _lowest_run_time_ratio(local))
+        return ratio
 
     def fits_elsewhere(
         self,
@@ -87,11 +116,20 @@
         others = [w for w in workers if w is not current]
         limit_s = task.job.deadline_s - now_s
         usage = self._new_usage(now_s)
+        rack = self.locality.rack_of([task])
+        if rack:
+            local = _WorkerSearch(
+                _with_label(others, rack), limit_s, now_s, usage
+            )
+            if local.find_worker(task) is not None:
+                return True
+            limit_s /= self.locality.remote_factor
         search = _WorkerSearch(others, limit_s, now_s, usage)
         return search.find_worker(task) is not None
 
     def _new_usage(self, now_s: float) -> '_RoundUsage':
         return _RoundUsage(
+            now_s,
             self.crashes,
             self.crashes.paused_queues(len(self.workers), now_s),
             self.capacity,
@@ -118,14 +156,18 @@
         on_time: list[tuple[float, int, _jobs.JobState]] = []
         late: list[tuple[float, int, _jobs.JobState]] = []
         candidates = _Candidates(self._workers_by_upstream, changed)
+        lowest_ratios: dict[tuple[str, str], float] = {}
         n_on_time_waiting = 0
         for number, job in enumerate(waiting):
             if job.held_until_s > now_s:
                 continue
+            rack = self.locality.rack_of(job.waiting)
+            key = (job.job.queue.upstream, rack)
+            ratio = lowest_ratios.get(key)
+            if ratio is None:
+                ratio = lowest_ratios[key] = self.lowest_run_time_ratio(job)
             latest_start_s = (
-                job.objective_s
-                - _OVERHEAD_S
-                - job.expected_s * candidates.lowest_run_time_ratio(job)
+                job.objective_s - _OVERHEAD_S - job.expected_s * ratio
             )
             if not candidates.workers_for(job):
                 n_on_time_waiting += latest_start_s >= now_s
@@ -133,27 +175,68 @@
                 on_time.append((latest_start_s, number, job))
             else:
                 late.append((job.useful_until_s, number, job))
+        far: list[tuple[_jobs.JobState, list[_jobs.TaskState]]] = []
         for _, _, job in sorted(on_time):
+            rack = self.locality.rack_of(job.waiting)
             limit_s = job.objective_s - now_s - _OVERHEAD_S
             search = _WorkerSearch(
-                candidates.workers_for(job), limit_s, now_s, usage
+                candidates.workers_for(job, rack), limit_s, now_s, usage
             )
-            n_on_time_waiting += not search.place_tasks(job, starts, limit)
+            n_placed = search.place_tasks(job.waiting, starts, limit)
             if len(starts) >= limit:
                 return starts
+            if n_placed < len(job.waiting):
+                if rack:
+                    far.append((job, job.waiting[n_placed:]))
+                else:
+                    n_on_time_waiting += 1
+        for job, tasks in far:
+            search = self._far_search(candidates, job, job.objective_s, usage)
+            n_placed = search.place_tasks(tasks, starts, limit)
+            if len(starts) >= limit:
+                return starts
+            n_on_time_waiting += n_placed < len(tasks)
         if n_on_time_waiting:
             late = []
         for _, _, job in sorted(late):
+            rack = self.locality.rack_of(job.waiting)
             search = _WorkerSearch(
-                candidates.workers_for(job), math.inf, now_s, usage
+                candidates.workers_for(job, rack),
+                math.inf,
+                now_s,
+                usage,
             )
-            search.place_tasks(job, starts, limit)
+            n_placed = search.place_tasks(job.waiting, starts, limit)
+            if rack and n_placed < len(job.waiting):
+                search = self._far_search(
+                    candidates, job, job.useful_until_s, usage
+                )
+                search.place_tasks(job.waiting[n_placed:], starts, limit)
             if len(starts) >= limit:
                 return starts
         for job in waiting:
             job.was_in_placement_round = True
         return starts
 
+    def _far_search(
+        self,
+        candidates: '_Candidates',
+        job: _jobs.JobState,
+        until_s: float,
+        usage: '_RoundUsage',
+    ) -> '_WorkerSearch':
+        """Return a search for workers outside the rack of a job.
+
+        :param until_s: when the run must have ended
+        """
+        limit_s = until_s - usage.now_s - _OVERHEAD_S
+        return _WorkerSearch(
+            candidates.workers_for(job),
+            limit_s / self.locality.remote_factor,
+            usage.now_s,
+            usage,
+        )
+
 
 class _Candidates:
     """Workers on which the jobs of one round are tried.
@@ -171,7 +254,8 @@
         self._changed_by_upstream: dict[str, list[_workers.Worker]] | None = (
             None
         )
-        self._lowest_ratios: dict[str, float] = {}
+        # By the identity of the list of all workers, and by rack.
+        self._racks: dict[tuple[int, str], list[_workers.Worker]] = {}
         if changed is not None:
             self._changed_by_upstream = {}
             for worker in sorted(changed, key=_log_run_time_ratio):
@@ -180,31 +264,39 @@
                         worker.info.upstream, []
                     ).append(worker)
 
-    def workers_for(self, job: _jobs.JobState) -> list[_workers.Worker]:
-        """Return the workers for a job, the fastest first."""
-        upstream = job.job.queue.upstream
-        if self._changed_by_upstream is None or not job.was_in_placement_round:
-            return self._workers_by_upstream.get(upstream, _NO_WORKERS)
-        return self._changed_by_upstream.get(upstream, _NO_WORKERS)
+    def workers_for(
+        self, job: _jobs.JobState, rack: str = ''
+    ) -> list[_workers.Worker]:
+        """Return the workers for a job, the fastest first.
 
-    def lowest_run_time_ratio(self, job: _jobs.JobState) -> float:
-        """Return the fastest worker's run time relative to speed 1."""
+        :param rack: label that they must have, or empty
+        """
         upstream = job.job.queue.upstream
-        ratio = self._lowest_ratios.get(upstream)
-        if ratio is None:
-            ratio = _lowest_run_time_ratio(self._workers_by_upstream, upstream)
-            self._lowest_ratios[upstream] = ratio
-        return ratio
+        by_upstream = self._workers_by_upstream
+        if self._changed_by_upstream is not None and (
+            job.was_in_placement_round
+        ):
+            by_upstream = self._changed_by_upstream
+        workers = by_upstream.get(upstream, _NO_WORKERS)
+        if not rack:
+            return workers
+        key = (id(workers), rack)
+        if key not in self._racks:
+            self._racks[key] = _with_label(workers, rack)
+        return self._racks[key]
+
+
+def _with_label(
+    workers: list[_workers.Worker], label: str
+) -> list[_workers.Worker]:
+    return [worker for worker in workers if label in worker.info.labels]
 
 
 def _log_run_time_ratio(worker: _workers.Worker) -> float:
     return worker.log_run_time_ratio
 
 
-def _lowest_run_time_ratio(
-    workers_by_upstream: dict[str, list[_workers.Worker]], upstream: str
-) -> float:
-    workers = workers_by_upstream.get(upstream)
+def _lowest_run_time_ratio(workers: list[_workers.Worker]) -> float:
     return workers[0].run_time_ratio() if workers else 1.0
 
 
@@ -218,10 +310,12 @@
 
     def __init__(
         self,
+        now_s: float,
         crashes: _crashes.CrashLedger,
         paused_queues: typing.Collection[str],
         capacity: _capacity.CapacityGuard,
     ) -> None:
+        self.now_s = now_s
         self.crashes = crashes
         self.paused_queues = paused_queues
         self.capacity = capacity
@@ -319,25 +413,28 @@
         self._first_fitting: dict[int, int] = {}
 
     def place_tasks(
-        self, job: _jobs.JobState, starts: list[Start], max_starts: float
-    ) -> bool:
+        self,
+        tasks: list[_jobs.TaskState],
+        starts: list[Start],
+        max_starts: float,
+    ) -> int:
         """Place waiting tasks until one does not fit.
 
         :param starts: list to which the starts are added
         :param max_starts: maximum length of this list
-        :returns: whether all tasks were placed
+        :returns: number of tasks that were placed
         """
-        for task in job.waiting:
+        for number, task in enumerate(tasks):
             if len(starts) >= max_starts:
-                return False
+                return number
             if self.usage.is_known_unplaceable(self.workers, task.step.room):
-                return False
+                return number
             worker = self.find_worker(task)
             if worker is None:
-                return False
+                return number
             self.usage.reserve(worker, task)
             starts.append(Start(task, worker))
-        return True
+        return len(tasks)
 
     def find_worker(self, task: _jobs.TaskState) -> _workers.Worker | None:
         """Return the fastest worker that can take a task.
--- a/src/orioleloom/node/__init__.py
+++ b/src/orioleloom/node/__init__.py
@@ -4,7 +4,6 @@
 from orioleloom.node._log import LogWriter
 from orioleloom.node._loop_monitor import LoopMonitor
 from orioleloom.node._node import Node
-from orioleloom.node._node import Settings
 from orioleloom.node._ports import ClosedError
 from orioleloom.node._ports import CrashRow
 from orioleloom.node._ports import HistoryLostError
@@ -18,6 +17,7 @@
 from orioleloom.node._ports import Routing
 from orioleloom.node._ports import Snapshot
 from orioleloom.node._ports import StoreError
+from orioleloom.node._settings import Settings
 
 __all__ = [
     'ClosedError',
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -5,6 +5,7 @@
 
 from orioleloom import dispatch
 from orioleloom import leadership
+from orioleloom.node import _follower
 from orioleloom.node import _leader_load
 from orioleloom.node import _log
 from orioleloom.node import _loop_monitor
@@ -58,25 +59,6 @@
 _FOLLOWER_CHECK_INTERVAL_S = 0.02
 
 
-class Follower:
-    """State that a leader keeps for another instance.
-
-    :param session: number of the current contact; messages of earlier
-        sessions are ignored
-    """
-
-    def __init__(self, instance_id: str, session: int):
-        self.instance_id = instance_id
-        self.session = session
-        self.last_heard_s = -1e9
-        # Sequence number of the newest heartbeat that it has answered.
-        self.answered_sequence = 0
-        self.is_out_of_contact = True
-        self.joined_s = 0.0
-        self.is_stopping = False
-        self.rank = 0.0
-
-
 class Leader:
     """Runs a dispatcher and serves the followers of one term.
 
@@ -114,6 +96,7 @@
         now_s: float,
         random_state: random.Random,
         loop_monitor: _loop_monitor.LoopMonitor,
+        settings: dispatch.Settings = dispatch.Settings(),
     ):
         self.instance_id = instance_id
         self.term = term
@@ -132,9 +115,10 @@
             earlier_contact_s=earlier_contact_s,
             earlier_list=earlier_list,
             earlier_running_job_ids=earlier_running_job_ids,
+            settings=settings,
         )
         self.load = _leader_load.LeaderLoad(loop_monitor, now_s)
-        self.followers: dict[str, Follower] = {}
+        self.followers: dict[str, _follower.Follower] = {}
         # Jobs whose crashes have changed since they were last written.
         self.unsaved_crash_job_ids: set[str] = set()
         self.sequence = 0
@@ -514,15 +498,15 @@
             if records:
                 self.send(instance_id, _messages.Crashes(records))
 
-    def get_or_add_follower(self, member_id: str) -> Follower:
+    def get_or_add_follower(self, member_id: str) -> _follower.Follower:
         """Return the state of an instance, creating it if necessary."""
         follower = self.followers.get(member_id)
         if follower is None:
-            follower = Follower(member_id, (self.term << 20) + 1)
+            follower = _follower.Follower(member_id, (self.term << 20) + 1)
             self.followers[member_id] = follower
         return follower
 
-    def send_heartbeat(self, follower: Follower) -> None:
+    def send_heartbeat(self, follower: _follower.Follower) -> None:
         """Send a heartbeat to one instance immediately."""
         self._send_heartbeat(
             follower,
@@ -532,7 +516,7 @@
 
     def _send_heartbeat(
         self,
-        follower: Follower,
+        follower: _follower.Follower,
         alive: list[str] | None,
         n_unstarted: dict[str, int],
     ) -> None:
@@ -668,7 +652,7 @@
             )
             self.schedule_effects()
 
-    def rank_successors(self) -> list[Follower]:
+    def rank_successors(self) -> list[_follower.Follower]:
         """Return the followers that may lead, in the order of the election."""
         return sorted(
             (
@@ -682,7 +666,7 @@
 
     def find_successor(
         self, rank: float, now_s: float, *, is_stopping: bool
-    ) -> Follower | None:
+    ) -> _follower.Follower | None:
         """Return a follower that should lead instead, if there is one.
 
         :param rank: rank of this instance
--- a/src/orioleloom/node/_leader_load.py
+++ b/src/orioleloom/node/_leader_load.py
@@ -73,6 +73,8 @@
             n_late_timeouts=self._n_late_timeouts,
             n_followers=n_followers,
             n_jobs=len(dispatcher.jobs),
+            n_starts_near=dispatcher.counters['starts_near'],
+            n_starts_far=dispatcher.counters['starts_far'],
             n_unstarted=len(unstarted_s),
             oldest_unstarted_ms=_to_ms(
                 now_s - min(unstarted_s, default=now_s)
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -16,6 +16,7 @@
 from orioleloom.node import _messages
 from orioleloom.node import _peers
 from orioleloom.node import _ports
+from orioleloom.node import _settings
 from orioleloom.node import _tables
 from orioleloom import peer_api
 from orioleloom import timers
@@ -74,27 +75,6 @@
 _RUN_IDS_PER_S = 4
 
 
-class Settings(typing.NamedTuple):
-    """Settings of a node.
-
-    :param instance_id: unique name of the instance
-    :param peer_bind: ``tcp://IP:PORT`` on which peers connect
-    :param rank: processor capacity in cores; the election prefers higher
-        values
-    :param seed_peers: peer addresses to contact before the member list has
-        been read
-    :param config_apply_s: time in which a change of the configuration must
-        be in force
-    """
-
-    instance_id: str
-    data_centre: str
-    peer_bind: str
-    rank: float
-    seed_peers: tuple[str, ...] = ()
-    config_apply_s: float = 2.0
-
-
 class _HeardList(typing.NamedTuple):
     """Workers in use, as a leader's newest heartbeat has named them.
 
@@ -172,7 +152,7 @@
     def __init__(
         self,
         *,
-        settings: Settings,
+        settings: _settings.Settings,
         store: _ports.Store,
         gateway: _ports.WorkerGateway,
         timer_service: timers.TimerService,
@@ -820,6 +800,7 @@
             now_s=now_s,
             random_state=self.random_state,
             loop_monitor=self.loop_monitor,
+            settings=self.settings.dispatcher,
         )
         _log.log(
             'leading',
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -12,6 +12,7 @@
 import msgspec
 import trio
 
+from orioleloom import dispatch
 from orioleloom import http1
 from orioleloom import node
 from orioleloom.node import metrics
@@ -66,6 +67,9 @@
                 rank=settings.limits.cpu_share * settings.limits.cores,
                 seed_peers=settings.seed_peers(),
                 config_apply_s=settings.bounds.config_apply_ms / 1000,
+                dispatcher=dispatch.Settings(
+                    remote_factor=settings.bounds.remote_factor
+                ),
             ),
             store=self.store,
             gateway=_workers.WorkerClient(self.client),
--- a/src/orioleloom/platform/_settings.py
+++ b/src/orioleloom/platform/_settings.py
@@ -34,10 +34,13 @@
 
     :param grace_s: time between SIGTERM and SIGKILL
     :param config_apply_ms: time in which a configuration must be in force
+    :param remote_factor: run time of a task outside the rack that holds its
+        data, relative to one there
     """
 
     grace_s: float = msgspec.field(name='graceS', default=6.0)
     config_apply_ms: float = msgspec.field(name='configApplyMs', default=2000)
+    remote_factor: float = msgspec.field(name='remoteFactor', default=1.0)
 
 
 class StoreSettings(msgspec.Struct):
