Order jobs by started work and served shares under overload

Cause: in the order of the latest start alone, long jobs and the largest jobs of each kind were starved under overload, and started jobs lost their work. Change: JobOrder in dispatch/_ordering.py. While less than 0.9 of the jobs are served, started jobs go first, then queues and sizes that were served too seldom, and a job is passed over that cannot be whole in time.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1046,6 +1046,7 @@
         state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
         state.may_have_run_elsewhere = may_have_run
         state.set_expected_run_time(_jobs.critical_path_s(job, self.run_times))
+        self.placement.order.add_job(state)
         self.jobs[job.id] = state
         self._assign_instance(state)
         self.counters['jobs'] += 1
@@ -1353,6 +1354,7 @@
             if task.run is not None:
                 self._stop_run(task.run, now_s)
         self.counters[f'jobs_{outcome.kind}'] += 1
+        self.placement.order.record_end(job, outcome, now_s)
         self._log(
             'job_ended',
             job=job.job.id,
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -120,6 +120,9 @@
         self.expected_s = 0.0
         self.objective_s = 0.0
         self.useful_until_s = 0.0
+        # Size relative to others of the queue, see ``SizeClasses``.
+        self.size_class = 0
+        self.was_passed_over = False
         self.first_start_s: float | None = None
         self.tasks: list[list[TaskState]] = [
             [
--- a/src/orioleloom/dispatch/_placement.py
+++ b/src/orioleloom/dispatch/_placement.py
@@ -6,6 +6,7 @@
 from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _locality
+from orioleloom.dispatch import _ordering
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _workers
 
@@ -28,10 +29,10 @@
 class Placement:
     """Chooses which waiting tasks start now, and on which workers.
 
-    Jobs that can still meet their objective come first, ordered by the
-    latest time at which they must start. Each task goes to the fastest
-    worker with enough free resources. A job that would miss its objective
-    on the free workers waits while a faster worker could still meet it.
+    Jobs that can still meet their objective come first, in the order of
+    ``JobOrder``. Each task goes to the fastest worker with enough free
+    resources. A job that would miss its objective on the free workers
+    waits while a faster worker could still meet it.
     Jobs that can no longer meet their objective are placed only if no job
     of the first group is left waiting.
 
@@ -58,6 +59,9 @@
         self.crashes = crashes
         self.capacity = capacity
         self.locality = locality
+        self.order = _ordering.JobOrder()
+        # Ends of runs per second, by upstream and rack.
+        self._end_rates: dict[tuple[str, str], float] = {}
         self._racks: dict[tuple[str, str], list[_workers.Worker]] = {}
         self._workers_by_upstream: dict[str, list[_workers.Worker]] = {}
 
@@ -73,6 +77,7 @@
             workers.sort(key=_log_run_time_ratio)
         self._workers_by_upstream = workers_by_upstream
         self._racks = {}
+        self._end_rates = {}
 
     def _rack_workers(self, upstream: str, rack: str) -> list[_workers.Worker]:
         """Return the usable workers of a rack, the fastest first."""
@@ -153,7 +158,9 @@
         limit = math.inf if max_starts is None else max_starts
         usage = self._new_usage(now_s)
         starts: list[Start] = []
-        on_time: list[tuple[float, int, _jobs.JobState]] = []
+        on_time: list[
+            tuple[tuple[bool, bool, float], int, _jobs.JobState]
+        ] = []
         late: list[tuple[float, int, _jobs.JobState]] = []
         candidates = _Candidates(self._workers_by_upstream, changed)
         lowest_ratios: dict[tuple[str, str], float] = {}
@@ -172,30 +179,61 @@
             if not candidates.workers_for(job):
                 n_on_time_waiting += latest_start_s >= now_s
             elif latest_start_s >= now_s:
-                on_time.append((latest_start_s, number, job))
+                rank = self.order.rank(job, latest_start_s)
+                on_time.append((rank, number, job))
             else:
                 late.append((job.useful_until_s, number, job))
         far: list[tuple[_jobs.JobState, list[_jobs.TaskState]]] = []
-        for _, _, job in sorted(on_time):
+        # Jobs that cannot be whole in time. They get what the others leave.
+        passed_over: list[_jobs.JobState] = []
+        # Waiting tasks of started jobs, by rack.
+        n_ahead: dict[str, int] = {}
+        for rank, _, job in sorted(on_time):
             rack = self.locality.rack_of(job.waiting)
             limit_s = job.objective_s - now_s - _OVERHEAD_S
             search = _WorkerSearch(
                 candidates.workers_for(job, rack), limit_s, now_s, usage
             )
+            n_earlier = len(starts)
             n_placed = search.place_tasks(job.waiting, starts, limit)
             if len(starts) >= limit:
                 return starts
-            if n_placed < len(job.waiting):
-                if rack:
-                    far.append((job, job.waiting[n_placed:]))
-                else:
-                    n_on_time_waiting += 1
+            n_left = len(job.waiting) - n_placed
+            if not n_left:
+                continue
+            if n_placed and self.order.must_pass_over(
+                job,
+                n_left + n_ahead.get(rack, 0),
+                rank[-1] - now_s,
+                self._end_rate_per_s(job.job.queue.upstream, rack),
+            ):
+                for start in starts[n_earlier:]:
+                    usage.release(start.worker, start.task)
+                del starts[n_earlier:]
+                passed_over.append(job)
+                continue
+            if job.n_sent or n_placed:
+                n_ahead[rack] = n_ahead.get(rack, 0) + n_left
+            if rack:
+                far.append((job, job.waiting[n_placed:]))
+            else:
+                n_on_time_waiting += 1
         for job, tasks in far:
             search = self._far_search(candidates, job, job.objective_s, usage)
             n_placed = search.place_tasks(tasks, starts, limit)
             if len(starts) >= limit:
                 return starts
             n_on_time_waiting += n_placed < len(tasks)
+        for job in passed_over:
+            rack = self.locality.rack_of(job.waiting)
+            limit_s = job.objective_s - now_s - _OVERHEAD_S
+            search = _WorkerSearch(
+                candidates.workers_for(job, rack), limit_s, now_s, usage
+            )
+            n_placed = search.place_tasks(job.waiting, starts, limit)
+            if len(starts) >= limit:
+                return starts
+            n_on_time_waiting += n_placed < len(job.waiting)
         if n_on_time_waiting:
             late = []
         for _, _, job in sorted(late):
@@ -218,6 +256,16 @@
             job.was_in_placement_round = True
         return starts
 
+    def _end_rate_per_s(self, upstream: str, rack: str) -> float:
+        """Return the rate of the ends of runs, in a rack if one is named."""
+        key = (upstream, rack)
+        if key not in self._end_rates:
+            workers = self._workers_by_upstream.get(upstream, _NO_WORKERS)
+            self._end_rates[key] = _ordering.end_rate_per_s(
+                self._rack_workers(upstream, rack) if rack else workers
+            )
+        return self._end_rates[key]
+
     def _far_search(
         self,
         candidates: '_Candidates',
@@ -373,6 +421,15 @@
         if self.crashes.is_suspect(task.key):
             self._suspect_worker_ids.add(worker.id)
 
+    def release(self, worker: _workers.Worker, task: _jobs.TaskState) -> None:
+        """Undo a reservation."""
+        self._free[worker.id] = self.free(worker).add(task.step.room)
+        step = (worker.id, task.key.job_id, task.key.step)
+        self._n_started_by_step[step] -= 1
+        self.n_started[worker.id] -= 1
+        # Requests that did not fit may fit now.
+        self._unplaceable.clear()
+
     def is_empty(self, worker: _workers.Worker) -> bool:
         """Return whether a worker has no run."""
         return not worker.runs and not self.n_started.get(worker.id)
--- a/src/orioleloom/node/_leader_load.py
+++ b/src/orioleloom/node/_leader_load.py
@@ -75,6 +75,7 @@
             n_jobs=len(dispatcher.jobs),
             n_starts_near=dispatcher.counters['starts_near'],
             n_starts_far=dispatcher.counters['starts_far'],
+            **dispatcher.placement.order.state(),
             n_unstarted=len(unstarted_s),
             oldest_unstarted_ms=_to_ms(
                 now_s - min(unstarted_s, default=now_s)
