Accept only a remoteFactor of 1 or more

Cause: a factor of 0 in the settings file would raise an error at the end of the first far run. Change: lower values count as 1.0, which switches the rule off. Result: tests/platform/test_remote_factor.py and the tests of locality and order pass.

--- a/src/orioleloom/dispatch/_locality.py
+++ b/src/orioleloom/dispatch/_locality.py
@@ -16,7 +16,8 @@
     """
 
     def __init__(self, remote_factor: float = 1.0):
-        self.remote_factor = remote_factor
+        # A lower one from a settings file would end in a logarithm of zero.
+        self.remote_factor = max(1.0, remote_factor)
 
     def factor(self, step: _records.Step, worker: _workers.Worker) -> float:
         """Return the slowdown of a task on a worker."""
