--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -9,7 +9,6 @@
 from orioleloom.dispatch._dispatcher import Dispatcher
 from orioleloom.dispatch._dispatcher import OUTCOME_RETENTION_S
 from orioleloom.dispatch._dispatcher import OVERLOADED
-from orioleloom.dispatch._dispatcher import Settings
 from orioleloom.dispatch._holds import MAX_START_HOLD_S
 from orioleloom.dispatch._jobs import count_unstarted_by_queue
 from orioleloom.dispatch._jobs import declared_allowed_time_s
@@ -37,6 +36,7 @@
 from orioleloom.dispatch._records import TaskKey
 from orioleloom.dispatch._records import WorkerInfo
 from orioleloom.dispatch._records import WorkerReport
+from orioleloom.dispatch._settings import Settings
 from orioleloom.dispatch._worker_lists import ListInUse
 from orioleloom.dispatch._worker_lists import WorkerListState
 from orioleloom.dispatch._worker_lists import WorkerListTracker
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -13,11 +13,13 @@
 from orioleloom.dispatch import _interference
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _late_starts
+from orioleloom.dispatch import _locality
 from orioleloom.dispatch import _loss_detector
 from orioleloom.dispatch import _pacing
 from orioleloom.dispatch import _placement
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _run_results
+from orioleloom.dispatch import _settings
 from orioleloom.dispatch import _state
 from orioleloom.dispatch import _stragglers
 from orioleloom.dispatch import _tails
@@ -61,19 +63,6 @@
     return [f'{key.job_id}.{key.position()}' for key in keys]
 
 
-class Settings(typing.NamedTuple):
-    """Settings of a dispatcher.
-
-    :param lease_s: duration of the lease of a run, in seconds; each renewal
-        starts it again
-    :param learns_interference: learn which queues slow each other down on one
-        worker, and place their tasks apart where there is room
-    """
-
-    lease_s: float = 1.0
-    learns_interference: bool = False
-
-
 class Dispatcher:
     """Assigns the tasks of repeatable jobs to workers, under leases.
 
@@ -106,7 +95,7 @@
         earlier_contact_s: float = -math.inf,
         earlier_list: _worker_lists.ListInUse | None = None,
         earlier_running_job_ids: typing.Collection[str] | None = None,
-        settings: Settings = Settings(),
+        settings: _settings.Settings = _settings.Settings(),
     ):
         self.token = token
         self.run_id_base = run_id_base
@@ -130,8 +119,9 @@
         self.run_times = _estimates.RunTimeEstimator()
         self.crashes = _crashes.CrashLedger()
         self.capacity = _capacity.CapacityGuard()
+        self.locality = _locality.Locality(settings.remote_factor)
         self.placement = _placement.Placement(
-            self.workers, self.crashes, self.capacity
+            self.workers, self.crashes, self.capacity, self.locality
         )
         self.admission = _admission.Admission(
             workers=self.workers,
@@ -155,7 +145,7 @@
         )
         self.placement.interference = self.interference
         self.run_results = _run_results.RunResults(
-            self.run_times, self.tails, self.interference
+            self.run_times, self.tails, self.locality, self.interference
         )
         self._tasks: dict[_records.TaskKey, _jobs.TaskState] = {}
         self._foreign_runs = _foreign_runs.ForeignRuns(
@@ -843,9 +833,8 @@
             task.step.room,
             job.job.queue.name,
             now_s,
-            self.run_times.expected_s(
-                job.job.queue.name, task.step.estimate_s
-            ),
+            self.run_times.expected_s(job.job.queue.name, task.step.estimate_s)
+            * self.locality.factor(task.step, worker),
         )
         task.run = run
         job.n_sent += 1
@@ -854,6 +843,7 @@
             self.admission.record_start(job, now_s)
         worker.add_run(run)
         self.counters['starts'] += 1
+        self.locality.count_start(task.step, worker, self.counters)
         self._effects.append(
             _records.StartRun(
                 worker.info,
@@ -1068,6 +1058,7 @@
                     return
                 case _admission.Admit(expected_start_s):
                     state.expected_start_s = expected_start_s
+        self.placement.order.add_job(state)
         self.jobs[job.id] = state
         self._assign_instance(state)
         self.counters['jobs'] += 1
@@ -1273,6 +1264,7 @@
             if task.run is not None:
                 self._stop_run(task.run, now_s)
         self.counters[f'jobs_{outcome.kind}'] += 1
+        self.placement.order.record_end(job, outcome, now_s)
         self._log('job_ended', **_state.describe_end(job, outcome, now_s))
         if outcome.kind is _records.OutcomeKind.UNKNOWN and job.may_have_run():
             self._unknown_ended_s.pop(job.job.id, None)
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -157,6 +157,9 @@
         self.task_s = 0.0
         # When the first start was expected, if the job had to wait for it.
         self.expected_start_s: float | None = None
+        # Size relative to others of the queue, see ``SizeClasses``.
+        self.size_class = 0
+        self.was_passed_over = False
         self.first_start_s: float | None = None
         self.tasks: list[list[TaskState]] = [
             [
--- a/src/orioleloom/dispatch/_placement.py
+++ b/src/orioleloom/dispatch/_placement.py
@@ -7,6 +7,8 @@
 from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _interference
 from orioleloom.dispatch import _jobs
+from orioleloom.dispatch import _locality
+from orioleloom.dispatch import _ordering
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _workers
 
@@ -32,11 +34,11 @@
 class Placement:
     """Chooses which waiting tasks start now, and on which workers.
 
-    Jobs that can still meet their objective come first, ordered by the
-    latest time at which they must start. Each task goes to the fastest
-    worker with enough free resources, and to a cold one if no other is fast
-    enough or has enough. A job that would miss its objective
-    on the free workers waits while a faster worker could still meet it.
+    Jobs that can still meet their objective come first, in the order of
+    ``JobOrder``. Each task goes to the fastest worker with enough free
+    resources, and to a cold one if no other is fast enough or has enough. A
+    job that would miss its objective on the free workers waits while a
+    faster worker could still meet it.
     Jobs that can no longer meet their objective are placed only if no job
     of the first group is left waiting.
 
@@ -46,6 +48,10 @@
     :param workers: workers by id; the owner updates the dictionary
     :param crashes: tasks under which workers have crashed
     :param capacity: decides whether the free resources of a worker are certain
+    :param locality: run times outside the preferred racks. If they are
+        longer, a task starts in its rack if possible, or elsewhere if it is
+        in time there, after the tasks that are near their data. Otherwise it
+        waits for its rack until it is late.
     """
 
     def __init__(
@@ -53,14 +59,20 @@
         workers: dict[str, _workers.Worker],
         crashes: _crashes.CrashLedger,
         capacity: _capacity.CapacityGuard,
+        locality: _locality.Locality = _locality.Locality(),
     ):
         self.workers = workers
         self.crashes = crashes
         self.capacity = capacity
+        self.locality = locality
+        self.order = _ordering.JobOrder()
+        # Ends of runs per second, by upstream and rack.
+        self._end_rates: dict[tuple[str, str], float] = {}
         # Set by the owner if it is learned.
         self.interference: _interference.Interference | None = None
         # Until when workers are cold, by id. The owner sets it.
         self.cold_until_s: typing.Mapping[str, float] = {}
+        self._racks: dict[tuple[str, str], list[_workers.Worker]] = {}
         self._workers_by_upstream: dict[str, _cold_workers.WorkerGroup] = {}
 
     def refresh_workers(self, now_s: float) -> None:
@@ -69,12 +81,34 @@
         self._workers_by_upstream = _cold_workers.group_by_upstream(
             worker for worker in self.workers.values() if worker.is_usable()
         )
+        self._racks = {}
+        self._end_rates = {}
+
+    def _rack_workers(self, upstream: str, rack: str) -> list[_workers.Worker]:
+        """Return the usable workers of a rack, the fastest first."""
+        key = (upstream, rack)
+        if key not in self._racks:
+            self._racks[key] = _with_label(
+                self._workers_by_upstream.get(upstream, _NO_WORKERS), rack
+            )
+        return self._racks[key]
 
     def lowest_run_time_ratio(self, job: _jobs.JobState) -> float:
-        """Return the fastest worker's run time relative to speed 1."""
-        return _lowest_run_time_ratio(
-            self._workers_by_upstream, job.job.queue.upstream
+        """Return the shortest run time relative to speed 1.
+
+        It is that on the fastest worker, near or far from the data.
+        """
+        upstream = job.job.queue.upstream
+        ratio = _lowest_run_time_ratio(
+            self._workers_by_upstream.get(upstream, _NO_WORKERS)
         )
+        rack = self.locality.rack_of(job.waiting)
+        if rack:
+            ratio *= self.locality.remote_factor
+            local = self._rack_workers(upstream, rack)
+            if local:
+                ratio = min(ratio, _lowest_run_time_ratio(local))
+        return ratio
 
     def find_elsewhere(
         self,
@@ -89,15 +123,25 @@
         :param limit_s: longest acceptable run time of the job's longest chain
         """
         workers = self._workers_by_upstream.get(
-            task.job.job.queue.upstream, []
+            task.job.job.queue.upstream, _NO_WORKERS
         )
         others = [w for w in workers if w is not current]
         usage = self._new_usage(now_s)
+        rack = self.locality.rack_of([task])
+        if rack:
+            local = _WorkerSearch(
+                _with_label(others, rack), limit_s, now_s, usage
+            )
+            worker = local.find_worker(task)
+            if worker is not None:
+                return worker
+            limit_s /= self.locality.remote_factor
         search = _WorkerSearch(others, limit_s, now_s, usage)
         return search.find_worker(task)
 
     def _new_usage(self, now_s: float) -> '_RoundUsage':
         return _RoundUsage(
+            now_s,
             self.crashes,
             self.crashes.paused_queues(len(self.workers), now_s),
             self.capacity,
@@ -122,45 +166,133 @@
         limit = math.inf if max_starts is None else max_starts
         usage = self._new_usage(now_s)
         starts: list[Start] = []
-        on_time: list[tuple[float, int, _jobs.JobState]] = []
+        on_time: list[
+            tuple[tuple[bool, bool, float], int, _jobs.JobState]
+        ] = []
         late: list[tuple[float, int, _jobs.JobState]] = []
         candidates = _Candidates(self._workers_by_upstream, changed)
+        lowest_ratios: dict[tuple[str, str], float] = {}
         n_on_time_waiting = 0
         for number, job in enumerate(waiting):
             if job.held_until_s > now_s:
                 continue
+            rack = self.locality.rack_of(job.waiting)
+            key = (job.job.queue.upstream, rack)
+            ratio = lowest_ratios.get(key)
+            if ratio is None:
+                ratio = lowest_ratios[key] = self.lowest_run_time_ratio(job)
             latest_start_s = (
-                job.objective_s
-                - _OVERHEAD_S
-                - job.expected_s * candidates.lowest_run_time_ratio(job)
+                job.objective_s - _OVERHEAD_S - job.expected_s * ratio
             )
             if not candidates.workers_for(job):
                 n_on_time_waiting += latest_start_s >= now_s
             elif latest_start_s >= now_s:
-                on_time.append((latest_start_s, number, job))
+                rank = self.order.rank(job, latest_start_s)
+                on_time.append((rank, number, job))
             else:
                 late.append((job.useful_until_s, number, job))
-        for _, _, job in sorted(on_time):
+        far: list[tuple[_jobs.JobState, list[_jobs.TaskState]]] = []
+        # Jobs that cannot be whole in time. They get what the others leave.
+        passed_over: list[_jobs.JobState] = []
+        # Waiting tasks of started jobs, by rack.
+        n_ahead: dict[str, int] = {}
+        for rank, _, job in sorted(on_time):
+            rack = self.locality.rack_of(job.waiting)
             limit_s = job.objective_s - now_s - _OVERHEAD_S
             search = _WorkerSearch(
-                candidates.workers_for(job), limit_s, now_s, usage
+                candidates.workers_for(job, rack), limit_s, now_s, usage
             )
-            n_on_time_waiting += not search.place_tasks(job, starts, limit)
+            n_earlier = len(starts)
+            n_placed = search.place_tasks(job.waiting, starts, limit)
             if len(starts) >= limit:
                 return starts
+            n_left = len(job.waiting) - n_placed
+            if not n_left:
+                continue
+            if n_placed and self.order.must_pass_over(
+                job,
+                n_left + n_ahead.get(rack, 0),
+                rank[-1] - now_s,
+                self._end_rate_per_s(job.job.queue.upstream, rack),
+            ):
+                for start in starts[n_earlier:]:
+                    usage.release(start.worker, start.task)
+                del starts[n_earlier:]
+                passed_over.append(job)
+                continue
+            if job.n_sent or n_placed:
+                n_ahead[rack] = n_ahead.get(rack, 0) + n_left
+            if rack:
+                far.append((job, job.waiting[n_placed:]))
+            else:
+                n_on_time_waiting += 1
+        for job, tasks in far:
+            search = self._far_search(candidates, job, job.objective_s, usage)
+            n_placed = search.place_tasks(tasks, starts, limit)
+            if len(starts) >= limit:
+                return starts
+            n_on_time_waiting += n_placed < len(tasks)
+        for job in passed_over:
+            rack = self.locality.rack_of(job.waiting)
+            limit_s = job.objective_s - now_s - _OVERHEAD_S
+            search = _WorkerSearch(
+                candidates.workers_for(job, rack), limit_s, now_s, usage
+            )
+            n_placed = search.place_tasks(job.waiting, starts, limit)
+            if len(starts) >= limit:
+                return starts
+            n_on_time_waiting += n_placed < len(job.waiting)
         if n_on_time_waiting:
             late = []
         for _, _, job in sorted(late):
+            rack = self.locality.rack_of(job.waiting)
             search = _WorkerSearch(
-                candidates.workers_for(job), math.inf, now_s, usage
+                candidates.workers_for(job, rack),
+                math.inf,
+                now_s,
+                usage,
             )
-            search.place_tasks(job, starts, limit)
+            n_placed = search.place_tasks(job.waiting, starts, limit)
+            if rack and n_placed < len(job.waiting):
+                search = self._far_search(
+                    candidates, job, job.useful_until_s, usage
+                )
+                search.place_tasks(job.waiting[n_placed:], starts, limit)
             if len(starts) >= limit:
                 return starts
         for job in waiting:
             job.was_in_placement_round = True
         return starts
 
+    def _end_rate_per_s(self, upstream: str, rack: str) -> float:
+        """Return the rate of the ends of runs, in a rack if one is named."""
+        key = (upstream, rack)
+        if key not in self._end_rates:
+            workers = self._workers_by_upstream.get(upstream, _NO_WORKERS)
+            self._end_rates[key] = _ordering.end_rate_per_s(
+                self._rack_workers(upstream, rack) if rack else workers
+            )
+        return self._end_rates[key]
+
+    def _far_search(
+        self,
+        candidates: '_Candidates',
+        job: _jobs.JobState,
+        until_s: float,
+        usage: '_RoundUsage',
+    ) -> '_WorkerSearch':
+        """Return a search for workers outside the rack of a job.
+
+        :param until_s: when the run must have ended
+        """
+        limit_s = until_s - usage.now_s - _OVERHEAD_S
+        return _WorkerSearch(
+            candidates.workers_for(job),
+            limit_s / self.locality.remote_factor,
+            usage.now_s,
+            usage,
+        )
+
 
 class _Candidates:
     """Workers on which the jobs of one round are tried.
@@ -175,7 +307,8 @@
         changed: typing.Collection[_workers.Worker] | None,
     ):
         self._workers_by_upstream = workers_by_upstream
-        self._lowest_ratios: dict[str, float] = {}
+        # By the identity of the list of all workers, and by rack.
+        self._racks: dict[tuple[int, str], list[_workers.Worker]] = {}
         self._changed_by_upstream = (
             None
             if changed is None
@@ -186,27 +319,39 @@
             )
         )
 
-    def workers_for(self, job: _jobs.JobState) -> list[_workers.Worker]:
-        """Return the workers for a job, the fastest first."""
-        upstream = job.job.queue.upstream
-        if self._changed_by_upstream is None or not job.was_in_placement_round:
-            return self._workers_by_upstream.get(upstream, _NO_WORKERS)
-        return self._changed_by_upstream.get(upstream, _NO_WORKERS)
+    def workers_for(
+        self, job: _jobs.JobState, rack: str = ''
+    ) -> list[_workers.Worker]:
+        """Return the workers for a job, the fastest first.
 
-    def lowest_run_time_ratio(self, job: _jobs.JobState) -> float:
-        """Return the fastest worker's run time relative to speed 1."""
+        :param rack: label that they must have, or empty
+        """
         upstream = job.job.queue.upstream
-        ratio = self._lowest_ratios.get(upstream)
-        if ratio is None:
-            ratio = _lowest_run_time_ratio(self._workers_by_upstream, upstream)
-            self._lowest_ratios[upstream] = ratio
-        return ratio
-
-
-def _lowest_run_time_ratio(
-    workers_by_upstream: dict[str, _cold_workers.WorkerGroup], upstream: str
-) -> float:
-    workers = workers_by_upstream.get(upstream)
+        by_upstream = self._workers_by_upstream
+        if self._changed_by_upstream is not None and (
+            job.was_in_placement_round
+        ):
+            by_upstream = self._changed_by_upstream
+        workers = by_upstream.get(upstream, _NO_WORKERS)
+        if not rack:
+            return workers
+        key = (id(workers), rack)
+        if key not in self._racks:
+            self._racks[key] = _with_label(workers, rack)
+        return self._racks[key]
+
+
+def _with_label(
+    workers: list[_workers.Worker], label: str
+) -> _cold_workers.WorkerGroup:
+    """Return the workers with a label, of a list or a group."""
+    cold = getattr(workers, 'cold', ())
+    return _cold_workers.WorkerGroup(
+        worker for worker in (*workers, *cold) if label in worker.info.labels
+    )
+
+
+def _lowest_run_time_ratio(workers: list[_workers.Worker]) -> float:
     return workers[0].run_time_ratio() if workers else 1.0
 
 
@@ -221,11 +366,13 @@
 
     def __init__(
         self,
+        now_s: float,
         crashes: _crashes.CrashLedger,
         paused_queues: typing.Collection[str],
         capacity: _capacity.CapacityGuard,
         interference: _interference.Interference | None = None,
     ) -> None:
+        self.now_s = now_s
         # None unless a pair of queues interferes.
         self.interference = (
             interference if interference and interference.log_factors else None
@@ -292,6 +439,17 @@
         if self.crashes.is_suspect(task.key):
             self._suspect_worker_ids.add(worker.id)
 
+    def release(self, worker: _workers.Worker, task: _jobs.TaskState) -> None:
+        """Undo a reservation."""
+        self._free[worker.id] = self.free(worker).add(task.step.room)
+        step = (worker.id, task.key.job_id, task.key.step)
+        self._n_started_by_step[step] -= 1
+        self.n_started[worker.id] -= 1
+        if self.interference is not None:
+            self._queues_started[worker.id].remove(task.job.job.queue.name)
+        # Requests that did not fit may fit now.
+        self._unplaceable.clear()
+
     def interference_factor(
         self, task: _jobs.TaskState, worker: _workers.Worker
     ) -> float:
@@ -346,23 +504,26 @@
         self._cold_search: _WorkerSearch | None = None
 
     def place_tasks(
-        self, job: _jobs.JobState, starts: list[Start], max_starts: float
-    ) -> bool:
+        self,
+        tasks: list[_jobs.TaskState],
+        starts: list[Start],
+        max_starts: float,
+    ) -> int:
         """Place waiting tasks until one does not fit.
 
         :param starts: list to which the starts are added
         :param max_starts: maximum length of this list
-        :returns: whether all tasks were placed
+        :returns: number of tasks that were placed
         """
-        for task in job.waiting:
+        for number, task in enumerate(tasks):
             if len(starts) >= max_starts:
-                return False
+                return number
             worker = self._find_warm_or_cold(task)
             if worker is None:
-                return False
+                return number
             self.usage.reserve(worker, task)
             starts.append(Start(task, worker))
-        return True
+        return len(tasks)
 
     def _find_warm_or_cold(
         self, task: _jobs.TaskState
--- a/src/orioleloom/dispatch/_run_results.py
+++ b/src/orioleloom/dispatch/_run_results.py
@@ -3,6 +3,7 @@
 from orioleloom.dispatch import _estimates
 from orioleloom.dispatch import _interference
 from orioleloom.dispatch import _jobs
+from orioleloom.dispatch import _locality
 from orioleloom.dispatch import _records
 from orioleloom.dispatch import _stragglers
 from orioleloom.dispatch import _tails
@@ -24,10 +25,12 @@
         self,
         run_times: _estimates.RunTimeEstimator,
         tails: _tails.RunTimeTails,
+        locality: _locality.Locality,
         interference: _interference.Interference | None = None,
     ):
         self.run_times = run_times
         self.tails = tails
+        self.locality = locality
         self.interference = interference
 
     def record_end(self, run: _workers.Run, now_s: float) -> None:
@@ -68,7 +71,9 @@
         self.run_times.observe(
             run.queue,
             task.step.estimate_s,
-            elapsed_s / worker.run_time_ratio(),
+            elapsed_s
+            / worker.run_time_ratio()
+            / self.locality.factor(task.step, worker),
         )
 
     def record_stop(
--- a/src/orioleloom/dispatch/_stragglers.py
+++ b/src/orioleloom/dispatch/_stragglers.py
@@ -209,7 +209,13 @@
             elapsed_s / expected_s
         )
         stay_s = probability * elapsed_s + (1 - probability) * residual_s
-        other_ratio = other.run_time_ratio()
+        locality = self.placement.locality
+        # The expected time of the run counts where the data of its task is.
+        other_ratio = (
+            other.run_time_ratio()
+            * locality.factor(task.step, other)
+            / locality.factor(task.step, run.worker)
+        )
         move_s = (
             _MOVE_S
             + probability * run.expected_s * other_ratio
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -22,6 +22,7 @@
 from orioleloom.node import _pending
 from orioleloom.node import _ports
 from orioleloom.node import _presence
+from orioleloom.node import _settings
 from orioleloom.node import _tables
 from orioleloom import peer_api
 from orioleloom import timers
@@ -71,34 +72,6 @@
 _RUN_IDS_PER_S = 4
 
 
-class Settings(typing.NamedTuple):
-    """Settings of a node.
-
-    :param instance_id: unique name of the instance
-    :param peer_bind: ``tcp://IP:PORT`` on which peers connect
-    :param rank: processor capacity in cores; the election prefers higher
-        values
-    :param seed_peers: peer addresses to contact before the member list has
-        been read
-    :param config_apply_s: time in which a change of the configuration must
-        be in force
-    :param resend_after_s: time after a lost answer until a caller submits its
-        job again, in seconds; 0 if it is not known
-    :param sheds_load: refuse jobs by the waits that the leader expects. Only
-        if callers submit each job at one instance only: an instance does not
-        know whether a job has run that was submitted at another one
-    """
-
-    instance_id: str
-    data_centre: str
-    peer_bind: str
-    rank: float
-    seed_peers: tuple[str, ...] = ()
-    config_apply_s: float = 2.0
-    resend_after_s: float = 0.0
-    sheds_load: bool = False
-
-
 class Node:
     """An instance of the dispatcher.
 
@@ -118,7 +91,7 @@
     def __init__(
         self,
         *,
-        settings: Settings,
+        settings: _settings.Settings,
         store: _ports.Store,
         gateway: _ports.WorkerGateway,
         timer_service: timers.TimerService,
@@ -741,6 +714,7 @@
             now_s=now_s,
             random_state=self.random_state,
             loop_monitor=self.loop_monitor,
+            settings=self.settings.dispatcher,
         )
         _log.log(
             'leading',
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -12,6 +12,7 @@
 import msgspec
 import trio
 
+from orioleloom import dispatch
 from orioleloom import http1
 from orioleloom import node
 from orioleloom.node import metrics
@@ -85,6 +86,10 @@
                 seed_peers=settings.seed_peers(),
                 config_apply_s=settings.bounds.config_apply_ms / 1000,
                 resend_after_s=settings.bounds.resend_ms / 1000,
+                dispatcher=dispatch.Settings(
+                    remote_factor=settings.bounds.remote_factor,
+                    learns_interference=settings.bounds.interference_ms > 0,
+                ),
             ),
             store=self.store,
             gateway=_workers.WorkerClient(self.client),
--- a/src/orioleloom/platform/_settings.py
+++ b/src/orioleloom/platform/_settings.py
@@ -40,12 +40,15 @@
         again; 0 if it is not known
     :param interference_ms: time in which interference of tasks is to be
         found; 0 if it is not learned
+    :param remote_factor: run time of a task outside the rack that holds its
+        data, relative to one there
     """
 
     grace_s: float = msgspec.field(name='graceS', default=6.0)
     config_apply_ms: float = msgspec.field(name='configApplyMs', default=2000)
     resend_ms: float = msgspec.field(name='resendMs', default=0)
     interference_ms: float = msgspec.field(name='interferenceMs', default=0.0)
+    remote_factor: float = msgspec.field(name='remoteFactor', default=1.0)
 
 
 class StoreSettings(msgspec.Struct):
