Hand over a job again that its leader does not know

Cause: a job that its leader does not know kept its leader, so that it was submitted again as if no other leader had ever had it. A refusal could then say "not run" although the job had run (history 1 of tests/leased/test_disruptions.py, after the refusals of the admission).

Change: such a job counts as handed over whenever it had an earlier leader.

--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -1102,11 +1102,12 @@
         leader = (self.elector.leader_id, self.elector.term)
         # Another leader may have started tasks of the job; the current one
         # knows which tasks it has started itself.
-        may_run_elsewhere = (
-            pending.was_submitted and pending.assigned_leader != leader
+        is_handed_over = pending.assigned_leader != leader
+        may_run_elsewhere = pending.was_submitted and (
+            is_handed_over or pending.earlier_list is not None
         )
         contact_s = self._last_leader_contact_s if may_run_elsewhere else None
-        if may_run_elsewhere:
+        if pending.was_submitted and is_handed_over:
             pending.add_earlier_leader(
                 self._leader_lists.of_leader(pending.assigned_leader)
             )
