--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -40,10 +40,10 @@
 # it holds counts as memory of the process. 16 KiB for each round trip of 6 ms
 # are twice the rate of a client's link.
 _RECEIVE_BUFFER_BYTES = 16_384
-# A job's body has 262,144 bytes at most, and lists of jobs and workers are
-# smaller. All instances must accept what any of them sends, so this does not
+# A job's body has 262,144 bytes at most, and the list of 22,000 workers about
+# 3.7 MB. All instances must accept what any of them sends, so this does not
 # depend on the memory.
-MAX_PEER_MESSAGE_BYTES = 4 * 1024 * 1024
+MAX_PEER_MESSAGE_BYTES = 8 * 1024 * 1024
 # Readiness checks and requests to the control address are few and have no
 # body. Their connections count against the reserved descriptors.
 _MAX_OTHER_CONNECTIONS = 200
