Leave cancelled jobs out of the served shares

Cause: a job whose caller has left counted as not served.

Change: only jobs with an answer count.

Result: test_callers_that_leave_are_no_shortage fails before and passes now.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1264,7 +1264,9 @@
             if task.run is not None:
                 self._stop_run(task.run, now_s)
         self.counters[f'jobs_{outcome.kind}'] += 1
-        self.placement.order.record_end(job, outcome, now_s)
+        if send_answer:
+            # Jobs whose callers have left say nothing of the capacity.
+            self.placement.order.record_end(job, outcome, now_s)
         self._log('job_ended', **_state.describe_end(job, outcome, now_s))
         if outcome.kind is _records.OutcomeKind.UNKNOWN and job.may_have_run():
             self._unknown_ended_s.pop(job.job.id, None)
--- a/tests/dispatch/test_ordering.py
+++ b/tests/dispatch/test_ordering.py
@@ -5,6 +5,7 @@
 from orioleloom import dispatch
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _ordering
+from tests.dispatch import test_dispatcher
 
 
 def new_job(number=0, n_tasks=8, queue='short', run_s=0.06):
@@ -90,3 +91,13 @@
     assert not order.must_pass_over(job, 29, 0.09, 400 / 0.06)
     job.n_sent = 3
     assert not order.must_pass_over(job, 29, 0.09, 3 / 0.06)
+
+
+def test_callers_that_leave_are_no_shortage():
+    """A wave of cancellations must not change the order of other jobs."""
+    fleet = test_dispatcher.Harness('w1')
+    for number in range(20):
+        job = new_job(number, 1).job
+        fleet.submit(job)
+        fleet.dispatcher.cancel(job.id, 'e1', 'caller left', fleet.now_s)
+    assert not fleet.dispatcher.placement.order.is_short()
