Count only tasks with room as the leader's backlog

What callers saw: while a few large jobs ran, ordinary jobs of other queues were answered 503 'leader overloaded', though their workers were idle.

Cause: a limited placement round counted every waiting task as work that waits for the leader, also those for which no worker had room. 1,300 waiting tasks of one job exceed what a leader starts in 30 ms, so that every new job was refused as long as rounds were limited.

Change: a limited round counts at most as many waiting tasks of an upstream as its workers have places left, and new jobs are counted the same way.

The new test fails without the change.

--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -16,7 +16,7 @@
     return dispatch.Job(f'{number:016x}', QUEUE, 'payload', (step,))
 
 
-def new_dispatcher(now_s=100.0, **kwargs):
+def new_dispatcher(now_s=100.0, other_workers=(), **kwargs):
     dispatcher = dispatch.Dispatcher(
         token=5,
         run_id_base=1,
@@ -35,6 +35,7 @@
         )
         for number in range(N_WORKERS)
     }
+    infos |= {info.id: info for info in other_workers}
     dispatcher.set_workers(infos, now_s)
     for worker_id in infos:
         report = dispatch.WorkerReport(1, 1, (), ())
@@ -194,3 +195,35 @@
     job = new_job(999)
     submit(dispatcher, job, now_s)
     assert job.id in dispatcher.jobs
+
+
+def test_tasks_without_room_are_no_backlog():
+    """Guards against a large job that shuts out other upstreams.
+
+    Its tasks wait for the ends of runs. They counted as if they waited for
+    the dispatcher, which refused all new jobs for as long as its rounds were
+    limited.
+    """
+    other_worker = dispatch.WorkerInfo(
+        'x',
+        '10.0.1.1:80',
+        'dc1',
+        'other-pool',
+        dispatch.Resources(16_000, 65_536),
+        life=1,
+    )
+    dispatcher = new_dispatcher(other_workers=(other_worker,))
+    dispatcher.pacer.record_round(4, 0, 99.0)
+    submit(dispatcher, new_job(1, n_tasks=1_000), 100.0)
+    now_s = 100.0
+    # As many limited rounds as it takes to fill the workers.
+    for _ in range(2 * N_WORKERS // 4):
+        now_s += 0.001
+        dispatcher.pacer.max_starts = 4
+        dispatcher.tick(now_s)
+        assert len(take(dispatcher, dispatch.StartRun)) == 4
+    other = dispatch.Queue('other', 'other-pool', 0, 2, 1.6, 0.06)
+    job = new_job(2, n_tasks=1)._replace(queue=other)
+    submit(dispatcher, job, now_s)
+    (start,) = take(dispatcher, dispatch.StartRun)
+    assert start.worker == other_worker
