Free the tasks of ended jobs at once

What callers saw: nothing by itself; ended jobs added to the memory with which a crowd of large jobs ends a leader.

Cause: a job and its tasks refer to each other, so that the memory of an ended or refused job stays in use until a full garbage collection.

Change: an ended job drops its tasks.

The new test fails without the change.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1055,6 +1055,7 @@
             match self.admission.decide(state, now_s):
                 case _admission.Refuse() as refusal:
                     self.counters['jobs_refused_capacity'] += 1
+                    state.drop_tasks()
                     self._answer_refused(
                         job.id, instance_id, refusal.outcome(), now_s
                     )
@@ -1279,6 +1280,7 @@
             self._effects.append(
                 _records.AnswerJob(job.job.id, job.instance_id, outcome)
             )
+        job.drop_tasks()
 
     # Placement
 
--- a/src/orioleloom/dispatch/_jobs.py
+++ b/src/orioleloom/dispatch/_jobs.py
@@ -223,6 +223,15 @@
         for tasks in self.tasks:
             yield from tasks
 
+    def drop_tasks(self) -> None:
+        """Drop the tasks of a job that has ended.
+
+        They refer to the job, so that their memory would stay in use until
+        the next full garbage collection.
+        """
+        self.tasks = []
+        self.waiting = []
+
     def set_expected_run_time(self, expected_s: float) -> None:
         """Derive the objective from the expected run time.
 
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -1,6 +1,8 @@
 """Tests of the dispatcher's decisions, event by event."""
 
+import gc
 import random
+import weakref
 
 import pytest
 
@@ -1040,3 +1042,23 @@
     for _ in range(20):
         harness.after(0.1)
     assert not harness.effects(dispatch.StopRun)
+
+
+@pytest.mark.parametrize('n_tasks', [1, 4])
+def test_ended_job_is_freed_at_once(n_tasks):
+    """Guards against ended jobs that stay in memory.
+
+    A job and its tasks refer to each other. Without a full garbage
+    collection, which is rare, a crowd of large jobs added up.
+    """
+    harness = Harness('w1')
+    harness.submit(one_step_job(n_tasks=n_tasks))
+    harness.effects()
+    state = weakref.ref(harness.dispatcher.jobs['a' * 16])
+    gc.disable()
+    try:
+        harness.dispatcher.cancel('a' * 16, 'e1', 'caller left', 100.0)
+        harness.effects()
+        assert state() is None
+    finally:
+        gc.enable()
