Count what a received job becomes, and decode large jobs in turn

What callers saw: legal jobs with a body within the limits ended an instance of a small machine, and ordinary requests had no answer for seconds.

Cause: the reception budget counts the raw body until the response. The body stayed in memory beside the job that was decoded from it, and the job may be four times as large (a text with one character outside the Basic Multilingual Plane) or ten times (many short steps). Jobs of 1,300 steps were decoded one after the other in a single turn of the event loop.

Change: the connection drops the body and holds what the job takes, by bytes, steps and dependencies. A job without room is refused with 503 and a random Retry-After before it is decoded, by an upper bound that is told from its text; a large one leaves room for smaller ones, and slow requests are closed first.

--- a/src/orioleloom/dispatch/__init__.py
+++ b/src/orioleloom/dispatch/__init__.py
@@ -7,9 +7,14 @@
 from orioleloom.dispatch._crashes import CrashLedger
 from orioleloom.dispatch._crashes import CrashRecord
 from orioleloom.dispatch._dispatcher import Dispatcher
+from orioleloom.dispatch._dispatcher import NO_MEMORY
 from orioleloom.dispatch._dispatcher import OUTCOME_RETENTION_S
 from orioleloom.dispatch._dispatcher import OVERLOADED
 from orioleloom.dispatch._holds import MAX_START_HOLD_S
+from orioleloom.dispatch._job_memory import encoded_bytes
+from orioleloom.dispatch._job_memory import is_large
+from orioleloom.dispatch._job_memory import led_bytes
+from orioleloom.dispatch._job_memory import pending_bytes
 from orioleloom.dispatch._jobs import count_unstarted_by_queue
 from orioleloom.dispatch._jobs import declared_allowed_time_s
 from orioleloom.dispatch._jobs import latest_useful_start_s
@@ -42,12 +47,13 @@
 from orioleloom.dispatch._worker_lists import WorkerListTracker
 
 # Reasons of refusals on arrival, which the dispatcher does not log.
-REFUSAL_REASONS = frozenset({OVERLOADED, NO_CAPACITY})
+REFUSAL_REASONS = frozenset({OVERLOADED, NO_CAPACITY, NO_MEMORY})
 
 __all__ = [
     'Admit',
     'MAX_WAIT_S',
     'NO_CAPACITY',
+    'NO_MEMORY',
     'REFUSAL_REASONS',
     'Refuse',
     'AnswerJob',
@@ -86,4 +92,8 @@
     'count_unstarted_by_queue',
     'declared_allowed_time_s',
     'latest_useful_start_s',
+    'encoded_bytes',
+    'is_large',
+    'led_bytes',
+    'pending_bytes',
 ]
--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -33,6 +33,9 @@
 # Reason of the outcome of a job that would wait too long for the dispatcher.
 OVERLOADED = 'leader overloaded'
 
+# Reason of the outcome of a job for which there is no memory.
+NO_MEMORY = 'no memory for the job'
+
 # How long outcomes are kept for callers whose answer was lost, and who submit
 # the job again, usually after 1.3 s.
 OUTCOME_RETENTION_S = 5.0
--- a/src/orioleloom/http1/_budget.py
+++ b/src/orioleloom/http1/_budget.py
@@ -3,6 +3,8 @@
 
 import trio
 
+from orioleloom import memory
+
 # Limit for a process whose memory is not known.
 DEFAULT_BYTES = 64 * 1024 * 1024
 # Holds a single request at the limits of the platform's configuration, also
@@ -82,10 +84,17 @@
     A connection holds bytes from the first byte of a request until its
     response. The budget decides which connections to close; the server
     closes them.
+
+    :param process: budget of the process, of which this is a part
     """
 
-    def __init__(self, limit: int = DEFAULT_BYTES):
+    def __init__(
+        self,
+        limit: int = DEFAULT_BYTES,
+        process: memory.Budget | None = None,
+    ):
         self.limit_bytes = limit
+        self.process = process
         self.held_bytes = 0
         self.peak_bytes = 0
         self._receptions: set[Reception] = set()
@@ -97,6 +106,8 @@
         """Set what a connection holds; 0 releases it."""
         self.held_bytes += n_bytes - reception.held_bytes
         reception.held_bytes = n_bytes
+        if self.process is not None:
+            self.process.reception_bytes = self.held_bytes
         if n_bytes:
             self._receptions.add(reception)
             self.peak_bytes = max(self.peak_bytes, self.held_bytes)
@@ -105,11 +116,33 @@
 
     def is_short(self) -> bool:
         """Return whether more is held than the limit."""
-        return self.held_bytes > self.limit_bytes
+        return self.held_bytes > self.present_limit_bytes()
+
+    def present_limit_bytes(self) -> float:
+        """Return the limit beside the jobs of the process."""
+        if self.process is None:
+            return self.limit_bytes
+        return min(self.limit_bytes, self.process.reception_room_bytes())
+
+    def has_room(self, n_bytes: int) -> bool:
+        """Return whether a complete request may hold so much more.
+
+        A large one leaves room for smaller ones.
+        """
+        free_bytes = self.present_limit_bytes() - self.held_bytes
+        return free_bytes >= memory.needed_bytes(n_bytes, self.limit_bytes)
+
+    def select_slowest(
+        self, now_s: float, needed_bytes: float = 0.0
+    ) -> list[Reception]:
+        """Return the slowest receptions, as many as must be closed.
 
-    def select_slowest(self, now_s: float) -> list[Reception]:
-        """Return the slowest receptions, as many as must be closed."""
-        excess_bytes = self.held_bytes - self.limit_bytes * _LOW_WATER_SHARE
+        :param needed_bytes: room that is needed for something else
+        """
+        limit = self.present_limit_bytes()
+        excess_bytes = self.held_bytes - min(
+            limit * _LOW_WATER_SHARE, limit - needed_bytes
+        )
         selected = []
         for reception in self._by_slowness(self._receptions, now_s):
             if excess_bytes <= 0:
--- a/src/orioleloom/http1/_server.py
+++ b/src/orioleloom/http1/_server.py
@@ -10,6 +10,7 @@
 
 from orioleloom.http1 import _budget
 from orioleloom.http1 import _sockets
+from orioleloom import memory
 
 _BACKLOG = 1024
 # Connections accepted in one turn of the event loop. 1,500 that came at once
@@ -372,7 +373,7 @@
             self._parser = None
         self._update_budget()
         if self.server.budget.is_short():
-            self._free_memory(now_s)
+            self._free_memory()
 
     def _check_framing(self) -> None:
         """Refuse what is too large and not seen by the parser's callbacks.
@@ -401,6 +402,35 @@
 
     # Memory
 
+    def hold_handled(self, n_bytes: int) -> bool:
+        """Replace the body of the request being handled by what it became.
+
+        The body is dropped, so that the handler must have read it.
+
+        :param n_bytes: memory of the result, which counts until the response
+        :returns: false if there is no room; the request is to be refused
+        """
+        has_room = self.has_room(n_bytes)
+        if has_room:
+            self._n_current_bytes = n_bytes
+        self.current_request = self.current_request._replace(body=b'')
+        self._update_budget()
+        return has_room
+
+    def has_room(self, n_bytes: int) -> bool:
+        """Return whether the request being handled may hold this much.
+
+        Slow requests are closed if the room is needed.
+        """
+        budget = self.server.budget
+        added_bytes = max(0, n_bytes - self._n_current_bytes)
+        if budget.has_room(added_bytes):
+            return True
+        self.server.close_slowest(
+            memory.needed_bytes(added_bytes, budget.limit_bytes)
+        )
+        return budget.has_room(added_bytes)
+
     def _update_budget(self) -> None:
         """Set what this connection holds of the process's budget."""
         reception = self.reception
@@ -420,12 +450,10 @@
             reception, n_bytes + _CONNECTION_BYTES if n_bytes else 0
         )
 
-    def _free_memory(self, now_s: float) -> None:
+    def _free_memory(self) -> None:
         """Close the slowest connections, or refuse what arrived here."""
-        budget = self.server.budget
-        for reception in budget.select_slowest(now_s):
-            reception.owner.refuse_slow('closed_for_memory')
-        if self.is_open and budget.is_short():
+        self.server.close_slowest()
+        if self.is_open and self.server.budget.is_short():
             # Requests that are being handled hold the rest.
             self._waiting.clear()
             self._n_waiting_bytes = 0
@@ -756,6 +784,16 @@
             nursery.start_soon(connection.serve)
         return True
 
+    def close_slowest(self, needed_bytes: float = 0.0) -> None:
+        """Close the slowest connections of the process to free memory.
+
+        :param needed_bytes: room that is needed for something else
+        """
+        for reception in self.budget.select_slowest(
+            trio.current_time(), needed_bytes
+        ):
+            reception.owner.refuse_slow('closed_for_memory')
+
     def _close_slow_connections(self) -> None:
         """Close connections whose requests arrive slowly."""
         for reception in self.budget.select_late(
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -14,6 +14,7 @@
 
 from orioleloom import dispatch
 from orioleloom import http1
+from orioleloom import memory
 from orioleloom import node
 from orioleloom.node import metrics
 from orioleloom import peer_api
@@ -76,6 +77,8 @@
         self.timers = timers.TimerService(random_state=random_state)
         self.store = _store.PlatformStore(self.client, settings.store.address)
         incarnation = secrets.token_hex(8)
+        memory_mb = settings.limits.memory_mb
+        memory_budget = memory.Budget(memory.limit_bytes(memory_mb))
         peer_bind = settings.peer_address(settings.ip)
         self.node = node.Node(
             settings=node.Settings(
@@ -103,10 +106,8 @@
             ),
             loop_monitor=loop_monitor,
         )
-        self.budget = http1.Budget(
-            http1.limit_bytes(settings.limits.memory_mb)
-        )
-        ingress = _ingress.Ingress(self.node)
+        self.budget = http1.Budget(http1.limit_bytes(memory_mb), memory_budget)
+        self.ingress = ingress = _ingress.Ingress(self.node, random_state)
         self.callers = self._new_server(
             ingress.on_request,
             ingress.on_disconnect,
@@ -200,6 +201,7 @@
                     'refusals', _REFUSALS_LOG_INTERVAL_S, self.refusals.log_new
                 )
                 await nursery.start(self.node.run)
+                nursery.start_soon(self.ingress.run)
                 stop_requested = trio.Event()
                 nursery.start_soon(
                     self._handle_signals, signals, stop_requested
--- a/src/orioleloom/platform/_ingress.py
+++ b/src/orioleloom/platform/_ingress.py
@@ -1,9 +1,13 @@
 """HTTP handlers for callers' requests and readiness checks."""
 
+import heapq
+import itertools
 import math
+import random
 import typing
 
 import msgspec
+import trio
 
 from orioleloom import dispatch
 from orioleloom import http1
@@ -14,16 +18,64 @@
 # Used for requests without a valid deadline header.
 _DEFAULT_TIMEOUT_S = 10.0
 _NO_CONFIGURATION_RETRY_AFTER_S = 1
+# Range of the Retry-After of a job without room in memory, in seconds. Random
+# values keep callers from coming back at the same time.
+_NO_MEMORY_RETRY_AFTER_S = (1, 3)
+# A larger job waits for its turn to be decoded. 262,144 bytes with 1,300 steps
+# take some milliseconds.
+_LARGE_BODY_BYTES = 8_192
+
+
+class _LargeRequest(typing.NamedTuple):
+    """A large job that waits to be decoded.
+
+    Compared by the first two fields, which differ.
+    """
+
+    n_bytes: int
+    number: int
+    connection: http1.Connection
+    request: http1.Request
+    route: node.Route
+    job_id: str
 
 
 class Ingress:
     """Converts callers' requests to jobs and job outcomes to responses.
 
     :param instance: node that the jobs are submitted to
+    :param random_state: source of the random parts of Retry-After
     """
 
-    def __init__(self, instance: node.Node):
+    def __init__(
+        self, instance: node.Node, random_state: random.Random | None = None
+    ):
         self.instance = instance
+        self.random_state = random_state or random.Random()
+        # The smallest first.
+        self._large: list[_LargeRequest] = []
+        self._numbers = itertools.count()
+        self._has_large = trio.Event()
+
+    async def run(self) -> None:
+        """Decode the large jobs, one in a turn of the event loop.
+
+        A crowd of them then keeps neither heartbeats nor small requests
+        waiting.
+        """
+        while True:
+            await self._has_large.wait()
+            while self._large:
+                large = heapq.heappop(self._large)
+                if large.connection.current_request is large.request:
+                    self._decode(
+                        large.connection,
+                        large.request,
+                        large.route,
+                        large.job_id,
+                    )
+                await trio.lowlevel.checkpoint()
+            self._has_large = trio.Event()
 
     def on_request(
         self, connection: http1.Connection, request: http1.Request
@@ -70,6 +122,49 @@
         route: node.Route,
         job_id: str,
     ) -> None:
+        # The context of the previous request of the connection.
+        connection.context = None
+        n_bytes = len(request.body)
+        if not connection.has_room(dispatch.encoded_bytes(request.body)):
+            self._refuse_for_memory(connection, job_id)
+        elif n_bytes > _LARGE_BODY_BYTES:
+            heapq.heappush(
+                self._large,
+                _LargeRequest(
+                    n_bytes,
+                    next(self._numbers),
+                    connection,
+                    request,
+                    route,
+                    job_id,
+                ),
+            )
+            self._has_large.set()
+        else:
+            self._decode(connection, request, route, job_id)
+
+    def _refuse_for_memory(
+        self, connection: http1.Connection, job_id: str
+    ) -> None:
+        self.instance.counters['jobs_refused_memory'] += 1
+        if job_id in self.instance.pending:
+            # An earlier request has submitted the job, which may run.
+            _respond(connection, 502, {'error': dispatch.NO_MEMORY})
+        else:
+            _respond_unavailable(
+                connection,
+                dispatch.NO_MEMORY,
+                self.random_state.randint(*_NO_MEMORY_RETRY_AFTER_S),
+            )
+
+    def _decode(
+        self,
+        connection: http1.Connection,
+        request: http1.Request,
+        route: node.Route,
+        job_id: str,
+    ) -> None:
+        """Submit a job that its request contains."""
         try:
             job = _wire.decode_job(job_id, route.queue, request.body)
         except _wire.UnsupportedError as exc:
@@ -80,10 +175,14 @@
             node.log('job_refused', job=job_id, reason=str(exc)[:200])
             _respond(connection, 400, {'error': str(exc)[:200]})
             return
+        if not connection.hold_handled(dispatch.pending_bytes(job)):
+            self._refuse_for_memory(connection, job_id)
+            return
         deadline_s = request.arrived_s + _parse_timeout_s(request)
+        current_request = connection.current_request
 
         def on_outcome(outcome: dispatch.Outcome) -> None:
-            if connection.current_request is request:
+            if connection.current_request is current_request:
                 _respond_outcome(connection, outcome)
 
         connection.context = (job_id, on_outcome)
--- a/tests/http1/test_reception.py
+++ b/tests/http1/test_reception.py
@@ -6,6 +6,7 @@
 import trio
 
 from orioleloom import http1
+from orioleloom import memory
 
 CHUNKED = b'POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
 PLATFORM_LIMITS = http1.Limits(16_384, 262_144, 3.0, 15.0)
@@ -208,3 +209,49 @@
         with trio.fail_after(2):
             assert (await stream.receive_some()).startswith(b'HTTP/1.1 200')
         assert test.server.counters['closed_for_connections'] == 1
+
+
+async def test_result_of_a_request_counts_instead_of_its_body():
+    """Guards against a body that stays beside the job that it became."""
+    body = b'POST /x HTTP/1.1\r\nContent-Length: 9000\r\n\r\n' + 9_000 * b'x'
+    budget = http1.Budget(100_000)
+    async with running(answers=False, budget=budget) as test:
+        await test.connect(body)
+        await test.wait(lambda: test.requests)
+        connection, request = test.requests[0]
+        assert connection.hold_handled(30_000)
+        assert budget.held_bytes > 30_000
+        assert len(request.body) == 9_000
+        assert connection.current_request.body == b''
+        assert not connection.hold_handled(200_000)
+        connection.respond(200)
+        assert budget.held_bytes == 0
+
+
+async def test_slow_requests_make_room_for_a_complete_one():
+    """Guards against clients that stop short and shut out whole requests."""
+    part = b'POST /x HTTP/1.1\r\nContent-Length: 30000\r\n\r\n' + 20_000 * b'x'
+    budget = http1.Budget(100_000)
+    async with running(answers=False, budget=budget) as test:
+        stalled = [await test.connect(part) for _ in range(3)]
+        await test.wait(lambda: budget.held_bytes > 60_000)
+        await trio.sleep(0.3)
+        await test.connect(b'GET / HTTP/1.1\r\n\r\n')
+        await test.wait(lambda: test.requests)
+        assert test.requests[0][0].hold_handled(30_000)
+        answer = await receive_all(stalled[0])
+        assert answer.startswith(b'HTTP/1.1 503')
+
+
+async def test_jobs_of_the_process_leave_less_room():
+    """Guards against two budgets that are each kept, but not together."""
+    process = memory.Budget(100_000)
+    budget = http1.Budget(50_000, process)
+    process.add_job(70_000)
+    part = b'POST /x HTTP/1.1\r\nContent-Length: 30000\r\n\r\n' + 15_000 * b'x'
+    async with running(budget=budget) as test:
+        await test.connect(part)
+        await test.wait(lambda: budget.held_bytes > 15_000)
+        assert process.reception_bytes == budget.held_bytes
+        await test.connect(part)
+        await test.wait(lambda: test.server.counters['closed_for_memory'])
--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -32,12 +32,14 @@
 
 # One client in this many sends its request completely.
 _COMPLETE_EVERY = 10
-_SAMPLE_INTERVAL_S = 0.05
+SAMPLE_INTERVAL_S = 0.05
 # A crowd is quiet once it has sent nothing for this long. On a busy machine
 # 0.5 s can pass before its first bytes.
 _QUIET_S = 2.0
+# Line that the process of a crowd writes once the crowd is quiet.
+QUIET = 'quiet'
 # Generous time-outs, so that a hang fails a test instead of stopping it.
-_CROWD_TIMEOUT_S = 20.0
+CROWD_TIMEOUT_S = 20.0
 _ANSWER_TIMEOUT_S = 5.0
 
 
@@ -49,15 +51,25 @@
 )
 
 
+# Stands for the id of a client's job in what it sends.
+JOB_ID = b'%016x' % 2
+
+
 class Crowd(typing.NamedTuple):
     """Clients that behave alike.
 
-    :param pieces: what a client sends, in pieces; the last byte of the last
-        one is kept back
+    :param pieces: what a client sends, in pieces; ``JOB_ID`` is replaced by
+        an id of its own
+    :param complete_every: one client in this many sends its request
+        completely; the others keep back the last byte of the last piece
+    :param first_job_id: number of the first client's job; those of the others
+        follow
     """
 
     n_clients: int
     pieces: typing.Sequence[bytes]
+    complete_every: int = _COMPLETE_EVERY
+    first_job_id: int = 1_000
 
 
 class Seen(typing.NamedTuple):
@@ -75,7 +87,7 @@
     status: int
 
 
-class _Process:
+class Process:
     """Memory and descriptors of a process, from ``/proc``."""
 
     def __init__(self, pid: int, ip: str):
@@ -116,92 +128,115 @@
             )
 
 
+def write_settings(
+    site: wire.Site,
+    instance: soak.Instance,
+    n_instances: int,
+    memory_mb: int = MEMORY_MB,
+) -> None:
+    """Write the settings of an instance, with the limits of the tests."""
+    settings = site.settings(instance.number, n_instances)
+    settings['limits'] |= {'memoryMb': memory_mb, 'maxFds': MAX_FDS}
+    instance.path.write_bytes(msgspec.json.encode(settings))
+
+
+def configure(site: wire.Site, *routes: dict[str, typing.Any]) -> None:
+    """Write the limits that the platform has by default.
+
+    :param routes: routes to add
+    """
+    value, *_ = site.store.rows['op']['config']
+    config = msgspec.json.decode(base64.b64decode(value))
+    config['version'] += 1
+    config['routes'] += routes
+    config['limits'] = {
+        'maxHeaderBytes': MAX_HEADER_BYTES,
+        'maxBodyBytes': MAX_BODY_BYTES,
+        'headerTimeoutMs': 3_000,
+        'idleTimeoutMs': 15_000,
+    }
+    site.store.put('op', 'config', config)
+
+
+async def wait_ready(site: wire.Site, number: int) -> None:
+    """Wait until an instance is ready for callers."""
+    client = http1.Client()
+    with trio.fail_after(soak.READY_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(http1.NotSentError, http1.NoAnswerError):
+                response = await client.request(
+                    f'{site.ip(number)}:8167', 'GET', '/readyz'
+                )
+                if response.status == 200:
+                    break
+            await trio.sleep(0.05)
+    client.close()
+
+
+async def run_clients(
+    address: str,
+    crowd: Crowd,
+    *,
+    task_status: trio.TaskStatus[trio.Process] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run the process of a crowd until cancelled.
+
+    :param address: of the instance that the crowd calls
+    """
+    await trio.run_process(
+        [sys.executable, '-m', __name__],
+        stdin=msgspec.msgpack.encode((address, *crowd)),
+        stdout=subprocess.PIPE,
+        cwd=pathlib.Path(__file__).parents[2],
+        task_status=task_status,
+    )
+
+
+async def request_ordinary(address: str, number: int = 1) -> int:
+    """Return the status of an ordinary request; 0 if it gets no answer.
+
+    :param number: number of the job
+    """
+    with trio.move_on_after(_ANSWER_TIMEOUT_S):
+        with contextlib.suppress(http1.NotSentError, http1.NoAnswerError):
+            response = await http1.Client().request(
+                address,
+                'POST',
+                f'/check/{number:016x}',
+                _ORDINARY_JOB,
+                host=wire.HOST,
+            )
+            return response.status
+    return 0
+
+
 class _Run:
     def __init__(self, site: wire.Site, crowd: Crowd, folder: str):
         self.site = site
         self.crowd = crowd
         self.instance = soak.Instance(site, 1, 1, folder)
-        self.process: _Process | None = None
-
-    def _write_settings(self) -> None:
-        settings = self.site.settings(1, 1)
-        settings['limits'] |= {'memoryMb': MEMORY_MB, 'maxFds': MAX_FDS}
-        self.instance.path.write_bytes(msgspec.json.encode(settings))
-
-    def _configure(self) -> None:
-        """Write the limits that the platform has by default."""
-        value, *_ = self.site.store.rows['op']['config']
-        config = msgspec.json.decode(base64.b64decode(value))
-        config['version'] += 1
-        config['limits'] = {
-            'maxHeaderBytes': MAX_HEADER_BYTES,
-            'maxBodyBytes': MAX_BODY_BYTES,
-            'headerTimeoutMs': 3_000,
-            'idleTimeoutMs': 15_000,
-        }
-        self.site.store.put('op', 'config', config)
+        self.process: Process | None = None
 
     async def _sample(self) -> None:
         while True:
             self.process.sample()
-            await trio.sleep(_SAMPLE_INTERVAL_S)
-
-    async def _start_clients(
-        self,
-        *,
-        task_status: trio.TaskStatus[trio.Process] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Run the crowd's process until cancelled."""
-        order = (self.instance.address, *self.crowd)
-        await trio.run_process(
-            [sys.executable, '-m', __name__],
-            stdin=msgspec.msgpack.encode(order),
-            stdout=subprocess.PIPE,
-            cwd=pathlib.Path(__file__).parents[2],
-            task_status=task_status,
-        )
-
-    async def _answer(self) -> int:
-        """Return the status of an ordinary request."""
-        with trio.move_on_after(_ANSWER_TIMEOUT_S):
-            with contextlib.suppress(http1.NotSentError, http1.NoAnswerError):
-                response = await http1.Client().request(
-                    self.instance.address,
-                    'POST',
-                    f'/check/{1:016x}',
-                    _ORDINARY_JOB,
-                    host=wire.HOST,
-                )
-                return response.status
-        return 0
-
-    async def _wait_ready(self) -> None:
-        client = http1.Client()
-        with trio.fail_after(soak.READY_TIMEOUT_S):
-            while True:
-                with contextlib.suppress(
-                    http1.NotSentError, http1.NoAnswerError
-                ):
-                    response = await client.request(
-                        f'{self.site.ip(1)}:8167', 'GET', '/readyz'
-                    )
-                    if response.status == 200:
-                        break
-                await trio.sleep(0.05)
-        client.close()
+            await trio.sleep(SAMPLE_INTERVAL_S)
 
     async def run(self, nursery: trio.Nursery) -> Seen:
-        self._configure()
-        self._write_settings()
+        configure(self.site)
+        write_settings(self.site, self.instance, 1)
         self.instance.start()
-        await self._wait_ready()
-        self.process = _Process(self.instance.process.pid, self.site.ip(1))
+        await wait_ready(self.site, 1)
+        self.process = Process(self.instance.process.pid, self.site.ip(1))
         nursery.start_soon(self._sample)
-        clients = await nursery.start(self._start_clients)
-        with trio.move_on_after(_CROWD_TIMEOUT_S):
+        clients = await nursery.start(
+            run_clients, self.instance.address, self.crowd
+        )
+        with trio.move_on_after(CROWD_TIMEOUT_S):
             # They say so once they are quiet.
-            await clients.stdout.receive_some()
-        status = await self._answer()
+            while QUIET.encode() not in await clients.stdout.receive_some():
+                pass
+        status = await request_ordinary(self.instance.address)
         self.process.sample()
         return Seen(
             self.instance.process.poll() is None,
@@ -236,42 +271,58 @@
 class _Clients:
     """The crowd, in its own process."""
 
-    def __init__(self, address: str, n_clients: int, pieces: list[bytes]):
+    def __init__(self, address: str, *crowd: typing.Any):
         self.address = address
-        self.n_clients = n_clients
-        self.pieces = pieces
+        self.crowd = Crowd(*crowd)
         self.sent_s = 0.0
-        self.n_sending = n_clients
+        self.n_sending = self.crowd.n_clients
 
     async def _send(self, number: int) -> None:
         """Send a request and keep the connection open."""
-        is_complete = number % _COMPLETE_EVERY == 0
+        crowd = self.crowd
+        is_complete = number % crowd.complete_every == 0
+        job_id = b'%016x' % (crowd.first_job_id + number)
         host, port = self.address.split(':')
+        stream = None
         try:
             stream = await trio.open_tcp_stream(host, int(port))
-            *pieces, last = self.pieces
+            *pieces, last = crowd.pieces
             for piece in (*pieces, last if is_complete else last[:-1]):
-                await stream.send_all(piece)
+                await stream.send_all(piece.replace(JOB_ID, job_id))
                 self.sent_s = trio.current_time()
         except (OSError, trio.BrokenResourceError):
             # The server has closed the connection.
             pass
         finally:
             self.n_sending -= 1
+        if stream is not None and is_complete:
+            await self._report_refusal(stream, job_id)
         await trio.sleep_forever()
 
+    @staticmethod
+    async def _report_refusal(
+        stream: trio.SocketStream, job_id: bytes
+    ) -> None:
+        """Write the id of a job that is refused as not run."""
+        try:
+            response = await stream.receive_some(4_096)
+        except (OSError, trio.BrokenResourceError):
+            return
+        if response.startswith(b'HTTP/1.1 503'):
+            print(job_id.decode(), flush=True)
+
     async def run(self) -> None:
         """Send all requests; write a line once that is over."""
         self.sent_s = trio.current_time()
         async with trio.open_nursery() as nursery:
-            for number in range(self.n_clients):
+            for number in range(self.crowd.n_clients):
                 nursery.start_soon(self._send, number)
             while self.n_sending:
-                await trio.sleep(_SAMPLE_INTERVAL_S)
+                await trio.sleep(SAMPLE_INTERVAL_S)
                 # Clients whose bytes the server does not take are done, too.
                 if trio.current_time() > self.sent_s + _QUIET_S:
                     break
-            print('quiet', flush=True)
+            print(QUIET, flush=True)
 
 
 if __name__ == '__main__':
