Let jobs that can wait pass a short backlog of the leader

What callers saw: beside a crowd of large jobs on a busy machine, an ordinary job with an objective of 4.9 s was answered 503 'leader overloaded'.

Cause: a new job was refused as soon as the leader had 30 ms of starts before it. That is what jobs with the shortest objectives can wait, but it was applied to all. At 80 starts a second, three waiting tasks were enough.

Change: the limit is a tenth of the time that the job can wait and still meet its objective, and at least 30 ms as before.

The new test fails without the change.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -1047,7 +1047,7 @@
             and not may_have_run
             and not self._foreign_runs.has_job(job.id)
         )
-        if has_certainly_not_run and self.pacer.is_overloaded():
+        if has_certainly_not_run and self._is_overloaded(job):
             self._refuse(job.id, instance_id, now_s)
             return
         state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
@@ -1084,6 +1084,14 @@
         self._refuse_unservable((state,), now_s)
         self._request_placement(now_s)
 
+    def _is_overloaded(self, job: _records.Job) -> bool:
+        """Return whether a new job would wait too long for this dispatcher."""
+        if not self.pacer.is_overloaded():
+            return False
+        expected_s = _jobs.critical_path_s(job, self.run_times)
+        slack_s = _jobs.allowed_time_s(job.queue, expected_s) - expected_s
+        return self.pacer.is_overloaded(slack_s)
+
     def running_job_ids(self, now_s: float) -> set[str] | None:
         """Return the jobs that may have runs, also those that have ended.
 
--- a/src/orioleloom/dispatch/_pacing.py
+++ b/src/orioleloom/dispatch/_pacing.py
@@ -10,6 +10,9 @@
 # A job is refused if the starts that wait before it take longer. It is less
 # than the time that callers with the shortest objectives allow for the queue.
 _MAX_BACKLOG_S = 0.03
+# A job with a later objective is refused only if they take longer than this
+# share of the time that it can wait.
+_MAX_SLACK_SHARE = 0.1
 # Weight of the latest round in the rate of starts.
 _RATE_WEIGHT = 0.2
 
@@ -77,9 +80,13 @@
         if self._n_waiting:
             self._n_waiting += n_tasks
 
-    def is_overloaded(self) -> bool:
-        """Return whether a new job would wait too long for the leader."""
+    def is_overloaded(self, slack_s: float = 0.0) -> bool:
+        """Return whether a new job would wait too long for the leader.
+
+        :param slack_s: how long the job can wait and meet its objective
+        """
+        max_backlog_s = max(_MAX_BACKLOG_S, _MAX_SLACK_SHARE * slack_s)
         return (
             self._starts_per_s > 0
-            and self._n_waiting > _MAX_BACKLOG_S * self._starts_per_s
+            and self._n_waiting > max_backlog_s * self._starts_per_s
         )
--- a/src/orioleloom_standins/leased/_disruptions.py
+++ b/src/orioleloom_standins/leased/_disruptions.py
@@ -207,7 +207,7 @@
                         pacers.append(instance.leader.dispatcher.pacer)
                         # One task a round, and no time for others.
                         pacers[-1].max_starts = 1
-                        pacers[-1].is_overloaded = lambda: True
+                        pacers[-1].is_overloaded = lambda *_: True
                 await trio.sleep(0.005)
             for pacer in pacers:
                 pacer.__dict__.pop('is_overloaded', None)
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -227,3 +227,17 @@
     submit(dispatcher, job, now_s)
     (start,) = take(dispatcher, dispatch.StartRun)
     assert start.worker == other_worker
+
+
+def test_job_that_can_wait_is_not_refused():
+    """Guards against refusing jobs that a short backlog does not hurt."""
+    dispatcher = new_dispatcher()
+    now_s = overload(dispatcher)
+    job = new_job(1_000, n_tasks=1)
+    submit(dispatcher, job, now_s)
+    (refusal,) = take(dispatcher, dispatch.AnswerJob)
+    assert refusal.outcome.reason == dispatch.OVERLOADED
+    step = job.steps[0]._replace(estimate_s=30.0)
+    submit(dispatcher, job._replace(id='f' * 16, steps=(step,)), now_s)
+    assert not take(dispatcher, dispatch.AnswerJob)
+    assert 'f' * 16 in dispatcher.jobs
