Bound the jobs that a leader takes over, and ask it for room first

What callers saw: 250 bytes of JSON that ask for 1,000 tasks cost a leader two thirds of a megabyte. A few hundred such jobs, spread over all instances, ended the leader of a small fleet, and then the next one, to which the followers submitted them again. Ordinary requests had no answer meanwhile.

Cause: nothing counted the jobs of a leader, where those of all instances add up, each within its own budget. Frames of large jobs waited in the leader's socket before it could refuse them, and every start of a long job was encoded at once.

Change: a dispatcher holds each job by its bytes, steps and tasks in the budget of its process, together with reception, and refuses it if there is no room; a large job leaves room for smaller ones. A follower asks for room before it submits a large job, so that a refusal costs a frame and what arrives is within the budget. Leaders of earlier builds are not asked. An earlier submission that may have run makes the refusal unknown instead of not run. A leader submits large jobs of its own callers one in a turn of the event loop, and start requests with long payloads have a share of the budget.

--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -11,6 +11,7 @@
 from orioleloom.dispatch import _foreign_runs
 from orioleloom.dispatch import _holds
 from orioleloom.dispatch import _interference
+from orioleloom.dispatch import _job_memory
 from orioleloom.dispatch import _jobs
 from orioleloom.dispatch import _late_starts
 from orioleloom.dispatch import _locality
@@ -25,6 +26,7 @@
 from orioleloom.dispatch import _tails
 from orioleloom.dispatch import _worker_lists
 from orioleloom.dispatch import _workers
+from orioleloom import memory
 
 # New runs get ids that grow with time at this rate, so that a later
 # dispatcher of the same task uses a higher id without a write to the store.
@@ -51,6 +53,8 @@
 _N_QUICK_STOPS = 4
 _SLOW_STOP_INTERVAL_S = 0.175
 _STOP_INTERVAL_S = 0.035
+# How long memory stays reserved for a job that has not arrived.
+_RESERVATION_S = 1.0
 # How long a worker with foreign runs may hold a poll. Its lease is renewed
 # with the first poll after these have ended or were taken over.
 _FOREIGN_POLL_WAIT_S = 0.05
@@ -85,6 +89,7 @@
     :param earlier_list: workers that it used, if there was one
     :param earlier_running_job_ids: the jobs that may have runs, if it has
         named them all when it handed over
+    :param job_account: memory of the jobs; its owner closes it
     """
 
     def __init__(
@@ -99,11 +104,13 @@
         earlier_list: _worker_lists.ListInUse | None = None,
         earlier_running_job_ids: typing.Collection[str] | None = None,
         settings: _settings.Settings = _settings.Settings(),
+        job_account: memory.JobAccount | None = None,
     ):
         self.token = token
         self.run_id_base = run_id_base
         self.random_state = random_state
         self.settings = settings
+        self.job_account = job_account or memory.JobAccount(memory.Budget())
         self.created_s = now_s
         self.is_fleet_wide = is_fleet_wide
         self.workers: dict[str, _workers.Worker] = {}
@@ -186,6 +193,9 @@
         self._loss_detector = _loss_detector.LossDetector()
         self._late_starts = _late_starts.LateStarts()
         self.pacer = _pacing.StartPacer()
+        self.start_payloads = _job_memory.StartPayloads(
+            self.job_account.budget.limit_bytes
+        )
         # Room that the latest round has left to tasks that come later, by
         # upstream, if it was limited.
         self._free_places: dict[str, int] = {}
@@ -1029,35 +1039,37 @@
             return
         recent = self._recent_outcomes.get(job.id)
         if recent is not None and recent[0].is_result():
+            self.job_account.release(job.id)
             self._effects.append(
                 _records.AnswerJob(job.id, instance_id, recent[0])
             )
             return
-        # Tasks of an earlier submission may have run, so that this one must
-        # not be refused as not run.
-        may_have_run = job.id in self._unknown_ended_s or (
-            self.crashes.has_suspects(job.id)
-        )
-        is_held_new = last_contact_s is None and self.holds.must_hold_new(
-            job.id, now_s
-        )
-        has_certainly_not_run = (
-            last_contact_s is None
-            and not is_held_new
-            and not may_have_run
-            and not self._foreign_runs.has_job(job.id)
+        has_certainly_not_run = last_contact_s is None and (
+            not self._may_have_run(job.id, now_s)
         )
         if has_certainly_not_run and self._is_overloaded(job):
             self._refuse(job.id, instance_id, now_s)
             return
+        if not self.job_account.hold(
+            job.id,
+            _job_memory.led_bytes(job),
+            is_urgent=last_contact_s is not None,
+        ):
+            refusal = self._no_memory(job.id, not has_certainly_not_run, now_s)
+            self._answer_refused(job.id, instance_id, refusal, now_s)
+            return
         state = _jobs.JobState(job, instance_id, arrived_s, deadline_s, now_s)
-        state.may_have_run_elsewhere = may_have_run
+        state.may_have_run_elsewhere = (
+            job.id in self._unknown_ended_s
+            or self.crashes.has_suspects(job.id)
+        )
         state.set_expected_run_time(_jobs.critical_path_s(job, self.run_times))
         state.set_work(_jobs.total_work_s(job, self.run_times))
         if has_certainly_not_run:
             match self.admission.decide(state, now_s):
                 case _admission.Refuse() as refusal:
                     self.counters['jobs_refused_capacity'] += 1
+                    self.job_account.release(job.id)
                     state.drop_tasks()
                     self._answer_refused(
                         job.id, instance_id, refusal.outcome(), now_s
@@ -1076,7 +1088,7 @@
             self.holds.hold_handed_over(
                 state, last_contact_s, list_in_use, now_s
             )
-        elif is_held_new:
+        elif self.holds.must_hold_new(job.id, now_s):
             self.holds.hold_new(state)
         self._claim_foreign_runs(state, now_s)
         if state.held_until_s <= now_s:
@@ -1110,10 +1122,62 @@
     def _refuse(self, job_id: str, instance_id: str, now_s: float) -> None:
         """Refuse a new job that would wait too long for this dispatcher."""
         self.counters['jobs_refused_overload'] += 1
+        self.job_account.release(job_id)
         retry_after_s = self._expiry.retry_after_s()
         outcome = _admission.Refuse(OVERLOADED, retry_after_s).outcome()
         self._answer_refused(job_id, instance_id, outcome, now_s)
 
+    def _no_memory(
+        self, job_id: str, may_have_run: bool, now_s: float
+    ) -> _records.Outcome:
+        """Return the outcome of a job for which there is no memory.
+
+        :param may_have_run: an earlier submission of the job may have run
+        """
+        self.counters['jobs_refused_memory'] += 1
+        kind = _records.OutcomeKind.NOT_RUN
+        if may_have_run:
+            kind = _records.OutcomeKind.UNKNOWN
+            self._unknown_ended_s.pop(job_id, None)
+            self._unknown_ended_s[job_id] = now_s
+        return _records.Outcome(kind, NO_MEMORY, self._expiry.retry_after_s())
+
+    def reserve_memory(
+        self, job_id: str, n_bytes: int, *, was_submitted: bool, now_s: float
+    ) -> _records.Outcome | None:
+        """Reserve memory for a job that an instance is about to submit.
+
+        :param n_bytes: memory that the job takes here
+        :param was_submitted: the job was submitted to another dispatcher
+        :returns: the outcome of the job if there is no memory for it
+        """
+        recent = self._recent_outcomes.get(job_id)
+        if (
+            job_id in self.jobs
+            or (recent is not None and recent[0].is_result())
+            or self.job_account.reserve(
+                job_id,
+                n_bytes,
+                now_s + _RESERVATION_S,
+                is_urgent=was_submitted,
+            )
+        ):
+            return None
+        may_have_run = was_submitted or self._may_have_run(job_id, now_s)
+        return self._no_memory(job_id, may_have_run, now_s)
+
+    def _may_have_run(self, job_id: str, now_s: float) -> bool:
+        """Return whether an earlier submission of a job may have run.
+
+        A new one must not be refused as not run then.
+        """
+        return (
+            job_id in self._unknown_ended_s
+            or self.crashes.has_suspects(job_id)
+            or self.holds.must_hold_new(job_id, now_s)
+            or self._foreign_runs.has_job(job_id)
+        )
+
     def _answer_refused(
         self,
         job_id: str,
@@ -1233,7 +1297,9 @@
     ) -> None:
         """Cancel a job whose caller has disconnected."""
         job = self.jobs.get(job_id)
-        if job is not None and job.instance_id == instance_id:
+        if job is None:
+            self.job_account.release(job_id)
+        elif job.instance_id == instance_id:
             self._finish_job(
                 job,
                 _records.Outcome(_records.OutcomeKind.UNKNOWN, reason),
@@ -1278,6 +1344,7 @@
             del self._tasks[task.key]
             if task.run is not None:
                 self._stop_run(task.run, now_s)
+        self.job_account.release(job.job.id)
         self.counters[f'jobs_{outcome.kind}'] += 1
         if send_answer:
             # Jobs whose callers have left say nothing of the capacity.
@@ -1346,6 +1413,9 @@
         # The round has not come to all jobs. The next one continues.
         self._search_all_workers = self._needs_placement = is_limited
         for start in starts:
+            if not self.start_payloads.add(start.task.job.job.payload):
+                # It waits for the next round.
+                continue
             start.task.job.waiting.remove(start.task)
             self._start_run(start.task, start.worker, now_s)
         self.admission.record_round(waiting, now_s)
@@ -1423,6 +1493,7 @@
         self._refuse_unservable(self.jobs.values(), now_s)
         self._refuse_waiting_jobs(now_s)
         self._drop_old_results(now_s)
+        self.job_account.release_expired(now_s)
         self._request_placement(now_s)
 
     def _read_old_clocks(self, now_s: float) -> None:
--- a/src/orioleloom/dispatch/_job_memory.py
+++ b/src/orioleloom/dispatch/_job_memory.py
@@ -12,6 +12,8 @@
 _TASK_BYTES = 640
 # The payload, and its copy in a message or in the requests to workers.
 _PAYLOAD_COPIES = 2
+# Share of the budget that start requests without an answer may take.
+_START_PAYLOADS_SHARE = 1 / 16
 # Jobs up to these sizes are sent to the leader without asking for room.
 _MAX_SMALL_BYTES = 65_536
 _MAX_SMALL_PAYLOAD_BYTES = 4_096
@@ -59,3 +61,40 @@
         len(job.payload) > _MAX_SMALL_PAYLOAD_BYTES
         or led_bytes(job) > _MAX_SMALL_BYTES
     )
+
+
+class StartPayloads:
+    """Bounds the memory of start requests that have no answer yet.
+
+    Each of them has a copy of the payload, so that a job of a thousand tasks
+    with a long payload would take a thousand times its size. Only payloads
+    longer than those of usual jobs count.
+
+    :param limit: limit of the process's budget, of which this is a share
+    """
+
+    def __init__(self, limit: int):
+        self.limit_bytes = limit * _START_PAYLOADS_SHARE
+        self.n_bytes = 0
+
+    def add(self, payload: str) -> bool:
+        """Count a request; return false if it has to wait for others."""
+        n_bytes = self._counted_bytes(payload)
+        if (
+            n_bytes
+            and self.n_bytes
+            and (self.n_bytes + n_bytes > self.limit_bytes)
+        ):
+            return False
+        self.n_bytes += n_bytes
+        return True
+
+    def remove(self, payload: str) -> None:
+        """No longer count a request that has ended."""
+        self.n_bytes -= self._counted_bytes(payload)
+
+    @staticmethod
+    def _counted_bytes(payload: str) -> int:
+        if len(payload) <= _MAX_SMALL_PAYLOAD_BYTES:
+            return 0
+        return _PAYLOAD_COPIES * sys.getsizeof(payload)
--- a/src/orioleloom/node/_leader.py
+++ b/src/orioleloom/node/_leader.py
@@ -5,6 +5,7 @@
 
 from orioleloom import dispatch
 from orioleloom import leadership
+from orioleloom import memory
 from orioleloom.node import _follower
 from orioleloom.node import _leader_load
 from orioleloom.node import _load_shedding
@@ -76,6 +77,7 @@
         named them all when it handed over
     :param random_state: source of the random numbers of its dispatcher
     :param loop_monitor: monitor of the event loop that the leader runs in
+    :param memory_budget: budget of the process
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         now_s: float,
         random_state: random.Random,
         loop_monitor: _loop_monitor.LoopMonitor,
+        memory_budget: memory.Budget | None = None,
         settings: dispatch.Settings = dispatch.Settings(),
     ):
         self.instance_id = instance_id
@@ -117,6 +120,7 @@
             earlier_list=earlier_list,
             earlier_running_job_ids=earlier_running_job_ids,
             settings=settings,
+            job_account=memory.JobAccount(memory_budget or memory.Budget()),
         )
         self.load = _leader_load.LeaderLoad(loop_monitor, now_s)
         self.wait_sender = _load_shedding.WaitSender(send, term)
@@ -162,6 +166,7 @@
         """Deliver the known outcomes and send no more worker requests."""
         self.is_closed = True
         self._process_effects()
+        self.dispatcher.job_account.close()
         self._cancel_scope.cancel()
 
     # Effects
@@ -234,6 +239,12 @@
             )
 
     async def _start_run(self, command: dispatch.StartRun) -> None:
+        try:
+            await self._request_start(command)
+        finally:
+            self.dispatcher.start_payloads.remove(command.payload)
+
+    async def _request_start(self, command: dispatch.StartRun) -> None:
         dispatcher = self.dispatcher
         worker_id = command.worker.id
         run_args = (worker_id, command.key, command.run_id)
@@ -522,6 +533,14 @@
         alive: list[str] | None,
         n_unstarted: dict[str, int],
     ) -> None:
+        if follower.is_out_of_contact or (
+            self.sequence % _ALIVE_LIST_HEARTBEAT_RATIO == 0
+        ):
+            # Before the first jobs of the follower.
+            self.send(
+                follower.instance_id,
+                _messages.RoomRequestsAccepted(self.term),
+            )
         self.send(
             follower.instance_id,
             _messages.Beat(
@@ -639,6 +658,25 @@
         )
         self.schedule_effects()
 
+    def handle_room_request(
+        self, member_id: str, message: _messages.RoomRequest, now_s: float
+    ) -> None:
+        """Reserve memory for a follower's job, or refuse it."""
+        follower = self.get_or_add_follower(member_id)
+        if message.session != follower.session or follower.is_out_of_contact:
+            # It asks again after the next heartbeat.
+            return
+        refusal = self.dispatcher.reserve_memory(
+            message.job_id,
+            message.n_bytes,
+            was_submitted=message.was_submitted,
+            now_s=now_s,
+        )
+        self.send(
+            member_id,
+            _messages.RoomReply(self.term, message.job_id, refusal),
+        )
+
     def handle_cancellation(
         self, member_id: str, message: _messages.CancelJob, now_s: float
     ) -> None:
--- a/src/orioleloom/node/_messages.py
+++ b/src/orioleloom/node/_messages.py
@@ -113,6 +113,41 @@
     list_in_use: dispatch.ListInUse = dispatch.ListInUse()
 
 
+class RoomRequest(typing.NamedTuple):
+    """Asks the leader for memory for a large job, before it is submitted.
+
+    It is a message of its own, since earlier builds ignore an unknown message
+    and reject unknown fields. As they do not answer it, it is sent only to a
+    leader that has sent :class:`RoomRequestsAccepted`.
+
+    :param n_bytes: memory that the job takes at the leader
+    :param was_submitted: the job was submitted to an earlier leader
+    """
+
+    term: _Natural
+    session: _Natural
+    job_id: str
+    n_bytes: _Natural
+    was_submitted: bool
+
+
+class RoomReply(typing.NamedTuple):
+    """Reply to a :class:`RoomRequest`.
+
+    :param refusal: outcome of the job if there is no memory for it
+    """
+
+    term: _Natural
+    job_id: str
+    refusal: dispatch.Outcome | None
+
+
+class RoomRequestsAccepted(typing.NamedTuple):
+    """Tells a follower that the leader answers a :class:`RoomRequest`."""
+
+    term: _Natural
+
+
 class CancelJob(typing.NamedTuple):
     """Cancels a job, usually because its caller has disconnected."""
 
@@ -235,6 +270,9 @@
     | Beat
     | BeatReply
     | SubmitJob
+    | RoomRequest
+    | RoomReply
+    | RoomRequestsAccepted
     | CancelJob
     | JobEnded
     | JobUnknown
--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -9,6 +9,7 @@
 
 from orioleloom import dispatch
 from orioleloom import leadership
+from orioleloom import memory
 from orioleloom.node import _crash_rows
 from orioleloom.node import _evacuations
 from orioleloom.node import _leader
@@ -86,6 +87,7 @@
         leaders that it creates
     :param incarnation: unique name of this start of the instance
     :param loop_monitor: monitor of the event loop that the node runs in
+    :param memory_budget: budget of the process
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         random_state: random.Random,
         incarnation: str,
         loop_monitor: _loop_monitor.LoopMonitor | None = None,
+        memory_budget: memory.Budget | None = None,
     ):
         self.settings = settings
         self.store = store
@@ -109,6 +112,7 @@
         self.random_state = random_state
         self.incarnation = incarnation
         self.loop_monitor = loop_monitor or _loop_monitor.LoopMonitor()
+        self.memory_budget = memory_budget or memory.Budget()
         self.peer_socket = peer_socket or peer_api.PeerSocket(
             settings.peer_bind, f'{settings.instance_id}/{self.incarnation}'
         )
@@ -126,6 +130,11 @@
         )
         self.leader: _leader.Leader | None = None
         self.load_shedding = _load_shedding.LoadShedding()
+        # Id and term of the latest leader that answers requests for memory.
+        self._room_leader: tuple[str, int] | None = None
+        # Large jobs of callers here that this instance is about to lead.
+        self._large_job_ids: collections.deque[str] = collections.deque()
+        self._has_large_jobs = trio.Event()
         self.pending: dict[str, _pending.PendingJob] = {}
         self.peers = _peers.PeerDirectory(
             local_sender=self.local_sender,
@@ -216,6 +225,7 @@
                 self._schedule_store_heartbeat,
             )
             nursery.start_soon(self._receive)
+            nursery.start_soon(self._submit_large_jobs)
             for name, function in (
                 ('routing watch', self.operator_rows.watch.run),
                 ('worker watch', self._watch_workers),
@@ -435,6 +445,11 @@
                 self._handle_message(sender, message, trio.current_time())
             except Exception:
                 _log.log_unexpected_error(f'{type(message).__name__} message')
+            if isinstance(message, _messages.SubmitJob) and (
+                dispatch.is_large(message.job)
+            ):
+                # One in a turn of the event loop.
+                await trio.lowlevel.checkpoint()
 
     def _handle_message(
         self, sender: _messages.Sender, message: typing.Any, now_s: float
@@ -456,6 +471,13 @@
             case _messages.SubmitJob():
                 if leader is not None and message.term == leader.term:
                     leader.handle_submission(sender_id, message, now_s)
+            case _messages.RoomRequest():
+                if leader is not None and message.term == leader.term:
+                    leader.handle_room_request(sender_id, message, now_s)
+            case _messages.RoomReply():
+                self._handle_room_reply(sender_id, message, now_s)
+            case _messages.RoomRequestsAccepted():
+                self._room_leader = (sender_id, message.term)
             case _messages.CancelJob():
                 if leader is not None and message.term == leader.term:
                     leader.handle_cancellation(sender_id, message, now_s)
@@ -714,6 +736,7 @@
             now_s=now_s,
             random_state=self.random_state,
             loop_monitor=self.loop_monitor,
+            memory_budget=self.memory_budget,
             settings=self.settings.dispatcher,
         )
         _log.log(
@@ -1081,6 +1104,9 @@
         self._give_up(pending, _load_shedding.EXPECTED_WAIT, retry_after_s)
         return True
 
+    def _known_leader(self) -> tuple[str, int]:
+        return self.elector.leader_id, self.elector.term
+
     def _can_end_before_stop(self, pending: _pending.PendingJob) -> bool:
         """Return whether a planned stop leaves a job the time to end.
 
@@ -1096,10 +1122,80 @@
 
     def _submit_pending(
         self, pending: _pending.PendingJob, now_s: float
+    ) -> None:
+        role = self.elector.role
+        if pending.is_large() and pending.room_leader != self._known_leader():
+            if role is leadership.Role.LEADING:
+                self._large_job_ids.append(pending.job.id)
+                self._has_large_jobs.set()
+                return
+            if (
+                role is leadership.Role.FOLLOWING
+                and self._room_leader == self._known_leader()
+            ):
+                self._request_room(pending)
+                return
+        self._submit_to_leader(pending, now_s)
+
+    def _request_room(self, pending: _pending.PendingJob) -> None:
+        """Ask the leader for memory; it is asked again at its heartbeats."""
+        self.send(
+            self.elector.leader_id,
+            _messages.RoomRequest(
+                self.elector.term,
+                self._leader_session,
+                pending.job.id,
+                pending.led_bytes(),
+                pending.was_submitted,
+            ),
+        )
+
+    def _handle_room_reply(
+        self, sender_id: str, message: _messages.RoomReply, now_s: float
+    ) -> None:
+        leader = (sender_id, message.term)
+        if leader != self._known_leader():
+            return
+        pending = self.pending.get(message.job_id)
+        if pending is None:
+            if message.refusal is None:
+                # The caller has left.
+                self.send(
+                    sender_id,
+                    _messages.CancelJob(
+                        message.term, self._leader_session, message.job_id
+                    ),
+                )
+        elif pending.assigned_leader == leader:
+            # The job has been sent since.
+            pass
+        elif message.refusal is None:
+            pending.room_leader = leader
+            self._submit_pending(pending, now_s)
+        else:
+            self._deliver_outcome(message.job_id, message.refusal)
+
+    async def _submit_large_jobs(self) -> None:
+        """Submit large jobs to the own leader, one in a turn of the loop."""
+        while True:
+            await self._has_large_jobs.wait()
+            while self._large_job_ids:
+                pending = self.pending.get(self._large_job_ids.popleft())
+                if (
+                    pending is not None
+                    and self.leader is not None
+                    and pending.assigned_leader != self._known_leader()
+                ):
+                    self._submit_to_leader(pending, trio.current_time())
+                    await trio.lowlevel.checkpoint()
+            self._has_large_jobs = trio.Event()
+
+    def _submit_to_leader(
+        self, pending: _pending.PendingJob, now_s: float
     ) -> None:
         role = self.elector.role
         job = pending.job
-        leader = (self.elector.leader_id, self.elector.term)
+        leader = self._known_leader()
         # Another leader may have started tasks of the job; the current one
         # knows which tasks it has started itself.
         is_handed_over = pending.assigned_leader != leader
--- a/src/orioleloom/node/_pending.py
+++ b/src/orioleloom/node/_pending.py
@@ -17,6 +17,7 @@
         'job',
         'latest_useful_start_s',
         'on_outcome',
+        'room_leader',
         'was_submitted',
     )
 
@@ -37,9 +38,19 @@
         # Id and term of the leader that the job was submitted to.
         self.assigned_leader: tuple[str, int] | None = None
         self.was_submitted = False
+        # Id and term of the leader that has memory for the job.
+        self.room_leader: tuple[str, int] | None = None
         # Workers that earlier leaders of the job have used.
         self.earlier_list: dispatch.ListInUse | None = None
 
+    def is_large(self) -> bool:
+        """Return whether the leader must have memory for the job first."""
+        return dispatch.is_large(self.job)
+
+    def led_bytes(self) -> int:
+        """Return the memory that the job takes at the leader."""
+        return dispatch.led_bytes(self.job)
+
     def add_earlier_leader(self, list_in_use: dispatch.ListInUse) -> None:
         """Record which workers a leader has used that the job had."""
         self.earlier_list = (
--- a/src/orioleloom/node/metrics.py
+++ b/src/orioleloom/node/metrics.py
@@ -79,6 +79,10 @@
         )
         self._set('orioleloom_connects_total', self.client.n_connects)
         self._render_servers()
+        budget = node.memory_budget
+        self._set('orioleloom_job_memory_bytes', budget.job_bytes)
+        self._set('orioleloom_job_memory_peak_bytes', budget.peak_job_bytes)
+        self._set('orioleloom_memory_limit_bytes', budget.limit_bytes)
         totals = node.loop_monitor.totals
         self._set('orioleloom_loop_turns_total', totals.n_turns)
         self._set('orioleloom_loop_busy_seconds_total', totals.busy_s)
--- a/src/orioleloom/platform/_daemon.py
+++ b/src/orioleloom/platform/_daemon.py
@@ -105,6 +105,7 @@
                 max_message_bytes=MAX_PEER_MESSAGE_BYTES,
             ),
             loop_monitor=loop_monitor,
+            memory_budget=memory_budget,
         )
         self.budget = http1.Budget(http1.limit_bytes(memory_mb), memory_budget)
         self.ingress = ingress = _ingress.Ingress(self.node, random_state)
--- a/src/orioleloom_standins/leased/_fleet.py
+++ b/src/orioleloom_standins/leased/_fleet.py
@@ -14,6 +14,7 @@
 import trio
 
 from orioleloom import dispatch
+from orioleloom import memory
 from orioleloom import node
 from orioleloom import peer_api
 from orioleloom import timers
@@ -644,6 +645,8 @@
         # Processor time of events by instance id; none is charged without.
         self.processors: dict[str, _processor.Processor] = {}
         self.processor_costs: _processor.Costs | None = None
+        # Budgets of the instances; the default one for those without.
+        self.memory_budgets: dict[str, memory.Budget] = {}
         self.starts: list[ExecutedStart] = []
         # Times of the crashes by tasks.
         self.crash_log: list[tuple[float, dispatch.TaskKey]] = []
@@ -780,6 +783,7 @@
             random_state=random_state,
             incarnation=f'{self._n_starts}',
             loop_monitor=loop_monitor,
+            memory_budget=self.memory_budgets.get(instance_id),
         )
         self.nodes[instance_id] = instance
         with trio.CancelScope() as scope:
--- a/tests/processes/job_crowds.py
+++ b/tests/processes/job_crowds.py
@@ -4,6 +4,7 @@
 its own, see :mod:`tests.processes.crowds`.
 """
 
+import contextlib
 import random
 import signal
 import typing
@@ -32,6 +33,7 @@
     :param peak_memory_bytes: peaks of the instances
     :param peak_fds: peaks of the instances
     :param statuses: statuses of an ordinary request at each running instance
+    :param reasons: why ordinary requests were not served, from the logs
     :param n_refused: jobs that were refused as not run
     :param started_refused: those of them of which a task has started
     """
@@ -40,6 +42,7 @@
     peak_memory_bytes: list[int]
     peak_fds: list[int]
     statuses: list[int]
+    reasons: list[str]
     n_refused: int
     started_refused: set[str]
 
@@ -178,10 +181,27 @@
             [process.peak_memory_bytes for process in self.processes],
             [process.peak_fds for process in self.processes],
             statuses,
+            self._refusal_reasons(),
             len(self.refused),
             self.refused & self.started,
         )
 
+    def _refusal_reasons(self) -> list[str]:
+        ordinary = {f'{i.number:016x}' for i in self.instances}
+        reasons = []
+        for instance in self.instances:
+            for line in instance.log.read_bytes().splitlines():
+                with contextlib.suppress(msgspec.DecodeError):
+                    fields = msgspec.json.decode(line)
+                    if fields.get('job') in ordinary and (
+                        fields.get('outcome') != 'completed'
+                    ):
+                        reasons.append(
+                            f'{fields["message_type"]}: '
+                            f'{fields.get("reason", "")}'
+                        )
+        return reasons
+
     async def stop(self) -> None:
         for instance in self.instances:
             instance.signal(signal.SIGKILL)
