--- a/src/orioleloom_standins/soak.py
+++ b/src/orioleloom_standins/soak.py
@@ -27,6 +27,14 @@
 READY_TIMEOUT_S = 15.0
 _RECOVERY_S = 8.0
 _CALL_TIMEOUT_S = 6.0
+# Memory of each instance's machine, in MB.
+_MEMORY_MB = 160
+# Crowds of large jobs have a queue and a worker of their own, so that other
+# jobs do not lack workers because of them.
+_CROWD_PREFIX = '/crowd/'
+_CROWD_UPSTREAM = 'crowd-pool'
+_CROWD_CLIENTS = 60
+_LONG_SPEC_BYTES = 40_000
 
 
 class SoakReport(typing.NamedTuple):
@@ -51,10 +59,13 @@
         self.number = number
         self.address = f'{site.ip(number)}:8161'
         self.path = pathlib.Path(folder) / f'instance-{number}.yaml'
-        self.path.write_bytes(msgspec.json.encode(site.settings(number, n)))
+        self.write_settings(site.settings(number, n))
         self.log = pathlib.Path(folder) / f'instance-{number}.log'
         self.process: subprocess.Popen | None = None
 
+    def write_settings(self, settings: dict[str, typing.Any]) -> None:
+        self.path.write_bytes(msgspec.json.encode(settings))
+
     def start(self) -> None:
         environment = {**os.environ, 'ORIOLELOOM_BOOT': str(self.path)}
         with self.log.open('ab') as log:
@@ -71,6 +82,15 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def peak_memory_bytes(self) -> int:
+        """Return the peak of the resident memory, 0 without a process."""
+        with contextlib.suppress(OSError):
+            with open(f'/proc/{self.process.pid}/status') as file:
+                for line in file:
+                    if line.startswith('VmHWM:'):
+                        return 1024 * int(line.split()[1])
+        return 0
+
     async def wait(self, timeout_s: float) -> int | None:
         with trio.move_on_after(timeout_s):
             while self.process.poll() is None:
@@ -88,6 +108,9 @@
         self.violations: list[str] = []
         self.statuses: dict[int, int] = {}
         self.n_jobs = 0
+        self.n_crowd_jobs = 0
+        self.refused_job_ids: set[str] = set()
+        self.started_job_ids: set[str] = set()
         self.start_s = trio.current_time()
         self._watch_violations()
 
@@ -95,6 +118,9 @@
         check = self.site.world.check_duplicate_runs
 
         def checked(worker: leased.LeasedWorker) -> None:
+            self.started_job_ids.update(
+                key.job_id for key, _ in worker.running()
+            )
             try:
                 check(worker)
             except leased.Violation as exc:
@@ -162,6 +188,7 @@
             self._reset,
             self._worker_unresponsive,
             self._answers_lost,
+            self._crowd,
         )
         end_s = trio.current_time() + duration_s
         async with trio.open_nursery() as nursery:
@@ -236,11 +263,82 @@
         for served in self.site.workers.values():
             served.mute_share = 0.0
 
+    async def _crowd(self, for_s: float) -> None:
+        """Let clients submit large jobs, each on a connection of its own.
+
+        They keep it open until the time is over or the process is gone.
+        """
+        instance = self.rng.choice(self.instances)
+        body = self.rng.choice(
+            (
+                wire.submission(1_000, 0.02),
+                wire.submission(1, 0.02, n_padding_bytes=_LONG_SPEC_BYTES),
+            )
+        )
+        self.log_fault(
+            f'crowd of {len(body)} bytes at {instance.number} for {for_s:.1f}'
+        )
+        with trio.move_on_after(for_s):
+            async with trio.open_nursery() as nursery:
+                for _ in range(_CROWD_CLIENTS):
+                    self.n_crowd_jobs += 1
+                    job_id = f'{self.n_crowd_jobs:08x}{0:08x}'
+                    nursery.start_soon(
+                        self._send_large_job, instance, job_id, body
+                    )
+        self.check_memory()
+
+    async def _send_large_job(
+        self, instance: Instance, job_id: str, body: bytes
+    ) -> None:
+        client = http1.Client()
+        try:
+            response = await client.request(
+                instance.address,
+                'POST',
+                _CROWD_PREFIX + job_id,
+                body,
+                'X-Orioleloom-Deadline-Ms: 4000\r\n',
+                host=wire.HOST,
+            )
+            if response.status == 503:
+                self.refused_job_ids.add(job_id)
+            await trio.sleep_forever()
+        except (http1.NotSentError, http1.NoAnswerError):
+            pass
+        finally:
+            client.close()
+
+    # Checks
+
+    def check_memory(self) -> None:
+        """Check that no instance has needed more memory than it has."""
+        for instance in self.instances:
+            n_bytes = instance.peak_memory_bytes()
+            if n_bytes > _MEMORY_MB * 1_000_000:
+                self.violations.append(
+                    f'instance {instance.number} has used {n_bytes} bytes'
+                )
+
+    def check_refusals(self) -> None:
+        """Check that no job that was refused as not run has started."""
+        self.violations.extend(
+            f'job {job_id} was refused and has started'
+            for job_id in sorted(self.refused_job_ids & self.started_job_ids)
+        )
+
     # Phases of a run
 
     async def start(self) -> None:
         """Start the instances and wait until the first one serves."""
+        self.site.move_worker(max(self.site.workers), _CROWD_UPSTREAM)
+        self.site.configure(
+            ('/check/', _CROWD_PREFIX), {_CROWD_PREFIX: _CROWD_UPSTREAM}
+        )
         for instance in self.instances:
+            settings = self.site.settings(instance.number, len(self.instances))
+            settings['limits']['memoryMb'] = _MEMORY_MB
+            instance.write_settings(settings)
             instance.start()
         body = wire.submission(1, 0.01)
         with trio.fail_after(READY_TIMEOUT_S):
@@ -288,7 +386,7 @@
     rng = random.Random(seed)
     async with trio.open_nursery() as nursery:
         site = wire.Site(nursery, rng, network)
-        await site.start(6)
+        await site.start(7)
         soak = _Soak(site, rng, folder)
         try:
             await soak.start()
@@ -296,6 +394,8 @@
                 inner.start_soon(soak.send_jobs, duration_s)
                 inner.start_soon(soak.inject_faults, duration_s)
             await soak.check_recovery()
+            soak.check_memory()
+            soak.check_refusals()
             await soak.end()
         finally:
             for instance in soak.instances:
--- a/src/orioleloom_standins/wire/_site.py
+++ b/src/orioleloom_standins/wire/_site.py
@@ -17,10 +17,21 @@
 
 
 def submission(
-    n_tasks: int, work_s: float, *, cpu: int = 6_800, poison: bool = False
+    n_tasks: int,
+    work_s: float,
+    *,
+    cpu: int = 6_800,
+    poison: bool = False,
+    n_padding_bytes: int = 0,
 ) -> bytes:
-    """Return the request body of a job whose tasks take ``work_s`` each."""
-    spec = json.dumps({'work_s': work_s, 'cpu': cpu, 'poison': poison})
+    """Return the request body of a job whose tasks take ``work_s`` each.
+
+    :param n_padding_bytes: further length of its ``spec``
+    """
+    fields = {'work_s': work_s, 'cpu': cpu, 'poison': poison}
+    if n_padding_bytes:
+        fields['padding'] = n_padding_bytes * 'x'
+    spec = json.dumps(fields)
     return msgspec.json.encode(
         {
             'spec': spec,
@@ -99,8 +110,21 @@
             },
         )
 
-    def configure(self, prefixes: typing.Sequence[str] = (PREFIX,)) -> None:
-        """Write a new configuration with one route per path prefix."""
+    def move_worker(self, worker_id: str, upstream: str) -> None:
+        """Let a worker run the tasks of another upstream."""
+        worker = self.workers[worker_id].worker
+        worker.info = worker.info._replace(upstream=upstream)
+        self.list_worker(worker_id)
+
+    def configure(
+        self,
+        prefixes: typing.Sequence[str] = (PREFIX,),
+        upstreams: typing.Mapping[str, str] = {},
+    ) -> None:
+        """Write a new configuration with one route per path prefix.
+
+        :param upstreams: upstreams of path prefixes other than ``pool``
+        """
         self.version += 3
         self.store.put(
             'op',
@@ -112,7 +136,7 @@
                         'name': f'q{prefix}',
                         'host': HOST,
                         'pathPrefix': prefix,
-                        'service': 'pool',
+                        'service': upstreams.get(prefix, 'pool'),
                         'targetLatencyMs': 60,
                         'maxAttempts': 2,
                         'slackFactor': 1.6,
--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -140,15 +140,11 @@
     instance.path.write_bytes(msgspec.json.encode(settings))
 
 
-def configure(site: wire.Site, *routes: dict[str, typing.Any]) -> None:
-    """Write the limits that the platform has by default.
-
-    :param routes: routes to add
-    """
+def configure(site: wire.Site) -> None:
+    """Write the limits that the platform has by default."""
     value, *_ = site.store.rows['op']['config']
     config = msgspec.json.decode(base64.b64decode(value))
     config['version'] += 1
-    config['routes'] += routes
     config['limits'] = {
         'maxHeaderBytes': MAX_HEADER_BYTES,
         'maxBodyBytes': MAX_BODY_BYTES,
--- a/tests/processes/job_crowds.py
+++ b/tests/processes/job_crowds.py
@@ -78,23 +78,10 @@
 
         Ordinary requests then do not lack workers because of them.
         """
-        for number, worker_id in enumerate(sorted(self.site.workers)):
-            if number % 2:
-                worker = self.site.workers[worker_id].worker
-                worker.info = worker.info._replace(upstream=_UPSTREAM)
-                self.site.list_worker(worker_id)
-        crowds.configure(
-            self.site,
-            {
-                'name': 'crowd',
-                'host': wire.HOST,
-                'pathPrefix': _PREFIX,
-                'service': _UPSTREAM,
-                'targetLatencyMs': 60,
-                'maxAttempts': 2,
-                'slackFactor': 1.6,
-            },
-        )
+        for worker_id in sorted(self.site.workers)[1::2]:
+            self.site.move_worker(worker_id, _UPSTREAM)
+        self.site.configure(('/check/', _PREFIX), {_PREFIX: _UPSTREAM})
+        crowds.configure(self.site)
 
     async def start(self, nursery: trio.Nursery) -> None:
         self._add_queue()
