Answer a large job whose handling fails, and free it if its caller leaves

What callers saw: nothing yet; found in the review of the change.

Cause: large jobs are decoded by a task of the process instead of the handler of their connection. An unexpected error there would have ended the process, and a queued entry kept the body of a caller that had disconnected, which the budget no longer counted.

Change: such an error is logged and answered with 500, as for all requests; the task of the node runs again after one. Queued entries refer to the connection, which drops the request when it is closed.

Measured: the new test fails without the guard (the error ends the task), and passes with it.

--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -225,11 +225,11 @@
                 self._schedule_store_heartbeat,
             )
             nursery.start_soon(self._receive)
-            nursery.start_soon(self._submit_large_jobs)
             for name, function in (
                 ('routing watch', self.operator_rows.watch.run),
                 ('worker watch', self._watch_workers),
                 ('member watch', self._watch_members),
+                ('large jobs', self._submit_large_jobs),
             ):
                 nursery.start_soon(_log.run_forever, name, function)
             nursery.start_soon(self._register)
--- a/src/orioleloom/platform/_ingress.py
+++ b/src/orioleloom/platform/_ingress.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+import eliot
 import msgspec
 import trio
 
@@ -29,13 +30,13 @@
 class _LargeRequest(typing.NamedTuple):
     """A large job that waits to be decoded.
 
-    Compared by the first two fields, which differ.
+    Compared by the first two fields, of which the second one is unique. The
+    connection keeps the request, and drops it if the caller disconnects.
     """
 
     n_bytes: int
     number: int
     connection: http1.Connection
-    request: http1.Request
     route: node.Route
     job_id: str
 
@@ -67,16 +68,22 @@
             await self._has_large.wait()
             while self._large:
                 large = heapq.heappop(self._large)
-                if large.connection.current_request is large.request:
-                    self._decode(
-                        large.connection,
-                        large.request,
-                        large.route,
-                        large.job_id,
-                    )
+                request = large.connection.current_request
+                if request is not None:
+                    self._decode_large(large, request)
                 await trio.lowlevel.checkpoint()
             self._has_large = trio.Event()
 
+    def _decode_large(
+        self, large: _LargeRequest, request: http1.Request
+    ) -> None:
+        try:
+            self._decode(large.connection, request, large.route, large.job_id)
+        except Exception:
+            # As for requests that the server passes to a handler.
+            eliot.write_traceback()
+            large.connection.respond(500, close=True)
+
     def on_request(
         self, connection: http1.Connection, request: http1.Request
     ) -> None:
@@ -122,7 +129,8 @@
         route: node.Route,
         job_id: str,
     ) -> None:
-        # The context of the previous request of the connection.
+        # Otherwise a disconnection would cancel the job of the previous
+        # request on this connection.
         connection.context = None
         n_bytes = len(request.body)
         if not connection.has_room(dispatch.encoded_bytes(request.body)):
@@ -134,7 +142,6 @@
                     n_bytes,
                     next(self._numbers),
                     connection,
-                    request,
                     route,
                     job_id,
                 ),
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -78,7 +78,7 @@
         self.current_request = self.current_request._replace(body=b'')
         return self.has_room(n_bytes)
 
-    def respond(self, status, body, headers):
+    def respond(self, status, body=b'', headers='', *, close=False):
         self.current_request = None
         self.responses.append((status, headers))
 
@@ -120,6 +120,23 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_error_in_a_large_job_is_answered(nursery):
+    """Guards against one odd job that ends the process."""
+    ingress = _ingress.Ingress(FakeNode())
+    nursery.start_soon(ingress.run)
+    submit = ingress.instance.submit
+    ingress.instance.submit = lambda job, **_: 1 / 0
+    caller = Caller(1, 1_300)
+    receive(ingress, caller)
+    await trio.testing.wait_all_tasks_blocked()
+    assert caller.responses[0][0] == 500
+    ingress.instance.submit = submit
+    receive(ingress, Caller(2, 1_300))
+    await trio.testing.wait_all_tasks_blocked()
+    assert list(ingress.instance.pending) == [f'{2:016x}']
+    nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize('n_bytes', [0, 10_000])
 async def test_job_without_room_is_refused(nursery, n_bytes):
     """Guards against a large job that is decoded before it is refused."""
