Use a history in which a forgotten refusal still shows

Cause: test_refusal_that_the_leader_forgets_is_found plants a defect that one history has to reveal. The messages about room for large jobs and the backlog of the leader have changed the histories; in that of seed 123 the defect no longer shows.

Change: the test uses seed 138. The defect, the history's faults and the expected violation are the same.

--- a/tests/leased/test_disruptions.py
+++ b/tests/leased/test_disruptions.py
@@ -35,4 +35,4 @@
 
     monkeypatch.setattr(dispatch.Dispatcher, '_refuse', refuse_and_forget)
     with pytest.raises(leased.Violation, match='refused as not run'):
-        leased.run_history(123, disruptions=OVERLOADS)
+        leased.run_history(138, disruptions=OVERLOADS)
