Sample the processes of a crowd test from a process of its own

Cause: the process of the test, which is also the store and the workers, read /proc/net/tcp for each instance every 50 ms. The file lists the sockets of the whole machine, also the closed ones of the tests before. With 37,000 rows a sample took 150 to 180 ms of processor time for each of the three instances, so the workers and the store did not answer: a log of a failed run has all workers silent and all tables unread for 10.8 s while the leader was busy for 5 % of the time.

Change: tests.processes.sampling samples in a process of its own, with one read of the file for all instances. Crowds, bounds, settings and checks are as before.

Alone: test_crowds_of_jobs.py and test_uncontrolled_clients.py pass (22 tests).

--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -7,12 +7,9 @@
 
 import base64
 import contextlib
-import os
 import pathlib
 import random
 import signal
-import socket
-import struct
 import subprocess
 import sys
 import typing
@@ -23,6 +20,7 @@
 from orioleloom import http1
 from orioleloom_standins import soak
 from orioleloom_standins import wire
+from tests.processes import sampling
 
 MAX_BODY_BYTES = 262_144
 MAX_HEADER_BYTES = 16_384
@@ -32,7 +30,7 @@
 
 # One client in this many sends its request completely.
 _COMPLETE_EVERY = 10
-SAMPLE_INTERVAL_S = 0.05
+_POLL_INTERVAL_S = 0.05
 # A crowd is quiet once it has sent nothing for this long. On a busy machine
 # 0.5 s can pass before its first bytes.
 _QUIET_S = 2.0
@@ -87,47 +85,6 @@
     status: int
 
 
-class Process:
-    """Memory and descriptors of a process, from ``/proc``."""
-
-    def __init__(self, pid: int, ip: str):
-        self.pid = pid
-        self._local_address = '%08X' % struct.unpack(
-            '<I', socket.inet_aton(ip)
-        )
-        self.peak_memory_bytes = 0
-        self.peak_fds = 0
-
-    def _status_bytes(self, name: str) -> int:
-        with open(f'/proc/{self.pid}/status') as file:
-            for line in file:
-                if line.startswith(name + ':'):
-                    return int(line.split()[1]) * 1024
-        return 0
-
-    def _unread_bytes(self) -> int:
-        with open('/proc/net/tcp') as file:
-            rows = [line.split() for line in file]
-        return sum(
-            int(row[4].partition(':')[2], 16)
-            for row in rows[1:]
-            # Of a listening socket this is the number of connections.
-            if row[1].startswith(self._local_address) and row[3] != '0A'
-        )
-
-    def sample(self) -> None:
-        """Record the present values; those of a dead process stay."""
-        with contextlib.suppress(OSError):
-            self.peak_fds = max(
-                self.peak_fds, len(os.listdir(f'/proc/{self.pid}/fd'))
-            )
-            self.peak_memory_bytes = max(
-                self.peak_memory_bytes,
-                self._status_bytes('VmHWM'),
-                self._status_bytes('VmRSS') + self._unread_bytes(),
-            )
-
-
 def write_settings(
     site: wire.Site,
     instance: soak.Instance,
@@ -211,20 +168,16 @@
         self.site = site
         self.crowd = crowd
         self.instance = soak.Instance(site, 1, 1, folder)
-        self.process: Process | None = None
-
-    async def _sample(self) -> None:
-        while True:
-            self.process.sample()
-            await trio.sleep(SAMPLE_INTERVAL_S)
+        self.sampler: sampling.Sampler | None = None
 
     async def run(self, nursery: trio.Nursery) -> Seen:
         configure(self.site)
         write_settings(self.site, self.instance, 1)
         self.instance.start()
         await wait_ready(self.site, 1)
-        self.process = Process(self.instance.process.pid, self.site.ip(1))
-        nursery.start_soon(self._sample)
+        self.sampler = await sampling.Sampler.start(
+            [sampling.Target(self.instance.process.pid, self.site.ip(1))]
+        )
         clients = await nursery.start(
             run_clients, self.instance.address, self.crowd
         )
@@ -233,11 +186,11 @@
             while QUIET.encode() not in await clients.stdout.receive_some():
                 pass
         status = await request_ordinary(self.instance.address)
-        self.process.sample()
+        (peaks,) = await self.sampler.stop()
         return Seen(
             self.instance.process.poll() is None,
-            self.process.peak_memory_bytes,
-            self.process.peak_fds,
+            peaks.memory_bytes,
+            peaks.fds,
             status,
         )
 
@@ -258,6 +211,8 @@
             seen = await run.run(nursery)
         finally:
             run.instance.signal(signal.SIGKILL)
+            if run.sampler is not None:
+                run.sampler.kill()
             with trio.CancelScope(shield=True):
                 await run.instance.wait(5.0)
         nursery.cancel_scope.cancel()
@@ -314,7 +269,7 @@
             for number in range(self.crowd.n_clients):
                 nursery.start_soon(self._send, number)
             while self.n_sending:
-                await trio.sleep(SAMPLE_INTERVAL_S)
+                await trio.sleep(_POLL_INTERVAL_S)
                 # Clients whose bytes the server does not take are done, too.
                 if trio.current_time() > self.sent_s + _QUIET_S:
                     break
--- a/tests/processes/job_crowds.py
+++ b/tests/processes/job_crowds.py
@@ -17,6 +17,7 @@
 from orioleloom_standins import soak
 from orioleloom_standins import wire
 from tests.processes import crowds
+from tests.processes import sampling
 
 N_INSTANCES = 3
 _N_WORKERS = 8
@@ -55,7 +56,7 @@
             soak.Instance(site, number, N_INSTANCES, folder)
             for number in range(1, N_INSTANCES + 1)
         ]
-        self.processes: list[crowds.Process] = []
+        self.sampler: sampling.Sampler | None = None
         self.killed: set[int] = set()
         self.started: set[str] = set()
         self.refused: set[str] = set()
@@ -83,7 +84,7 @@
         self.site.configure(('/check/', _PREFIX), {_PREFIX: _UPSTREAM})
         crowds.configure(self.site)
 
-    async def start(self, nursery: trio.Nursery) -> None:
+    async def start(self) -> None:
         self._add_queue()
         for instance in self.instances:
             crowds.write_settings(
@@ -92,18 +93,14 @@
             instance.start()
         for instance in self.instances:
             await crowds.wait_ready(self.site, instance.number)
-            self.processes.append(
-                crowds.Process(
+        self.sampler = await sampling.Sampler.start(
+            [
+                sampling.Target(
                     instance.process.pid, self.site.ip(instance.number)
                 )
-            )
-        nursery.start_soon(self._sample)
-
-    async def _sample(self) -> None:
-        while True:
-            for process in self.processes:
-                process.sample()
-            await trio.sleep(crowds.SAMPLE_INTERVAL_S)
+                for instance in self.instances
+            ]
+        )
 
     async def find_leader(self) -> soak.Instance:
         """Return the leading instance."""
@@ -161,12 +158,11 @@
             await crowds.request_ordinary(instance.address, instance.number)
             for instance in running
         ]
-        for process in self.processes:
-            process.sample()
+        peaks = await self.sampler.stop()
         return FleetSeen(
             sum(i.process.poll() is not None for i in running),
-            [process.peak_memory_bytes for process in self.processes],
-            [process.peak_fds for process in self.processes],
+            [peak.memory_bytes for peak in peaks],
+            [peak.fds for peak in peaks],
             statuses,
             self._refusal_reasons(),
             len(self.refused),
@@ -190,6 +186,8 @@
         return reasons
 
     async def stop(self) -> None:
+        if self.sampler is not None:
+            self.sampler.kill()
         for instance in self.instances:
             instance.signal(signal.SIGKILL)
         with trio.CancelScope(shield=True):
@@ -225,7 +223,7 @@
         await site.start(_N_WORKERS)
         fleet = _Fleet(site, folder, memory_mb)
         try:
-            await fleet.start(nursery)
+            await fleet.start()
             leader = await fleet.find_leader()
             targets = [leader, *(i for i in fleet.instances if i != leader)]
             for instance, n in zip(targets, n_clients):
