--- a/src/orioleloom/dispatch/_dispatcher.py
+++ b/src/orioleloom/dispatch/_dispatcher.py
@@ -3,6 +3,7 @@
 import typing
 
 from orioleloom.dispatch import _admission
+from orioleloom.dispatch import _backlog
 from orioleloom.dispatch import _capacity
 from orioleloom.dispatch import _crashes
 from orioleloom.dispatch import _estimates
@@ -196,9 +197,7 @@
         self.start_payloads = _job_memory.StartPayloads(
             self.job_account.budget.limit_bytes
         )
-        # Room that the latest round has left to tasks that come later, by
-        # upstream, if it was limited.
-        self._free_places: dict[str, int] = {}
+        self._backlog = _backlog.Backlog()
 
     # Effects and bookkeeping
 
@@ -1092,7 +1091,7 @@
             self.holds.hold_new(state)
         self._claim_foreign_runs(state, now_s)
         if state.held_until_s <= now_s:
-            self._add_to_backlog(state)
+            self.pacer.add_waiting(self._backlog.count_new(state))
         self._refuse_unservable((state,), now_s)
         self._request_placement(now_s)
 
@@ -1419,53 +1418,14 @@
             start.task.job.waiting.remove(start.task)
             self._start_run(start.task, start.worker, now_s)
         self.admission.record_round(waiting, now_s)
-        n_startable = (
-            self._count_startable(
-                [job for job in waiting if job.held_until_s <= now_s]
+        n_startable = 0
+        if is_limited:
+            n_startable = self._backlog.count(
+                (job for job in waiting if job.held_until_s <= now_s),
+                self.workers.values(),
             )
-            if is_limited
-            else 0
-        )
         self.pacer.record_round(len(starts), n_startable, now_s)
 
-    def _count_startable(self, jobs: list[_jobs.JobState]) -> int:
-        """Return the number of waiting tasks for which workers have room.
-
-        The others wait for the ends of runs, not for this dispatcher: the
-        tasks of a few large jobs would count as its backlog for as long as
-        they run, and small jobs of other upstreams would be refused.
-        """
-        n_waiting: collections.Counter[str] = collections.Counter()
-        least_cpu: dict[str, int] = {}
-        for job in jobs:
-            if job.waiting:
-                upstream = job.job.queue.upstream
-                n_waiting[upstream] += len(job.waiting)
-                cpu = max(1, job.waiting[0].step.room.cpu_millicores)
-                least_cpu[upstream] = min(cpu, least_cpu.get(upstream, cpu))
-        places = dict.fromkeys(n_waiting, 0)
-        for worker in self.workers.values():
-            upstream = worker.info.upstream
-            if upstream in places and worker.is_usable():
-                free_cpu = max(0, worker.free.cpu_millicores)
-                places[upstream] += free_cpu // least_cpu[upstream]
-        n_startable = 0
-        for upstream, n_places in places.items():
-            n = min(n_places, n_waiting[upstream])
-            places[upstream] = n_places - n
-            n_startable += n
-        self._free_places = places
-        return n_startable
-
-    def _add_to_backlog(self, job: _jobs.JobState) -> None:
-        """Count the tasks of a new job that can start now."""
-        upstream = job.job.queue.upstream
-        n = len(job.waiting)
-        if upstream in self._free_places:
-            n = min(n, self._free_places[upstream])
-            self._free_places[upstream] -= n
-        self.pacer.add_waiting(n)
-
     def tick(self, now_s: float) -> None:
         """Handle timeouts and periodic work."""
         if now_s >= self._next_fleet_scan_s:
