Give large jobs of callers a module of their own in the node

The requests for memory at the leader, their replies and the queue of large jobs that an instance is about to lead move from _node.py, which is 59 lines shorter, to node/_large_jobs.py. No change of behaviour; tests/node/ test_large_jobs.py passes, with the new name of the leader that answers such requests.

--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -12,6 +12,7 @@
 from orioleloom import memory
 from orioleloom.node import _crash_rows
 from orioleloom.node import _evacuations
+from orioleloom.node import _large_jobs
 from orioleloom.node import _leader
 from orioleloom.node import _leader_lists
 from orioleloom.node import _load_shedding
@@ -130,12 +131,14 @@
         )
         self.leader: _leader.Leader | None = None
         self.load_shedding = _load_shedding.LoadShedding()
-        # Id and term of the latest leader that answers requests for memory.
-        self._room_leader: tuple[str, int] | None = None
-        # Large jobs of callers here that this instance is about to lead.
-        self._large_job_ids: collections.deque[str] = collections.deque()
-        self._has_large_jobs = trio.Event()
         self.pending: dict[str, _pending.PendingJob] = {}
+        self.large_jobs = _large_jobs.LargeJobs(
+            elector=self.elector,
+            pending=self.pending,
+            send=self.send,
+            submit=self._submit_to_leader,
+            end=self._deliver_outcome,
+        )
         self.peers = _peers.PeerDirectory(
             local_sender=self.local_sender,
             socket=self.peer_socket,
@@ -229,7 +232,7 @@
                 ('routing watch', self.operator_rows.watch.run),
                 ('worker watch', self._watch_workers),
                 ('member watch', self._watch_members),
-                ('large jobs', self._submit_large_jobs),
+                ('large jobs', self.large_jobs.run),
             ):
                 nursery.start_soon(_log.run_forever, name, function)
             nursery.start_soon(self._register)
@@ -475,9 +478,11 @@
                 if leader is not None and message.term == leader.term:
                     leader.handle_room_request(sender_id, message, now_s)
             case _messages.RoomReply():
-                self._handle_room_reply(sender_id, message, now_s)
+                self.large_jobs.handle_reply(
+                    sender_id, message, self._leader_session, now_s
+                )
             case _messages.RoomRequestsAccepted():
-                self._room_leader = (sender_id, message.term)
+                self.large_jobs.answering_leader = (sender_id, message.term)
             case _messages.CancelJob():
                 if leader is not None and message.term == leader.term:
                     leader.handle_cancellation(sender_id, message, now_s)
@@ -1123,72 +1128,8 @@
     def _submit_pending(
         self, pending: _pending.PendingJob, now_s: float
     ) -> None:
-        role = self.elector.role
-        if pending.is_large() and pending.room_leader != self._known_leader():
-            if role is leadership.Role.LEADING:
-                self._large_job_ids.append(pending.job.id)
-                self._has_large_jobs.set()
-                return
-            if (
-                role is leadership.Role.FOLLOWING
-                and self._room_leader == self._known_leader()
-            ):
-                self._request_room(pending)
-                return
-        self._submit_to_leader(pending, now_s)
-
-    def _request_room(self, pending: _pending.PendingJob) -> None:
-        """Ask the leader for memory; it is asked again at its heartbeats."""
-        self.send(
-            self.elector.leader_id,
-            _messages.RoomRequest(
-                self.elector.term,
-                self._leader_session,
-                pending.job.id,
-                pending.led_bytes(),
-                pending.was_submitted,
-            ),
-        )
-
-    def _handle_room_reply(
-        self, sender_id: str, message: _messages.RoomReply, now_s: float
-    ) -> None:
-        leader = (sender_id, message.term)
-        if leader != self._known_leader():
-            return
-        pending = self.pending.get(message.job_id)
-        if pending is None:
-            if message.refusal is None:
-                # The caller has left.
-                self.send(
-                    sender_id,
-                    _messages.CancelJob(
-                        message.term, self._leader_session, message.job_id
-                    ),
-                )
-        elif pending.assigned_leader == leader:
-            # The job has been sent since.
-            pass
-        elif message.refusal is None:
-            pending.room_leader = leader
-            self._submit_pending(pending, now_s)
-        else:
-            self._deliver_outcome(message.job_id, message.refusal)
-
-    async def _submit_large_jobs(self) -> None:
-        """Submit large jobs to the own leader, one in a turn of the loop."""
-        while True:
-            await self._has_large_jobs.wait()
-            while self._large_job_ids:
-                pending = self.pending.get(self._large_job_ids.popleft())
-                if (
-                    pending is not None
-                    and self.leader is not None
-                    and pending.assigned_leader != self._known_leader()
-                ):
-                    self._submit_to_leader(pending, trio.current_time())
-                    await trio.lowlevel.checkpoint()
-            self._has_large_jobs = trio.Event()
+        if not self.large_jobs.defer(pending, self._leader_session):
+            self._submit_to_leader(pending, now_s)
 
     def _submit_to_leader(
         self, pending: _pending.PendingJob, now_s: float
--- a/tests/node/test_large_jobs.py
+++ b/tests/node/test_large_jobs.py
@@ -111,7 +111,7 @@
 
     node._handle_message = ignore_requests
     follower = next(n for n in sorted(fleet.nodes) if n != leader)
-    fleet.nodes[follower]._room_leader = None
+    fleet.nodes[follower].large_jobs.answering_leader = None
     submit(fleet, follower, new_job(1))
     await trio.sleep(0.9)
     outcome = fleet.outcomes[new_job(1).id]
