--- a/src/orioleloom/platform/_ingress.py
+++ b/src/orioleloom/platform/_ingress.py
@@ -27,18 +27,26 @@
 _LARGE_BODY_BYTES = 8_192
 
 
+class _Target(typing.NamedTuple):
+    """What the path of a request that submits a job names.
+
+    The connection keeps the request, and drops it if the caller disconnects.
+    """
+
+    connection: http1.Connection
+    route: node.Route
+    job_id: str
+
+
 class _LargeRequest(typing.NamedTuple):
     """A large job that waits to be decoded.
 
-    Compared by the first two fields, of which the second one is unique. The
-    connection keeps the request, and drops it if the caller disconnects.
+    Compared by the first two fields, of which the second one is unique.
     """
 
     n_bytes: int
     number: int
-    connection: http1.Connection
-    route: node.Route
-    job_id: str
+    target: _Target
 
 
 class Ingress:
@@ -68,21 +76,19 @@
             await self._has_large.wait()
             while self._large:
                 large = heapq.heappop(self._large)
-                request = large.connection.current_request
+                request = large.target.connection.current_request
                 if request is not None:
-                    self._decode_large(large, request)
+                    self._decode_large(large.target, request)
                 await trio.lowlevel.checkpoint()
             self._has_large = trio.Event()
 
-    def _decode_large(
-        self, large: _LargeRequest, request: http1.Request
-    ) -> None:
+    def _decode_large(self, target: _Target, request: http1.Request) -> None:
         try:
-            self._decode(large.connection, request, large.route, large.job_id)
+            self._decode(target, request)
         except Exception:
             # As for requests that the server passes to a handler.
             eliot.write_traceback()
-            large.connection.respond(500, close=True)
+            target.connection.respond(500, close=True)
 
     def on_request(
         self, connection: http1.Connection, request: http1.Request
@@ -114,7 +120,7 @@
             case _ if not _wire.is_job_id(job_id):
                 _respond(connection, 404, {'error': 'no such job'})
             case 'POST':
-                self._submit(connection, request, route, job_id)
+                self._submit(_Target(connection, route, job_id), request)
             case 'GET':
                 self._respond_state(connection, job_id)
             case 'DELETE':
@@ -122,56 +128,38 @@
             case _:
                 _respond(connection, 405, {'error': 'method not allowed'})
 
-    def _submit(
-        self,
-        connection: http1.Connection,
-        request: http1.Request,
-        route: node.Route,
-        job_id: str,
-    ) -> None:
+    def _submit(self, target: _Target, request: http1.Request) -> None:
         # Otherwise a disconnection would cancel the job of the previous
         # request on this connection.
-        connection.context = None
+        target.connection.context = None
         n_bytes = len(request.body)
-        if not connection.has_room(dispatch.encoded_bytes(request.body)):
-            self._refuse_for_memory(connection, job_id)
+        needed_bytes = dispatch.encoded_bytes(request.body)
+        if not target.connection.has_room(needed_bytes):
+            self._refuse_for_memory(target)
         elif n_bytes > _LARGE_BODY_BYTES:
             heapq.heappush(
                 self._large,
-                _LargeRequest(
-                    n_bytes,
-                    next(self._numbers),
-                    connection,
-                    route,
-                    job_id,
-                ),
+                _LargeRequest(n_bytes, next(self._numbers), target),
             )
             self._has_large.set()
         else:
-            self._decode(connection, request, route, job_id)
+            self._decode(target, request)
 
-    def _refuse_for_memory(
-        self, connection: http1.Connection, job_id: str
-    ) -> None:
+    def _refuse_for_memory(self, target: _Target) -> None:
         self.instance.counters['jobs_refused_memory'] += 1
-        if job_id in self.instance.pending:
+        if target.job_id in self.instance.pending:
             # An earlier request has submitted the job, which may run.
-            _respond(connection, 502, {'error': dispatch.NO_MEMORY})
+            _respond(target.connection, 502, {'error': dispatch.NO_MEMORY})
         else:
             _respond_unavailable(
-                connection,
+                target.connection,
                 dispatch.NO_MEMORY,
                 self.random_state.randint(*_NO_MEMORY_RETRY_AFTER_S),
             )
 
-    def _decode(
-        self,
-        connection: http1.Connection,
-        request: http1.Request,
-        route: node.Route,
-        job_id: str,
-    ) -> None:
+    def _decode(self, target: _Target, request: http1.Request) -> None:
         """Submit a job that its request contains."""
+        connection, route, job_id = target
         try:
             job = _wire.decode_job(job_id, route.queue, request.body)
         except _wire.UnsupportedError as exc:
@@ -183,7 +171,7 @@
             _respond(connection, 400, {'error': str(exc)[:200]})
             return
         if not connection.hold_handled(dispatch.pending_bytes(job)):
-            self._refuse_for_memory(connection, job_id)
+            self._refuse_for_memory(target)
             return
         deadline_s = request.arrived_s + _parse_timeout_s(request)
         current_request = connection.current_request
