Bound the small jobs that wait in the leader's socket

A follower submits jobs of up to 4,096 characters to the leader without asking for memory. While the leader's event loop is busy they wait in its socket, up to 1,000 for each follower, and no budget counts them.

Cause: nothing told a follower how much of what it had sent was unread.

Change: node._room_requests (was _large_jobs) counts the bytes of submissions without a request. Messages between two instances arrive in order, so that the outcome of a job, or the reply to a request for memory, shows that all earlier ones have been read. An eighth of the limit, divided by the number of instances, may be on the way; further small jobs wait in their order, and the first of them asks for memory.

No job of usual size asks (1,000 at 50/s), and all jobs end if the leader loses messages or is killed.

--- a/src/orioleloom/node/_node.py
+++ b/src/orioleloom/node/_node.py
@@ -12,7 +12,6 @@
 from orioleloom import memory
 from orioleloom.node import _crash_rows
 from orioleloom.node import _evacuations
-from orioleloom.node import _large_jobs
 from orioleloom.node import _leader
 from orioleloom.node import _leader_lists
 from orioleloom.node import _load_shedding
@@ -24,6 +23,7 @@
 from orioleloom.node import _pending
 from orioleloom.node import _ports
 from orioleloom.node import _presence
+from orioleloom.node import _room_requests
 from orioleloom.node import _settings
 from orioleloom.node import _tables
 from orioleloom import peer_api
@@ -132,9 +132,12 @@
         self.leader: _leader.Leader | None = None
         self.load_shedding = _load_shedding.LoadShedding()
         self.pending: dict[str, _pending.PendingJob] = {}
-        self.large_jobs = _large_jobs.LargeJobs(
+        self.room_requests = _room_requests.RoomRequests(
             elector=self.elector,
             pending=self.pending,
+            limit_bytes=self.memory_budget.limit_bytes,
+            count_instances=lambda: len(self.peers.members) + 1,
+            session=lambda: self._leader_session,
             send=self.send,
             submit=self._submit_to_leader,
             end=self._deliver_outcome,
@@ -232,7 +235,7 @@
                 ('routing watch', self.operator_rows.watch.run),
                 ('worker watch', self._watch_workers),
                 ('member watch', self._watch_members),
-                ('large jobs', self.large_jobs.run),
+                ('room requests', self.room_requests.run),
             ):
                 nursery.start_soon(_log.run_forever, name, function)
             nursery.start_soon(self._register)
@@ -429,9 +432,12 @@
 
     # Messages
 
-    def send(self, member_id: str, message: _messages.Message) -> None:
-        """Queue a message to an instance whose address is known."""
-        self.peers.send(member_id, message)
+    def send(self, member_id: str, message: _messages.Message) -> int:
+        """Queue a message to an instance whose address is known.
+
+        :returns: size of the message in bytes; 0 if it was not queued
+        """
+        return self.peers.send(member_id, message)
 
     async def _receive(self) -> None:
         async for frame in self.peer_socket.receive():
@@ -478,16 +484,17 @@
                 if leader is not None and message.term == leader.term:
                     leader.handle_room_request(sender_id, message, now_s)
             case _messages.RoomReply():
-                self.large_jobs.handle_reply(
-                    sender_id, message, self._leader_session, now_s
-                )
+                self.room_requests.handle_reply(sender_id, message, now_s)
             case _messages.RoomRequestsAccepted():
-                self.large_jobs.answering_leader = (sender_id, message.term)
+                self.room_requests.answering_leader = (
+                    sender_id,
+                    message.term,
+                )
             case _messages.CancelJob():
                 if leader is not None and message.term == leader.term:
                     leader.handle_cancellation(sender_id, message, now_s)
             case _messages.JobEnded():
-                self._handle_job_ended(sender_id, message)
+                self._handle_job_ended(sender_id, message, now_s)
             case _messages.JobUnknown():
                 pending = self.pending.get(message.job_id)
                 if pending is not None and pending.assigned_leader == (
@@ -1128,7 +1135,7 @@
     def _submit_pending(
         self, pending: _pending.PendingJob, now_s: float
     ) -> None:
-        if not self.large_jobs.defer(pending, self._leader_session):
+        if not self.room_requests.defer(pending):
             self._submit_to_leader(pending, now_s)
 
     def _submit_to_leader(
@@ -1165,7 +1172,7 @@
         elif role is leadership.Role.FOLLOWING:
             pending.assigned_leader = leader
             pending.was_submitted = True
-            self.send(
+            n_bytes = self.send(
                 self.elector.leader_id,
                 _messages.SubmitJob(
                     self.elector.term,
@@ -1178,6 +1185,7 @@
                     earlier_list,
                 ),
             )
+            self.room_requests.record_submission(pending, n_bytes)
 
     def handle_caller_disconnect(
         self, job_id: str, on_outcome: typing.Any
@@ -1221,8 +1229,11 @@
             )
 
     def _handle_job_ended(
-        self, sender_id: str, message: _messages.JobEnded
+        self, sender_id: str, message: _messages.JobEnded, now_s: float
     ) -> None:
+        self.room_requests.record_answer(
+            (sender_id, message.term), message.job_id, now_s
+        )
         pending = self.pending.get(message.job_id)
         if pending is None:
             return
--- a/src/orioleloom/node/_peers.py
+++ b/src/orioleloom/node/_peers.py
@@ -72,15 +72,21 @@
         self.members[sender.instance_id] = member
         return True
 
-    def send(self, member_id: str, message: _messages.Message) -> None:
-        """Queue a message to an instance whose address is known."""
+    def send(self, member_id: str, message: _messages.Message) -> int:
+        """Queue a message to an instance whose address is known.
+
+        :returns: size of the message in bytes; 0 if it was not queued
+        """
         member = self.members.get(member_id)
-        if member is not None:
-            self.send_to(member.address, message)
+        return 0 if member is None else self.send_to(member.address, message)
 
-    def send_to(self, address: str, message: _messages.Message) -> None:
-        """Queue a message to an address."""
-        self.socket.send(address, _messages.encode(self.local_sender, message))
+    def send_to(self, address: str, message: _messages.Message) -> int:
+        """Queue a message to an address.
+
+        :returns: size of the message in bytes; 0 if it was not queued
+        """
+        frame = _messages.encode(self.local_sender, message)
+        return len(frame) if self.socket.send(address, frame) else 0
 
     def may_send_tables(self, member_id: str, now_s: float) -> bool:
         """Return whether tables may be sent now, and record that they are."""
--- a/tests/node/test_large_jobs.py
+++ b/tests/node/test_room_requests.py
@@ -1,4 +1,4 @@
-"""Large jobs of followers, and leaders without memory for them."""
+"""Crowds of jobs of followers, and leaders without memory for them."""
 
 import pytest
 import trio
@@ -10,18 +10,23 @@
 
 QUEUE = dispatch.Queue('check', 'pool', 0, 3, 1.6, 0.06)
 N_JOBS = 20
+# Their payloads are four times the limit.
+N_SMALL_JOBS = 1_000
 # Holds some of the jobs.
 LIMIT_BYTES = 1_000_000
 
 
-def new_job(number, n_tasks=200):
+def new_job(number, n_tasks=200, payload='payload'):
     step = dispatch.Step(n_tasks, dispatch.Resources(100, 64), 0.2)
-    return dispatch.Job(f'{number:016x}', QUEUE, 'payload', (step,))
+    return dispatch.Job(f'{number:016x}', QUEUE, payload, (step,))
 
 
-def new_fleet(nursery):
+def new_fleet(nursery, n_instances=3):
     fleet = leased.new_fleet(
-        nursery, ['dc0', 'dc1', 'dc2'], workers=leased.site_workers(), seed=1
+        nursery,
+        [f'dc{number % 3}' for number in range(n_instances)],
+        workers=leased.site_workers(),
+        seed=1,
     )
     for name in fleet._data_centres:
         fleet.memory_budgets[name] = memory.Budget(LIMIT_BYTES)
@@ -111,7 +116,7 @@
 
     node._handle_message = ignore_requests
     follower = next(n for n in sorted(fleet.nodes) if n != leader)
-    fleet.nodes[follower].large_jobs.answering_leader = None
+    fleet.nodes[follower].room_requests.answering_leader = None
     submit(fleet, follower, new_job(1))
     await trio.sleep(0.9)
     outcome = fleet.outcomes[new_job(1).id]
@@ -147,3 +152,108 @@
     fleet.nodes[leader].begin_stop()
     await trio.sleep(0.02)
     assert budget.job_bytes == 0
+
+
+@pytest.mark.parametrize('n_instances', [3, 9])
+async def test_small_jobs_for_a_leader_that_stands_still(
+    nursery, autojump_clock, n_instances
+):
+    """Guards against small jobs that fill the leader's socket.
+
+    They are submitted without a request for memory. While the leader does
+    not read, those of all followers add up.
+    """
+    fleet = new_fleet(nursery, n_instances)
+    await trio.sleep(2)
+    (leader,) = fleet.leaders()
+    followers = [name for name in sorted(fleet.nodes) if name != leader]
+    waiting = []
+    node = fleet.nodes[leader]
+    handle_message = node._handle_message
+    node._handle_message = lambda *args: waiting.append(args)
+    for number in range(N_SMALL_JOBS):
+        name = followers[number % len(followers)]
+        submit(fleet, name, new_job(number, n_tasks=1, payload='x' * 4_000))
+    # Heartbeats go on for shorter than a follower may be silent.
+    await trio.sleep(0.25)
+    n_bytes = sum(len(_messages.encode(*args[:2])) for args in waiting)
+    assert 0 < n_bytes < LIMIT_BYTES
+    node._handle_message = handle_message
+    for sender, message, _ in waiting:
+        handle_message(sender, message, trio.current_time())
+    await trio.sleep(10)
+    assert len(fleet.outcomes) == N_SMALL_JOBS
+    assert not started_job_ids(fleet) & refused_job_ids(fleet)
+    kinds = {outcome.kind for outcome in fleet.outcomes.values()}
+    assert dispatch.OutcomeKind.COMPLETED in kinds
+
+
+async def test_usual_jobs_are_submitted_without_a_request(
+    nursery, autojump_clock
+):
+    """Guards against a round trip to the leader before each small job.
+
+    Their messages take more than may be on the way to the leader, but not at
+    the same time.
+    """
+    fleet = new_fleet(nursery)
+    await trio.sleep(2)
+    (leader,) = fleet.leaders()
+    follower = next(n for n in sorted(fleet.nodes) if n != leader)
+    read = []
+    node = fleet.nodes[leader]
+    handle_message = node._handle_message
+
+    def record(sender, message, now_s):
+        read.append(message)
+        handle_message(sender, message, now_s)
+
+    node._handle_message = record
+    for number in range(N_SMALL_JOBS):
+        submit(fleet, follower, new_job(number, n_tasks=1))
+        await trio.sleep(0.02)
+    await trio.sleep(1)
+    assert len(fleet.outcomes) == N_SMALL_JOBS
+    submissions = [
+        _messages.encode(node.local_sender, message)
+        for message in read
+        if isinstance(message, _messages.SubmitJob)
+    ]
+    assert sum(map(len, submissions)) > LIMIT_BYTES / 8
+    assert not any(isinstance(m, _messages.RoomRequest) for m in read)
+
+
+@pytest.mark.parametrize('is_killed', [False, True])
+async def test_waiting_jobs_of_a_leader_that_loses_messages(
+    nursery, autojump_clock, is_killed
+):
+    """Guards against small jobs that wait for a request that was lost."""
+    fleet = new_fleet(nursery)
+    await trio.sleep(2)
+    (leader,) = fleet.leaders()
+    followers = [name for name in sorted(fleet.nodes) if name != leader]
+    node = fleet.nodes[leader]
+    handle_message = node._handle_message
+
+    def lose_submissions(sender, message, now_s):
+        if not isinstance(
+            message, _messages.RoomRequest | _messages.SubmitJob
+        ):
+            handle_message(sender, message, now_s)
+
+    node._handle_message = lose_submissions
+    for number in range(N_SMALL_JOBS):
+        submit(
+            fleet,
+            followers[number % 2],
+            new_job(number, n_tasks=1, payload='x' * 4_000),
+        )
+    await trio.sleep(0.15)
+    if is_killed:
+        fleet.kill(leader)
+    node._handle_message = handle_message
+    await trio.sleep(10)
+    assert len(fleet.outcomes) == N_SMALL_JOBS
+    assert not started_job_ids(fleet) & refused_job_ids(fleet)
+    kinds = {outcome.kind for outcome in fleet.outcomes.values()}
+    assert dispatch.OutcomeKind.COMPLETED in kinds
--- a/tests/processes/job_crowds.py
+++ b/tests/processes/job_crowds.py
@@ -1,6 +1,6 @@
 """Crowds of whole, legal jobs, and what they cost a fleet of instances.
 
-The instances are three processes on loopback, and each crowd is a process of
+The instances are processes on loopback, and each crowd is a process of
 its own, see :mod:`tests.processes.crowds`.
 """
 
@@ -19,7 +19,6 @@
 from tests.processes import crowds
 from tests.processes import sampling
 
-N_INSTANCES = 3
 _N_WORKERS = 8
 _ROLE_TIMEOUT_S = 5.0
 # Queue of the crowds.
@@ -49,12 +48,14 @@
 
 
 class _Fleet:
-    def __init__(self, site: wire.Site, folder: str, memory_mb: int):
+    def __init__(
+        self, site: wire.Site, n_instances: int, folder: str, memory_mb: int
+    ):
         self.site = site
         self.memory_mb = memory_mb
         self.instances = [
-            soak.Instance(site, number, N_INSTANCES, folder)
-            for number in range(1, N_INSTANCES + 1)
+            soak.Instance(site, number, n_instances, folder)
+            for number in range(1, n_instances + 1)
         ]
         self.sampler: sampling.Sampler | None = None
         self.killed: set[int] = set()
@@ -88,7 +89,7 @@
         self._add_queue()
         for instance in self.instances:
             crowds.write_settings(
-                self.site, instance, N_INSTANCES, self.memory_mb
+                self.site, instance, len(self.instances), self.memory_mb
             )
             instance.start()
         for instance in self.instances:
@@ -137,7 +138,7 @@
             for line in lines:
                 if line == crowds.QUIET:
                     self._n_quiet += 1
-                    if self._n_quiet == N_INSTANCES:
+                    if self._n_quiet == len(self.instances):
                         self._is_quiet.set()
                 else:
                     self.refused.add(line)
@@ -209,7 +210,8 @@
     instance has ended.
 
     :param body: the job
-    :param n_clients: clients that call the leader, and each follower
+    :param n_clients: clients that call the leader, and each follower; there
+        are as many instances
     :param folder: directory for the instances' settings and logs
     :param memory_mb: memory in the instances' settings
     :param kill_leader: kill the leader once the crowds are quiet
@@ -221,7 +223,7 @@
     async with trio.open_nursery() as nursery:
         site = wire.Site(nursery, random.Random(1), 12)
         await site.start(_N_WORKERS)
-        fleet = _Fleet(site, folder, memory_mb)
+        fleet = _Fleet(site, len(n_clients), folder, memory_mb)
         try:
             await fleet.start()
             leader = await fleet.find_leader()
--- a/tests/processes/test_crowds_of_jobs.py
+++ b/tests/processes/test_crowds_of_jobs.py
@@ -39,6 +39,10 @@
 WIDE_SPEC = encode(
     _SPEC | {'pad': _PADDING[4:] + '\U0001f600'}, [_STEP | {'count': 1}]
 )
+# The longest that is submitted without asking the leader for memory.
+SMALL_WIDE_SPEC = encode(
+    _SPEC | {'pad': '\U0001f600' * 4_000}, [_STEP | {'count': 1}]
+)
 MANY_STEPS = encode(
     _SPEC,
     [
@@ -86,6 +90,15 @@
     check(seen, 160)
 
 
+async def test_small_jobs_at_many_instances(tmp_path):
+    """Guards against submissions that fill the leader's socket."""
+    seen = await job_crowds.send(
+        SMALL_WIDE_SPEC, (0, *(400,) * 7), str(tmp_path)
+    )
+    print(seen)
+    check(seen)
+
+
 @pytest.mark.parametrize(
     'body', [LONG_SPEC, MANY_TASKS], ids=['long_spec', 'many_tasks']
 )
