--- a/src/orioleloom_standins/soak.py
+++ b/src/orioleloom_standins/soak.py
@@ -35,6 +35,8 @@
 _CROWD_UPSTREAM = 'crowd-pool'
 _CROWD_CLIENTS = 60
 _LONG_SPEC_BYTES = 40_000
+# Faults come in one series for this many instances.
+_INSTANCES_PER_FAULT_SERIES = 3
 
 
 class SoakReport(typing.NamedTuple):
@@ -99,10 +101,19 @@
 
 
 class _Soak:
-    def __init__(self, site: wire.Site, rng: random.Random, folder: str):
+    def __init__(
+        self,
+        site: wire.Site,
+        rng: random.Random,
+        n_instances: int,
+        folder: str,
+    ):
         self.site = site
         self.rng = rng
-        self.instances = [Instance(site, n, 3, folder) for n in (1, 2, 3)]
+        self.instances = [
+            Instance(site, number, n_instances, folder)
+            for number in range(1, n_instances + 1)
+        ]
         self.client = http1.Client()
         self.faults: list[str] = []
         self.violations: list[str] = []
@@ -381,18 +392,19 @@
 
 
 async def _run(
-    seed: int, duration_s: float, network: int, folder: str
+    seed: int, duration_s: float, network: int, n_instances: int, folder: str
 ) -> SoakReport:
     rng = random.Random(seed)
     async with trio.open_nursery() as nursery:
         site = wire.Site(nursery, rng, network)
         await site.start(7)
-        soak = _Soak(site, rng, folder)
+        soak = _Soak(site, rng, n_instances, folder)
         try:
             await soak.start()
             async with trio.open_nursery() as inner:
                 inner.start_soon(soak.send_jobs, duration_s)
-                inner.start_soon(soak.inject_faults, duration_s)
+                for _ in range(n_instances // _INSTANCES_PER_FAULT_SERIES):
+                    inner.start_soon(soak.inject_faults, duration_s)
             await soak.check_recovery()
             soak.check_memory()
             soak.check_refusals()
@@ -412,14 +424,18 @@
     duration_s: float,
     log_folder: str | None = None,
     network: int = 7,
+    n_instances: int = 3,
 ) -> SoakReport:
     """Run instances under random faults.
 
     :param log_folder: directory for the instances' settings and logs; a
         temporary one is used and deleted if not given
     :param network: second octet of the instances' loopback addresses
+    :param n_instances: three, or a multiple of it
     """
-    return run_in_folder(log_folder, _run, seed, duration_s, network)
+    return run_in_folder(
+        log_folder, _run, seed, duration_s, network, n_instances
+    )
 
 
 def run_in_folder(
