Read requests that do not wait for responses a few at a time

Ordinary callers got no answer within 5 s while 600 clients sent 4,000 small GET requests each without reading the responses.

Cause: a connection read 4 KiB at once and handled all requests in it, 80 of 50 bytes, before other connections had their turn, and was ready to read again at once. Turns were taken only for a single request of more than 4 KiB.

Change: a connection reads in pieces of 1 KiB and nothing after a complete request, and takes turns once a piece has completed more than one request. The rest stays in the kernel, whose buffer is bounded. An ordinary request is read with one call as before.

--- a/src/orioleloom/http1/_server.py
+++ b/src/orioleloom/http1/_server.py
@@ -19,6 +19,9 @@
 # Bytes of a request that a connection reads as soon as they arrive, which is
 # all of an ordinary request. 4 KiB in chunks of one byte take 0.07 ms.
 _READ_BYTES = 4_096
+# They are read in pieces, and those after a complete request with the next
+# read. A piece can hold 50 requests, each of which is handled at once.
+_PIECE_BYTES = 1_024
 # Bytes that a connection with a larger request reads when it is its turn.
 _LARGE_READ_BYTES = 16_384
 # Bytes that are read after a refusal before the connection is closed, so that
@@ -156,6 +159,8 @@
         self._idle_since_s = trio.current_time()
         self._receive_scope = trio.CancelScope()
         self._is_parsing = False
+        # Requests that the last piece has completed.
+        self._n_completed = 0
         # Bytes since the last complete request, of whatever kind.
         self._n_raw_bytes = 0
         self._reset_request()
@@ -244,6 +249,7 @@
         # and is counted with its next bytes.
         self._n_raw_bytes = 0
         self._idle_since_s = request.arrived_s
+        self._n_completed += 1
         self._n_waiting_bytes += n_bytes
         self._waiting.append(
             _Received(request, self._parser.should_keep_alive(), n_bytes)
@@ -280,6 +286,7 @@
             self._n_raw_bytes >= _READ_BYTES
             or self._is_finished
             or self._reject_status is not None
+            or self._n_completed > 1
         )
 
     def _is_receiving(self) -> bool:
@@ -320,18 +327,25 @@
         return True
 
     def _read(self, max_bytes: int) -> bool:
-        """Read and handle bytes; return false at the end of the stream."""
-        if not self.is_open:
-            return False
-        try:
-            data = self._socket.recv(max_bytes)
-        except BlockingIOError:
-            self.reception.progress_s = trio.current_time()
-            return True
-        if not data:
-            return False
-        self._parse(data)
-        self._handle_waiting()
+        """Read and handle bytes; return false at the end of the stream.
+
+        Nothing is read after a complete request.
+        """
+        self._n_completed = 0
+        for _ in range(0, max_bytes, _PIECE_BYTES):
+            if not self.is_open:
+                return False
+            try:
+                data = self._socket.recv(_PIECE_BYTES)
+            except BlockingIOError:
+                self.reception.progress_s = trio.current_time()
+                break
+            if not data:
+                return False
+            self._parse(data)
+            self._handle_waiting()
+            if self._n_completed or len(data) < _PIECE_BYTES:
+                break
         return True
 
     def _parse(self, data: bytes) -> None:
--- a/tests/processes/test_uncontrolled_clients.py
+++ b/tests/processes/test_uncontrolled_clients.py
@@ -81,3 +81,11 @@
     """
     crowd = crowds.Crowd(1_000, 16 * [EMPTY_LINES])
     check(await crowds.send(crowd, str(tmp_path)))
+
+
+async def test_requests_without_a_wait_for_responses(tmp_path):
+    """Guards against many small requests that arrive in one read."""
+    get = b'GET /check/%s HTTP/1.1\r\nHost: tasks.example\r\n\r\n'
+    requests = 1_000 * (get % crowds.JOB_ID)
+    crowd = crowds.Crowd(600, 4 * [requests])
+    check(await crowds.send(crowd, str(tmp_path)))
