Bound the requests that a connection has answered during a planned stop

A process whose clients sent requests without waiting for responses did not end in the 6 s that the platform gives it: 8.3 s after SIGTERM for 600 clients with 4,000 GET requests each. It would have been killed.

Cause: during a stop, a response closes its connection only if no further request has arrived. Before each response the server read 64 KiB more and handled it in the same turn of the event loop, connection by connection.

Change: what has arrived is read 1 KiB at a time, only when nothing waits, and a connection has at most 16 responses before which the next request has arrived. The last one says "Connection: close".

Evidence: test_client_that_never_stops_sending_is_finished (2,000 responses before) and the check of the exit code in test_uncontrolled_clients.py (all eight crowds now end with a planned stop; the eighth was not over after 6 s) fail before and pass after.

--- a/src/orioleloom/http1/_server.py
+++ b/src/orioleloom/http1/_server.py
@@ -9,7 +9,6 @@
 import trio
 
 from orioleloom.http1 import _budget
-from orioleloom.http1 import _sockets
 from orioleloom import memory
 
 _BACKLOG = 1024
@@ -46,6 +45,9 @@
 _ACCEPT_PAUSE_S = 0.1
 _OUT_OF_DESCRIPTORS_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS)
 _FINISH_CHECK_INTERVAL_S = 0.01
+# Responses of a connection during a planned stop, if the next request has
+# arrived before each. A client that goes on sending would delay the stop.
+_MAX_DRAINING_RESPONSES = 16
 # How long a connection stays half open after its last response, until the
 # client closes it. Closing it with unread bytes would reset it, and the client
 # could lose the response.
@@ -149,6 +151,7 @@
         self._n_waiting_bytes = 0
         self._n_current_bytes = 0
         self._keep_alive = True
+        self._n_draining_responses = 0
         self._is_handling = False
         # Status for what arrived last and is refused.
         self._reject_status: int | None = None
@@ -497,7 +500,7 @@
     def _parse_available(self) -> None:
         """Queue the requests that have arrived, without waiting."""
         try:
-            self._parse(self._socket.recv(_sockets.MAX_READ_BYTES))
+            self._parse(self._socket.recv(_PIECE_BYTES))
         except OSError:
             # Nothing has arrived, or the connection is broken, which the
             # serving task notices.
@@ -570,8 +573,13 @@
         keep_open = self._keep_alive and not close
         if keep_open and self.server.is_draining:
             # Requests that have arrived behind this one are answered, too.
-            self._parse_available()
-            keep_open = self._has_unanswered()
+            self._n_draining_responses += 1
+            if not self._waiting:
+                self._parse_available()
+            keep_open = (
+                self._n_draining_responses < _MAX_DRAINING_RESPONSES
+                and self._has_unanswered()
+            )
         if not keep_open:
             headers += 'Connection: close\r\n'
         self._write(_encode_response(status, body, headers))
--- a/tests/http1/test_draining.py
+++ b/tests/http1/test_draining.py
@@ -138,3 +138,16 @@
         await stream.aclose()
         await server.wait_finished(1.0)
         assert not server.connections
+
+
+async def test_client_that_never_stops_sending_is_finished():
+    """Guards against a stop that waits for all requests of a client.
+
+    After each response the next one had arrived already.
+    """
+    async with running_server() as (server, stream, _):
+        server.is_draining = True
+        await stream.send_all(2000 * b'GET /now HTTP/1.1\r\n\r\n')
+        data = await receive_all(stream)
+    assert 1 < data.count(b'HTTP/1.1 503') < 100
+    assert data.count(b'Connection: close') == 1
--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -39,6 +39,8 @@
 # Generous time-outs, so that a hang fails a test instead of stopping it.
 CROWD_TIMEOUT_S = 20.0
 _ANSWER_TIMEOUT_S = 5.0
+# Time between SIGTERM and SIGKILL in the settings.
+_GRACE_S = 6.0
 
 
 # The dispatcher refuses a job that cannot begin by its objective, which
@@ -77,12 +79,15 @@
         it has not read from its sockets
     :param status: status of an ordinary request afterwards; 0 if it got no
         answer
+    :param exit_code: of a planned stop afterwards; ``None`` if the process
+        had to be killed
     """
 
     is_alive: bool
     peak_memory_bytes: int
     peak_fds: int
     status: int
+    exit_code: int | None
 
 
 def write_settings(
@@ -186,19 +191,17 @@
             while QUIET.encode() not in await clients.stdout.receive_some():
                 pass
         status = await request_ordinary(self.instance.address)
+        is_alive = self.instance.process.poll() is None
+        self.instance.signal(signal.SIGTERM)
+        exit_code = await self.instance.wait(_GRACE_S)
         (peaks,) = await self.sampler.stop()
-        return Seen(
-            self.instance.process.poll() is None,
-            peaks.memory_bytes,
-            peaks.fds,
-            status,
-        )
+        return Seen(is_alive, peaks.memory_bytes, peaks.fds, status, exit_code)
 
 
 async def send(crowd: Crowd, folder: str, network: int = 11) -> Seen:
     """Let a crowd call one instance, and an ordinary caller after it.
 
-    The crowd keeps its connections open until the ordinary call has ended.
+    The crowd keeps its connections open until the process has stopped.
 
     :param folder: directory for the instance's settings and log
     :param network: second octet of the instance's loopback address
--- a/tests/processes/test_uncontrolled_clients.py
+++ b/tests/processes/test_uncontrolled_clients.py
@@ -28,6 +28,7 @@
     assert seen.peak_memory_bytes < crowds.MEMORY_MB * 1_000_000
     assert seen.peak_fds < crowds.MAX_FDS
     assert seen.status == 200
+    assert seen.exit_code == 0
 
 
 async def test_large_bodies_that_lack_their_last_byte(tmp_path):
