--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -195,7 +195,9 @@
         self.instance.signal(signal.SIGTERM)
         exit_code = await self.instance.wait(_GRACE_S)
         (peaks,) = await self.sampler.stop()
-        return Seen(is_alive, peaks.memory_bytes, peaks.fds, status, exit_code)
+        return Seen(
+            is_alive, peaks.memory_bytes, peaks.n_fds, status, exit_code
+        )
 
 
 async def send(crowd: Crowd, folder: str, network: int = 11) -> Seen:
--- a/tests/processes/job_crowds.py
+++ b/tests/processes/job_crowds.py
@@ -163,7 +163,7 @@
         return FleetSeen(
             sum(i.process.poll() is not None for i in running),
             [peak.memory_bytes for peak in peaks],
-            [peak.fds for peak in peaks],
+            [peak.n_fds for peak in peaks],
             statuses,
             self._refusal_reasons(),
             len(self.refused),
--- a/tests/processes/sampling.py
+++ b/tests/processes/sampling.py
@@ -38,7 +38,7 @@
     """
 
     memory_bytes: int
-    fds: int
+    n_fds: int
 
 
 class Sampler:
@@ -100,7 +100,7 @@
                 _status_bytes(target.pid, 'VmRSS')
                 + _unread_bytes(target.ip, lines),
             ),
-            max(peaks.fds, len(os.listdir(f'/proc/{target.pid}/fd'))),
+            max(peaks.n_fds, len(os.listdir(f'/proc/{target.pid}/fd'))),
         )
     return peaks
 
