--- a/src/orioleloom/http1/_server.py
+++ b/src/orioleloom/http1/_server.py
@@ -18,8 +18,8 @@
 # Bytes of a request that a connection reads as soon as they arrive, which is
 # all of an ordinary request. 4 KiB in chunks of one byte take 0.07 ms.
 _READ_BYTES = 4_096
-# They are read in pieces, and those after a complete request with the next
-# read. A piece can hold 50 requests, each of which is handled at once.
+# Bytes of one call of recv(). All requests in them, 50 at most, are handled
+# before other connections; what follows a complete one waits for its turn.
 _PIECE_BYTES = 1_024
 # Bytes that a connection with a larger request reads when it is its turn.
 _LARGE_READ_BYTES = 16_384
